--- /dev/null
+++ b/packages/cli/src/commands/serve.ts
@@ -0,0 +1,32 @@
+/** The daemon. */
+import process from 'node:process';
+import {readSettings, serve} from '@bronzebend/daemon';
+import {defineCommand} from 'citty';
+import {runCommand} from '../run-command.js';
+
+export const serveCommand = defineCommand({
+	meta: {name: 'serve', description: 'Run one process with the roles that its settings name'},
+	args: {settings: {
+		type: 'string', description: 'Settings file', required: true, valueHint: 'FILE',
+	}},
+	run: runCommand(async ({args}) => {
+		const node = await serve(readSettings(args.settings));
+		let isStopping = false;
+		const stop = (): void => {
+			if (isStopping) {
+				return;
+			}
+
+			isStopping = true;
+			node.stop().then(() => {
+				process.exit();
+			}, (error: unknown) => {
+				process.stderr.write(`Cannot stop in order: ${String(error)}\n`);
+				process.exit(1);
+			});
+		};
+
+		process.on('SIGTERM', stop);
+		process.on('SIGINT', stop);
+	}),
+});
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,3 @@
+export * from './client.js';
+export * from './declaration-folder.js';
+export * from './output.js';
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,67 @@
+#!/usr/bin/env node
+/** The command line `bronzebend`. */
+import process from 'node:process';
+import {defineCommand, renderUsage, runCommand} from 'citty';
+import {
+	backupCommand, keeperCommand, keysCommand, restoreCommand, statusCommand,
+} from './commands/cluster.js';
+import {
+	checkCommand, diffCommand, historyCommand, publishCommand, showCommand,
+} from './commands/declarations.js';
+import {serveCommand} from './commands/serve.js';
+import {exitCodes} from './output.js';
+
+const subCommands = {
+	serve: serveCommand,
+	check: checkCommand,
+	diff: diffCommand,
+	publish: publishCommand,
+	history: historyCommand,
+	show: showCommand,
+	status: statusCommand,
+	keys: keysCommand,
+	backup: backupCommand,
+	restore: restoreCommand,
+	keeper: keeperCommand,
+};
+
+const main = defineCommand({
+	meta: {name: 'bronzebend', version: '0.1.0', description: 'Fleet capacity and maintenance manager'},
+	subCommands,
+});
+
+type AnyCommand = Parameters<typeof renderUsage>[0];
+
+/** The command that the words name, as deep as they go. */
+const locate = (words: readonly string[]): {command: AnyCommand; parent: AnyCommand | undefined} => {
+	let command = main as AnyCommand;
+	let parent: AnyCommand | undefined;
+	for (const word of words) {
+		const next = (command.subCommands as Record<string, AnyCommand> | undefined)?.[word];
+		if (!next) {
+			break;
+		}
+
+		parent = command;
+		command = next;
+	}
+
+	return {command, parent};
+};
+
+const words = process.argv.slice(2);
+const {command, parent} = locate(words);
+const usage = async (): Promise<string> => renderUsage(command, parent);
+
+if (words.includes('--help') || words.includes('-h')) {
+	process.stdout.write(`${await usage()}\n`);
+} else if (words.length === 1 && words[0] === '--version') {
+	process.stdout.write('0.1.0\n');
+} else {
+	try {
+		await runCommand(main, {rawArgs: words});
+	} catch (error) {
+		process.stderr.write(`${await usage()}\n\n${(error as Error).message}\n`);
+		process.exitCode = exitCodes.badUsage;
+	}
+}
--- /dev/null
+++ b/packages/core/src/control/control-state.ts
@@ -0,0 +1,136 @@
+/** The replicated state machine: aggregates driven by the commands in the log. */
+import {createAssignments, type AssignCommand, type Assignment} from './assignments.js';
+import {
+	createClaims, type ClaimCommand, type ClaimOutcome, type ClaimsSnapshot, type SettleCommand,
+} from './claims.js';
+import {createGrants, type Grant, type GrantsCommand} from './grants.js';
+import {createPlacements, type Placement, type PlacementCommand} from './placements.js';
+import {
+	createPublications, type PublicationsSnapshot, type PublishCommand, type PublishOutcome, type WithdrawKeyCommand,
+} from './publications.js';
+
+/** Limit of a team that has none declared. */
+export const UNLIMITED_RUNNING = 1_000_000;
+
+/** A command in the log. */
+export type ControlCommand =
+	| PublishCommand
+	| WithdrawKeyCommand
+	| ClaimCommand
+	| SettleCommand
+	| AssignCommand
+	| GrantsCommand
+	| PlacementCommand;
+
+/** What applying a command gave. */
+export type ControlOutcome =
+	| {type: 'published'; outcome: PublishOutcome}
+	| {type: 'claimed'; outcome: ClaimOutcome}
+	| {type: 'applied'; changed: boolean};
+
+/** Serializable content of the whole state machine. */
+export type ControlSnapshot = {
+	publications: PublicationsSnapshot;
+	claims: ClaimsSnapshot;
+	assignments: Assignment[];
+	grants: Grant[];
+	placements: Placement[];
+};
+
+/** The replicated state machine. */
+export type ControlState = ReturnType<typeof createControlState>;
+
+/** Creates the state machine, empty or from a snapshot. */
+export const createControlState = (snapshot?: ControlSnapshot) => {
+	const publications = createPublications(snapshot?.publications);
+	const claims = createClaims(snapshot?.claims);
+	const assignments = createAssignments(snapshot?.assignments);
+	const grants = createGrants(snapshot?.grants);
+	const placements = createPlacements(snapshot?.placements);
+	let limits = new Map<string, number>();
+
+	const readLimits = (): void => {
+		limits = new Map(publications.catalogue().list('limit').map(limit => [limit.team, limit.running]));
+	};
+
+	readLimits();
+	const limitOf = (team: string): number => limits.get(team) ?? UNLIMITED_RUNNING;
+	const epochOf = (pool: string): number => assignments.find(pool)?.epoch ?? 0;
+
+	/** New instances enter their declared pool; instances no longer declared leave. */
+	const syncPlacements = (): void => {
+		const catalogue = publications.catalogue();
+		for (const {name, pool} of catalogue.list('instance')) {
+			placements.apply({type: 'place', instance: name, pool});
+		}
+
+		for (const {instance} of placements.list()) {
+			if (!catalogue.find('instance', instance)) {
+				placements.apply({type: 'remove', instance});
+			}
+		}
+	};
+
+	return {
+		publications,
+		claims,
+		assignments,
+		grants,
+		placements,
+		limitOf,
+
+		/** Applies one committed command; the same commands in the same order give the same state everywhere. */
+		apply(command: ControlCommand): ControlOutcome {
+			switch (command.type) {
+				case 'publish': {
+					const before = publications.version();
+					const outcome = publications.publish(command);
+					if (publications.version() !== before) {
+						readLimits();
+						syncPlacements();
+					}
+
+					return {type: 'published', outcome};
+				}
+
+				case 'withdraw-key': {
+					return {type: 'published', outcome: publications.withdrawKey(command)};
+				}
+
+				case 'claim': {
+					return {type: 'claimed', outcome: claims.claim(command)};
+				}
+
+				case 'settle': {
+					claims.settle(command);
+					return {type: 'applied', changed: true};
+				}
+
+				case 'assign': {
+					return {type: 'applied', changed: assignments.assign(command)};
+				}
+
+				case 'grants': {
+					grants.apply(command, {limitOf, epochOf});
+					return {type: 'applied', changed: true};
+				}
+
+				case 'place':
+				case 'remove':
+				case 'start-work':
+				case 'advance-work':
+				case 'cancel-work': {
+					return {type: 'applied', changed: placements.apply(command)};
+				}
+			}
+		},
+
+		snapshot: (): ControlSnapshot => ({
+			publications: publications.snapshot(),
+			claims: claims.snapshot(),
+			assignments: assignments.snapshot(),
+			grants: grants.snapshot(),
+			placements: placements.snapshot(),
+		}),
+	};
+};
--- /dev/null
+++ b/packages/core/src/dispatch/backend-table.ts
@@ -0,0 +1,243 @@
+/** The backend servers of one pool as its dispatcher knows them: slots, connections, health. */
+import {type Announcement, type TicketOutcome, ticketOutcomes} from './requests.js';
+
+/** An announcement is good for this long, in milliseconds. */
+export const ANNOUNCEMENT_LEASE_MS = 3500;
+/** Consecutive failures after which a backend server is ejected. */
+const EJECT_AFTER_FAILURES = 5;
+/** Failure rate above which a backend server is ejected. */
+const EJECT_ABOVE_RATE = 0.5;
+/** Outcomes that must be known before the rate counts. */
+const MIN_OUTCOMES = 10;
+/** Weight of the newest outcome in the failure rate. */
+const RATE_GAIN = 0.1;
+/** First ejection, in milliseconds; doubled each time up to {@link MAX_EJECTION_MS}. */
+const BASE_EJECTION_MS = 2000;
+const MAX_EJECTION_MS = 60_000;
+
+/** One backend server. */
+export type Backend = {
+	readonly instance: string;
+	announced: Announcement;
+	expiresAtMs: number;
+	/** Tickets given and not ended. */
+	running: Map<string, {team: string; entry: string}>;
+	/** Work that no entry accounts for; ends by report or deadline. */
+	orphans: Map<string, {team: string; endsAtMs: number; seenReport: boolean}>;
+	/** Connections that each entry may have open. */
+	connections: Map<string, number>;
+	consecutiveFailures: number;
+	failureRate: number;
+	outcomes: number;
+	ejections: number;
+	ejectedUntilMs: number;
+	/** Slots in use after a return; grows by success to the announced number. */
+	rampSlots: number;
+	/** Planned work or another pool keeps it out. */
+	excluded: boolean;
+	/** False until an announcement arrived after a take-over that left entries unaccounted. */
+	confirmed: boolean;
+};
+
+/** Settings of a table. */
+export type BackendTableOptions = {
+	/** Backend servers that may be ejected at once. */
+	maxEjected: number;
+};
+
+/** The table of one pool. */
+export type BackendTable = ReturnType<typeof createBackendTable>;
+
+/** Creates an empty table. */
+export const createBackendTable = (options: BackendTableOptions) => {
+	const backends = new Map<string, Backend>();
+	let {maxEjected} = options;
+
+	const isLive = (backend: Backend, nowMs: number): boolean => backend.expiresAtMs > nowMs && backend.announced.healthy && !backend.announced.leaving && !backend.excluded;
+	const isEjected = (backend: Backend, nowMs: number): boolean => backend.ejectedUntilMs > nowMs;
+	const usedSlots = (backend: Backend): number => backend.running.size + backend.orphans.size;
+
+	const usableSlots = (backend: Backend, nowMs: number): number => {
+		if (!isLive(backend, nowMs) || isEjected(backend, nowMs) || !backend.confirmed) {
+			return 0;
+		}
+
+		return Math.min(backend.announced.slots, backend.rampSlots);
+	};
+
+	const hasConnection = (backend: Backend, entry: string): boolean => {
+		const entryRunning = [...backend.running.values()].filter(ticket => ticket.entry === entry).length;
+		if (entryRunning < (backend.connections.get(entry) ?? 0)) {
+			return true;
+		}
+
+		const open = [...backend.connections.values()].reduce((sum, count) => sum + count, 0);
+		return open < backend.announced.connections;
+	};
+
+	const settleOrphans = (backend: Backend, reported: ReadonlySet<string>, nowMs: number): void => {
+		for (const [ticketId, orphan] of backend.orphans) {
+			// One report may have been under way when the work was sent, so absence counts from the second.
+			const isOver = orphan.seenReport && !reported.has(ticketId);
+			orphan.seenReport = true;
+			if (isOver || (orphan.endsAtMs <= nowMs && !reported.has(ticketId))) {
+				backend.orphans.delete(ticketId);
+			}
+		}
+	};
+
+	const eject = (backend: Backend, nowMs: number): void => {
+		const ejected = [...backends.values()].filter(other => isEjected(other, nowMs) || (other.expiresAtMs > nowMs && !isLive(other, nowMs)));
+		if (ejected.length >= maxEjected) {
+			return;
+		}
+
+		backend.ejectedUntilMs = nowMs + Math.min(MAX_EJECTION_MS, BASE_EJECTION_MS * (2 ** backend.ejections));
+		backend.ejections += 1;
+		backend.rampSlots = 1;
+		backend.consecutiveFailures = 0;
+		backend.failureRate = 0;
+		backend.outcomes = 0;
+	};
+
+	const noteFailure = (backend: Backend, nowMs: number): void => {
+		backend.consecutiveFailures += 1;
+		backend.failureRate += (1 - backend.failureRate) * RATE_GAIN;
+		backend.outcomes += 1;
+		const failsOften = backend.outcomes >= MIN_OUTCOMES && backend.failureRate > EJECT_ABOVE_RATE;
+		if (!isEjected(backend, nowMs) && (backend.consecutiveFailures >= EJECT_AFTER_FAILURES || failsOften)) {
+			eject(backend, nowMs);
+		}
+	};
+
+	const noteSuccess = (backend: Backend): void => {
+		backend.consecutiveFailures = 0;
+		backend.failureRate -= backend.failureRate * RATE_GAIN;
+		backend.outcomes += 1;
+		backend.rampSlots = Math.min(backend.announced.slots, backend.rampSlots * 2);
+		if (backend.rampSlots === backend.announced.slots && backend.failureRate < RATE_GAIN) {
+			backend.ejections = 0;
+		}
+	};
+
+	return {
+		find: (instance: string) => backends.get(instance),
+		list: (): Backend[] => [...backends.values()],
+		usableSlots,
+		usedSlots,
+		isLive,
+		isEjected,
+
+		setMaxEjected(count: number): void {
+			maxEjected = count;
+		},
+
+		/** Takes an announcement; `confirmed` is false for a table that is being rebuilt. */
+		announce(announced: Announcement, nowMs: number, {excluded, confirmed}: {excluded: boolean; confirmed: boolean}): Backend {
+			const existing = backends.get(announced.instance);
+			const backend: Backend = existing ?? {
+				instance: announced.instance,
+				announced,
+				expiresAtMs: 0,
+				running: new Map(),
+				orphans: new Map(),
+				connections: new Map(),
+				consecutiveFailures: 0,
+				failureRate: 0,
+				outcomes: 0,
+				ejections: 0,
+				ejectedUntilMs: 0,
+				rampSlots: announced.slots,
+				excluded,
+				confirmed,
+			};
+			const restarted = existing !== undefined && existing.announced.address !== announced.address;
+			backend.rampSlots = restarted || backend.rampSlots === backend.announced.slots ? announced.slots : Math.min(backend.rampSlots, announced.slots);
+			backend.announced = announced;
+			backend.expiresAtMs = nowMs + ANNOUNCEMENT_LEASE_MS;
+			backend.excluded = excluded;
+			backend.confirmed ||= confirmed;
+			backends.set(announced.instance, backend);
+			settleOrphans(backend, new Set(announced.inFlight), nowMs);
+			return backend;
+		},
+
+		/** Picks the live backend server with the most free room, other instances and racks than those tried first. */
+		pick(request: {entry: string; tried: readonly string[]}, nowMs: number): Backend | undefined {
+			const triedRacks = new Set(request.tried.map(instance => backends.get(instance)?.announced.rack));
+			const rank = (backend: Backend): number => {
+				const free = 1 - (usedSlots(backend) / usableSlots(backend, nowMs));
+				const penalty = (request.tried.includes(backend.instance) ? 4 : 0) + (triedRacks.has(backend.announced.rack) ? 2 : 0);
+				return free - penalty - backend.failureRate;
+			};
+
+			let best: Backend | undefined;
+			let bestRank = -Infinity;
+			for (const backend of backends.values()) {
+				if (usedSlots(backend) >= usableSlots(backend, nowMs) || !hasConnection(backend, request.entry)) {
+					continue;
+				}
+
+				const backendRank = rank(backend);
+				if (backendRank > bestRank) {
+					best = backend;
+					bestRank = backendRank;
+				}
+			}
+
+			return best;
+		},
+
+		/** Records a ticket on a backend server. */
+		occupy(backend: Backend, ticketId: string, team: string, entry: string): void {
+			backend.running.set(ticketId, {team, entry});
+			const entryRunning = [...backend.running.values()].filter(ticket => ticket.entry === entry).length;
+			backend.connections.set(entry, Math.max(entryRunning, backend.connections.get(entry) ?? 0));
+		},
+
+		/** Learns from how a ticket ended. */
+		learn(backend: Backend, outcome: TicketOutcome, nowMs: number): void {
+			switch (outcome) {
+				case ticketOutcomes.ok: {
+					noteSuccess(backend);
+					return;
+				}
+
+				case ticketOutcomes.failed:
+				case ticketOutcomes.notRun: {
+					noteFailure(backend, nowMs);
+					return;
+				}
+
+				case ticketOutcomes.unknown: {
+					noteFailure(backend, nowMs);
+					return;
+				}
+
+				case ticketOutcomes.unused: {
+					// Says nothing of the backend server.
+				}
+			}
+		},
+
+		/** Sets how many connections an entry has open to a backend server. */
+		setConnections(instance: string, entry: string, open: number): void {
+			const backend = backends.get(instance);
+			if (!backend) {
+				return;
+			}
+
+			const entryRunning = [...backend.running.values()].filter(ticket => ticket.entry === entry).length;
+			const count = Math.max(open, entryRunning);
+			if (count === 0) {
+				backend.connections.delete(entry);
+			} else {
+				backend.connections.set(entry, count);
+			}
+		},
+
+		remove(instance: string): void {
+			backends.delete(instance);
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/entry/announcements.ts
@@ -0,0 +1,113 @@
+/** Announcements of backend servers: checked, authenticated, passed on to the pool's dispatcher. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	ANNOUNCEMENT_LEASE_MS, keyPurposes, sha256Hex, type Announcement,
+} from '@bronzebend/core';
+import {z} from 'zod';
+import type {View} from '../node/view.js';
+import {bearerSecret} from './http-fields.js';
+
+/** Path of announcements on the callers' port. */
+export const ANNOUNCE_PATH = '/bronzebend/v1/announce';
+/** Largest announcement, in bytes. */
+const MAX_ANNOUNCEMENT_BYTES = 1_048_576;
+
+const name = z.string().min(1).max(63);
+
+/** Schema of an announcement. */
+export const announcementSchema = z.strictObject({
+	service: name,
+	instance: name,
+	pool: name.optional().describe('Pool that the server thinks it is in; refused where it is wrong'),
+	dataCentre: name.default(''),
+	rack: name.default(''),
+	address: z.url({protocol: /^https?$/}),
+	slots: z.number().int().min(1).max(100_000),
+	connections: z.number().int().min(1).max(100_000),
+	healthy: z.boolean().default(true),
+	leaving: z.boolean().default(false),
+	inFlight: z.array(z.string().max(300)).max(10_000).default([]).describe('bronzebend-ticket values of requests being worked on'),
+});
+
+/** What an announcement gets. */
+export type AnnounceAnswer = {status: number; code: string; detail: string};
+
+/** What announcements need. */
+export type AnnouncementsOptions = {
+	view: View;
+	nowMs(): number;
+	/** Sends to the dispatcher of a pool; false where none is known. */
+	announce(pool: string, announcement: Announcement): boolean;
+};
+
+const refuse = (status: number, code: string, detail: string): AnnounceAnswer => ({status, code, detail});
+
+/** Creates the handler of announcements. */
+export const createAnnouncements = ({view, nowMs, announce}: AnnouncementsOptions) => {
+	const decide = (secret: string | undefined, value: unknown): AnnounceAnswer => {
+		if (!view.isFresh(nowMs())) {
+			return refuse(503, 'stale-view', 'This entry has lost contact with the keepers. Announce again; another entry may answer.');
+		}
+
+		const key = secret === undefined ? undefined : view.findKey(sha256Hex(secret));
+		if (key?.purpose !== keyPurposes.announce) {
+			return refuse(401, 'wrong-key', 'Send "authorization: Bearer KEY" with an announce key.');
+		}
+
+		const parsed = announcementSchema.safeParse(value);
+		if (!parsed.success) {
+			return refuse(400, 'invalid-announcement', parsed.error.issues.map(issue => `${issue.path.join('.') || '(top)'}: ${issue.message}`).join('; '));
+		}
+
+		const {pool: claimedPool, ...announcement} = parsed.data;
+		if (key.service !== announcement.service) {
+			return refuse(403, 'wrong-service', `The key announces service "${key.service}", not "${announcement.service}".`);
+		}
+
+		const pool = view.poolOfInstance(announcement.instance);
+		if (pool === undefined) {
+			return refuse(404, 'unknown-instance', `No instance is declared as "${announcement.instance}".`);
+		}
+
+		if (claimedPool !== undefined && claimedPool !== pool) {
+			return refuse(409, 'wrong-pool', `The instance is in pool "${pool}", not in "${claimedPool}".`);
+		}
+
+		if (view.catalogue().find('pool', pool)?.service !== announcement.service) {
+			return refuse(409, 'wrong-service', `Pool "${pool}" does not hold service "${announcement.service}".`);
+		}
+
+		return announce(pool, announcement)
+			? {status: 200, code: 'announced', detail: `Announced in pool "${pool}".`}
+			: refuse(503, 'no-dispatcher', 'No node dispatches the pool yet. Announce again.');
+	};
+
+	const readBody = async (req: IncomingMessage): Promise<unknown> => {
+		const chunks: Buffer[] = [];
+		let bytes = 0;
+		for await (const chunk of req as AsyncIterable<Buffer>) {
+			bytes += chunk.length;
+			if (bytes > MAX_ANNOUNCEMENT_BYTES) {
+				return undefined;
+			}
+
+			chunks.push(chunk);
+		}
+
+		try {
+			return JSON.parse(Buffer.concat(chunks).toString());
+		} catch {
+			return undefined;
+		}
+	};
+
+	return {
+		async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+			const answer = req.method === 'POST'
+				? decide(bearerSecret(req.headers), await readBody(req))
+				: refuse(405, 'method-not-allowed', 'Announce with POST.');
+			res.writeHead(answer.status, {'content-type': 'application/json', 'cache-control': 'no-store'});
+			res.end(JSON.stringify({code: answer.code, detail: answer.detail, leaseMs: ANNOUNCEMENT_LEASE_MS}));
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/entry/entry-server.ts
@@ -0,0 +1,315 @@
+/** The callers' port: takes requests, waits for their turn, streams them to backend servers. */
+import {randomUUID} from 'node:crypto';
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import https from 'node:https';
+import type {Duplex} from 'node:stream';
+import {
+	createRetryBudget, keyPurposes, sha256Hex, UnreachableError, type Clock, type Queue, type RetryBudget,
+} from '@bronzebend/core';
+import type {NodeAgent} from '../node/node-agent.js';
+import type {Log} from '../utils/log.js';
+import type {Metrics} from '../utils/metrics.js';
+import type {Tracing} from '../utils/tracing.js';
+import {ANNOUNCE_PATH, createAnnouncements} from './announcements.js';
+import {createBackendClients, type BackendClients} from './backend-clients.js';
+import {createClaimDesk} from './claim-desk.js';
+import {
+	BadFieldError, bearerSecret, deadlineOf, fields, isIdempotent,
+} from './http-fields.js';
+import {problems, type Problem} from './problem.js';
+import {createRequestRun, type AdmittedRequest} from './request-run.js';
+import type {TicketDesk} from './ticket-desk.js';
+
+/** Largest request head, in bytes. */
+const MAX_HEAD_BYTES = 32_768;
+/** Time in which a request head must be whole, in milliseconds. */
+const HEAD_TIMEOUT_MS = 30_000;
+/** Pause between two sweeps of unused connections, in milliseconds. */
+const SWEEP_MS = 30_000;
+
+/** What an entry server is made of. */
+export type EntryServerOptions = {
+	host: string;
+	port: number;
+	tls?: {key: Buffer; cert: Buffer};
+	agent: NodeAgent;
+	tickets: TicketDesk;
+	clients: BackendClients;
+	clock: Clock;
+	log: Log;
+	metrics: Metrics;
+	tracing: Tracing;
+};
+
+/** The callers' port of one entry. */
+export type EntryServer = Awaited<ReturnType<typeof createEntryServer>>;
+
+type Admission = {type: 'admitted'; queue: Queue; team: string; digest: string | undefined} | {type: 'refused'; problem: Problem; queue?: Queue};
+
+const writeProblem = (res: ServerResponse, problem: Problem, requestId: string): void => {
+	if (res.headersSent) {
+		res.destroy();
+		return;
+	}
+
+	const {retryAfterMs, ...document} = problem;
+	res.setHeader('content-type', 'application/problem+json');
+	res.setHeader(fields.requestId, requestId);
+	if (retryAfterMs !== undefined) {
+		res.setHeader('retry-after', String(Math.max(1, Math.ceil(retryAfterMs / 1000))));
+	}
+
+	if (problem.status === 401) {
+		res.setHeader('www-authenticate', 'Bearer');
+	}
+
+	res.writeHead(problem.status);
+	res.end(JSON.stringify({...document, requestId}));
+};
+
+const rawProblem = (problem: Problem): string => {
+	const body = JSON.stringify(problem);
+	return `HTTP/1.1 ${problem.status} ${problem.title}\r\ncontent-type: application/problem+json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`;
+};
+
+/** Starts the callers' port. */
+export const createEntryServer = async (options: EntryServerOptions) => {
+	const {agent, tickets, clients, clock, log, metrics, tracing} = options;
+	const {view} = agent;
+	const claims = createClaimDesk(agent, error => {
+		log.warn('Could not record the outcome of a claimed request.', {reason: String(error)});
+	});
+	const announcements = createAnnouncements({
+		view,
+		nowMs: () => clock.monotonicMs(),
+		announce: (pool, announcement) => tickets.announce(pool, {type: 'announce', announcement}),
+	});
+	const budgets = new Map<string, RetryBudget>();
+	const running = new Set<AdmittedRequest>();
+	let stopping = false;
+
+	const budgetOf = (pool: string): RetryBudget => {
+		const budget = budgets.get(pool) ?? createRetryBudget(clock.monotonicMs());
+		budgets.set(pool, budget);
+		return budget;
+	};
+
+	/** Whether a request may still start: its key works and the view is fresh. */
+	const recheck = (queue: Queue, digest: string | undefined): Problem | undefined => {
+		if (queue.access.type === 'open') {
+			return undefined;
+		}
+
+		if (!view.isFresh(clock.monotonicMs())) {
+			return {...problems.staleView, retryAfterMs: 1000};
+		}
+
+		return digest !== undefined && view.isKeyGood(digest, keyPurposes.submit) ? undefined : problems.wrongKey;
+	};
+
+	const admit = (req: IncomingMessage): Admission => {
+		const path = (req.url ?? '/').split('?', 1)[0]!;
+		if (view.version() === 0) {
+			return {type: 'refused', problem: {...problems.staleView, retryAfterMs: 1000}};
+		}
+
+		const queue = view.queueOfPath(path);
+		if (!queue) {
+			return {type: 'refused', problem: problems.unknownQueue};
+		}
+
+		if (queue.access.type === 'open') {
+			return {
+				type: 'admitted', queue, team: queue.access.team, digest: undefined,
+			};
+		}
+
+		const secret = bearerSecret(req.headers);
+		if (secret === undefined) {
+			return {type: 'refused', problem: problems.missingKey, queue};
+		}
+
+		const digest = sha256Hex(secret);
+		const problem = recheck(queue, digest);
+		if (problem) {
+			return {type: 'refused', problem, queue};
+		}
+
+		const team = view.findKey(digest)?.team;
+		if (team === undefined || !queue.access.teams.includes(team)) {
+			return {type: 'refused', problem: problems.wrongTeam, queue};
+		}
+
+		return {
+			type: 'admitted', queue, team, digest,
+		};
+	};
+
+	const requestRun = createRequestRun({
+		tickets, clients, claims, clock, metrics, budgetOf, recheck,
+	});
+
+	const prepare = (req: IncomingMessage, res: ServerResponse, requestId: string, sendContinue: boolean): AdmittedRequest | Problem => {
+		const admission = admit(req);
+		if (admission.type === 'refused') {
+			return admission.problem;
+		}
+
+		const {queue, team, digest} = admission;
+		if (Number(req.headers['content-length'] ?? 0) > queue.maxBodyBytes) {
+			return problems.bodyTooLarge;
+		}
+
+		try {
+			const method = req.method ?? 'GET';
+			return {
+				req, res, requestId, queue, team, digest, method,
+				idempotent: isIdempotent(method, req.headers),
+				endsAtMs: clock.monotonicMs() + deadlineOf(req.headers, queue),
+				idempotencyKey: req.headers[fields.idempotencyKey] as string | undefined,
+				sendContinue,
+				controller: new AbortController(),
+				trace: tracing.startRequest(req.headers, {'request.id': requestId, queue: queue.name, team}),
+			};
+		} catch (error) {
+			if (error instanceof BadFieldError) {
+				return {...problems.badHeader, detail: error.message};
+			}
+
+			throw error;
+		}
+	};
+
+	const serve = async (req: IncomingMessage, res: ServerResponse, sendContinue: boolean): Promise<void> => {
+		const given = req.headers[fields.requestId];
+		const requestId = typeof given === 'string' && /^[\w\-.:/+=]{1,128}$/.test(given) ? given : randomUUID();
+		if (stopping) {
+			res.setHeader('connection', 'close');
+		}
+
+		const prepared = prepare(req, res, requestId, sendContinue);
+		if ('type' in prepared) {
+			metrics.requests.inc({queue: '', outcome: prepared.type});
+			writeProblem(res, prepared, requestId);
+			return;
+		}
+
+		running.add(prepared);
+		const onClose = (): void => {
+			if (!res.writableFinished) {
+				prepared.controller.abort(new Error('the caller went away'));
+			}
+		};
+
+		res.once('close', onClose);
+		const startedAtMs = clock.monotonicMs();
+		try {
+			const end = await requestRun.run(prepared);
+			if (end.type === 'problem') {
+				writeProblem(res, end.problem, requestId);
+			}
+
+			const outcome = end.type === 'problem' ? end.problem.type : end.type;
+			metrics.requests.inc({queue: prepared.queue.name, outcome});
+			metrics.answerTime.observe({queue: prepared.queue.name}, (clock.monotonicMs() - startedAtMs) / 1000);
+			prepared.trace.end({outcome}, end.type !== 'answered');
+			log.debug('Request ended.', {
+				requestId, traceId: prepared.trace.traceId, queue: prepared.queue.name, team: prepared.team, outcome,
+			});
+		} finally {
+			running.delete(prepared);
+		}
+	};
+
+	const onRequest = (req: IncomingMessage, res: ServerResponse, sendContinue: boolean): void => {
+		res.on('error', () => {
+			res.destroy();
+		});
+		const isAnnouncement = req.url === ANNOUNCE_PATH;
+		const work = isAnnouncement ? announcements.handle(req, res) : serve(req, res, sendContinue);
+		work.catch((error: unknown) => {
+			log.error('A request failed unexpectedly.', {reason: String(error instanceof Error ? error.stack : error)});
+			res.destroy();
+		});
+	};
+
+	const refuseSocket = (error: Error & {code?: string}, socket: Duplex): void => {
+		if (!socket.writable || error.code === 'ECONNRESET') {
+			socket.destroy();
+			return;
+		}
+
+		socket.end(rawProblem(error.code === 'HPE_HEADER_OVERFLOW' ? problems.headTooLarge : problems.badFraming));
+	};
+
+	const limits = {maxHeaderSize: MAX_HEAD_BYTES, headersTimeout: HEAD_TIMEOUT_MS, requestTimeout: 0, insecureHTTPParser: false};
+	const server = options.tls ? https.createServer({...limits, ...options.tls}) : http.createServer(limits);
+	server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+		onRequest(req, res, false);
+	});
+	server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
+		onRequest(req, res, true);
+	});
+	server.on('checkExpectation', (req: IncomingMessage, res: ServerResponse) => {
+		writeProblem(res, problems.expectation, randomUUID());
+	});
+	server.on('upgrade', (req: IncomingMessage, socket: Duplex) => {
+		socket.end(rawProblem(problems.upgrade));
+	});
+	server.on('clientError', refuseSocket);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(options.port, options.host, resolve);
+	});
+	const sweeper = setInterval(() => {
+		void clients.sweep();
+	}, SWEEP_MS);
+
+	return {
+		port(): number {
+			const address = server.address();
+			if (address === null || typeof address === 'string') {
+				throw new UnreachableError(address as never);
+			}
+
+			return address.port;
+		},
+		running: (): number => running.size,
+
+		/** Ends the waits of requests whose key was withdrawn. */
+		onViewChange(): void {
+			for (const request of running) {
+				const problem = recheck(request.queue, request.digest);
+				if (problem && problem.status === 401) {
+					request.withdrawn = true;
+					request.waitController?.abort();
+				}
+			}
+		},
+
+		/** Takes no new connections and waits until what runs has ended, up to a time. */
+		async drain(timeoutMs: number): Promise<void> {
+			stopping = true;
+			server.close();
+			server.closeIdleConnections();
+			const endsAtMs = clock.monotonicMs() + timeoutMs;
+			while (running.size > 0 && clock.monotonicMs() < endsAtMs) {
+				// Waits for requests to end.
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise(resolve => {
+					setTimeout(resolve, 20);
+				});
+				server.closeIdleConnections();
+			}
+		},
+
+		async stop(): Promise<void> {
+			clearInterval(sweeper);
+			server.closeAllConnections();
+			server.close();
+			await clients.stop();
+		},
+	};
+};
+
+export {createBackendClients};
--- /dev/null
+++ b/packages/daemon/src/keeper/keeper-host.ts
@@ -0,0 +1,356 @@
+/** A keeper: one replica of the shared state, and the leader's work while it leads. */
+import {
+	BronzebendError, createControlState, UnreachableError,
+	type Clock, type ControlCommand, type ControlOutcome, type ControlSnapshot, type ControlState,
+} from '@bronzebend/core';
+import {
+	createFileDisk, createReplica, decodeBytes, encodeBytes, lockFolder, NotLeaderError, openStorage, type Replica,
+} from '@bronzebend/replica';
+import type {
+	CallResult, Heartbeat, LeaderCall, Member, PeerMessage,
+} from '@bronzebend/wire';
+import {createLeaderDesk, type LeaderDesk} from '../leader/leader-desk.js';
+import type {Log} from '../utils/log.js';
+import {decideForming, type ProbeReply} from './bootstrap.js';
+import {createMemberChanges} from './member-changes.js';
+import {createPublishCommand} from './publish-call.js';
+import {describeStatus} from './status.js';
+
+/** Pause between two ticks of the replica, in milliseconds. */
+const REPLICA_TICK_MS = 25;
+/** Pause between two ticks of the leader's desk, in milliseconds. */
+const DESK_TICK_MS = 100;
+/** Pause between two probes while no group is formed, in milliseconds. */
+const PROBE_MS = 250;
+
+/** What a keeper is made of. */
+export type KeeperHostOptions = {
+	node: string;
+	folder: string;
+	keepers: readonly string[];
+	clock: Clock;
+	random: () => number;
+	log: Log;
+	send(to: string, message: PeerMessage): void;
+	onFatal(error: unknown): void;
+};
+
+/** A running keeper. */
+export type KeeperHost = Awaited<ReturnType<typeof createKeeperHost>>;
+
+const failureOf = (error: unknown): CallResult => {
+	if (error instanceof BronzebendError) {
+		return {
+			type: 'failure', code: error.code, message: error.message, details: {...error.details},
+		};
+	}
+
+	return {
+		type: 'failure', code: 'internal', message: String(error), details: {},
+	};
+};
+
+/** Opens the data folder and starts the keeper. */
+export const createKeeperHost = async (options: KeeperHostOptions) => {
+	const {node, clock, log, keepers} = options;
+	const lock = await lockFolder(options.folder);
+	const disk = await createFileDisk(options.folder);
+	const storage = await openStorage(disk);
+	if (storage.tornBytes > 0) {
+		log.warn('Cut a torn record off the log.', {bytes: storage.tornBytes});
+	}
+
+	let state: ControlState = createControlState();
+	let replica: Replica<ControlOutcome> | undefined;
+	let desk: LeaderDesk | undefined;
+	let deskTerm = -1;
+	let stopped = false;
+	const probeReplies = new Map<string, ProbeReply>();
+	const timers: NodeJS.Timeout[] = [];
+
+	const pokeNodes = (): void => {
+		for (const name of desk?.directory.names() ?? []) {
+			options.send(name, {type: 'poke'});
+		}
+	};
+
+	const isFelt = (command: ControlCommand): boolean => command.type !== 'claim' && command.type !== 'settle' && command.type !== 'grants';
+
+	const stateMachine = {
+		apply(command: ControlCommand): ControlOutcome {
+			const outcome = state.apply(command);
+			desk?.applied(command);
+			if (desk && isFelt(command)) {
+				setImmediate(pokeNodes);
+			}
+
+			return outcome;
+		},
+		snapshot: () => encodeBytes(state.snapshot()),
+		restore(data: Uint8Array): void {
+			state = createControlState(decodeBytes(data) as ControlSnapshot);
+		},
+	};
+
+	const updateDesk = (): void => {
+		if (!replica || replica.raft.role() !== 'leader') {
+			if (desk) {
+				log.info('No longer leading.', {term: deskTerm});
+			}
+
+			desk = undefined;
+			return;
+		}
+
+		if (replica.hasLease() && (!desk || deskTerm !== replica.raft.term())) {
+			deskTerm = replica.raft.term();
+			desk = createLeaderDesk({state, leadership: `${storage.replica.slice(0, 8)}.${deskTerm}`, startedAtMs: clock.monotonicMs()});
+			log.info('Leading.', {term: deskTerm, version: state.publications.version()});
+		}
+	};
+
+	const startReplica = (): void => {
+		replica = createReplica<ControlOutcome>({
+			storage,
+			stateMachine,
+			clock,
+			random: options.random,
+			send(to: Member, message) {
+				options.send(to.node, {
+					type: 'raft', from: storage.replica, to: to.replica, message,
+				});
+			},
+			async sleep(milliseconds) {
+				return new Promise(resolve => {
+					setTimeout(resolve, milliseconds);
+				});
+			},
+			onProgress: updateDesk,
+			onFatal: options.onFatal,
+		});
+	};
+
+	const proposeAll = (commands: readonly ControlCommand[]): void => {
+		for (const command of commands) {
+			const proposingDesk = desk;
+			const settle = (): void => {
+				proposingDesk?.settled(command, clock.monotonicMs());
+			};
+
+			replica?.propose(command).then(settle, (error: unknown) => {
+				log.debug('A decision was not committed.', {reason: String(error)});
+				settle();
+			});
+		}
+	};
+
+	const memberChanges = createMemberChanges({
+		replica: () => replica,
+		probe(name) {
+			options.send(name, {type: 'probe'});
+		},
+		replicaOf: name => probeReplies.get(name)?.replica,
+	});
+
+	const confirmLeading = (): {replica: Replica<ControlOutcome>; desk: LeaderDesk} => {
+		if (!replica || !desk || !replica.hasLease()) {
+			const leader = replica?.raft.members().find(member => member.replica === replica?.raft.leader())?.node;
+			throw new NotLeaderError(leader);
+		}
+
+		return {replica, desk};
+	};
+
+	const runCommand = async (command: ControlCommand): Promise<ControlOutcome> => {
+		const stamped = 'atMs' in command ? {...command, atMs: Math.round(clock.wallMs())} : command;
+		return confirmLeading().replica.propose(stamped);
+	};
+
+	const answer = async (call: LeaderCall): Promise<unknown> => {
+		const leading = confirmLeading();
+		switch (call.type) {
+			case 'command': {
+				return runCommand(call.command);
+			}
+
+			case 'publish': {
+				return runCommand(createPublishCommand(state, call, Math.round(clock.wallMs())));
+			}
+
+			case 'status': {
+				return describeStatus({
+					state, replica: leading.replica, desk: leading.desk, node, nowMs: clock.monotonicMs(),
+				});
+			}
+
+			case 'history': {
+				return state.publications.history().map(({version, publicationId, author, atMs, delta, withdrawn}) => ({
+					version, publicationId, author, atMs, changed: delta.upserts.length, removed: delta.removals.length, withdrawn: withdrawn.length,
+				}));
+			}
+
+			case 'read-set': {
+				return {version: state.publications.version(), declarations: [...state.publications.catalogue().objects.values()]};
+			}
+
+			case 'backup': {
+				return {version: state.publications.version(), state: state.snapshot()};
+			}
+
+			case 'plan': {
+				throw new BronzebendError('not-built', 'Cannot plan: this version has no planner yet.');
+			}
+
+			case 'members': {
+				return leading.replica.raft.members();
+			}
+
+			case 'add-keeper': {
+				return memberChanges.add(call.node);
+			}
+
+			case 'remove-keeper': {
+				return memberChanges.remove(call.node);
+			}
+
+			default: {
+				throw new UnreachableError(call);
+			}
+		}
+	};
+
+	const onCall = async (from: string, id: number, call: LeaderCall): Promise<void> => {
+		let result: CallResult;
+		try {
+			result = {type: 'value', value: await answer(call)};
+		} catch (error) {
+			result = failureOf(error);
+		}
+
+		options.send(from, {type: 'call-reply', id, result});
+	};
+
+	const onHeartbeat = (from: string, heartbeat: Heartbeat): void => {
+		updateDesk();
+		if (!replica || !desk || !replica.hasLease()) {
+			const leader = replica?.raft.members().find(member => member.replica === replica?.raft.leader())?.node;
+			options.send(from, {type: 'not-leader', seq: heartbeat.seq, leader: leader === node ? undefined : leader});
+			return;
+		}
+
+		const {reply, commands} = desk.heartbeat(heartbeat, clock.monotonicMs());
+		options.send(from, reply);
+		proposeAll(commands);
+	};
+
+	const form = async (): Promise<void> => {
+		const decision = decideForming({node, replica: storage.replica}, keepers, probeReplies);
+		if (replica || decision.type === 'wait') {
+			return;
+		}
+
+		await storage.form(decision.members, new Uint8Array());
+		log.info(decision.members.some(member => member.replica === storage.replica) ? 'Joined the group of keepers.' : 'Waiting to be added to the group of keepers.', {members: decision.members.length});
+		startReplica();
+	};
+
+	let forming = false;
+	const probe = (): void => {
+		if (replica || forming || stopped) {
+			return;
+		}
+
+		for (const name of keepers.filter(keeper => keeper !== node)) {
+			options.send(name, {type: 'probe'});
+		}
+
+		forming = true;
+		form().catch(options.onFatal).finally(() => {
+			forming = false;
+		});
+	};
+
+	if (storage.snapshot()) {
+		startReplica();
+	}
+
+	timers.push(
+		setInterval(() => replica?.tick(), REPLICA_TICK_MS),
+		setInterval(() => {
+			updateDesk();
+			if (desk && replica?.hasLease()) {
+				proposeAll(desk.tick(clock.monotonicMs()));
+			}
+		}, DESK_TICK_MS),
+		setInterval(probe, PROBE_MS),
+	);
+	probe();
+
+	return {
+		isLeading: () => desk !== undefined && replica?.hasLease() === true,
+		replica: () => replica,
+		state: () => state,
+
+		/** Takes a message; returns false where it is not for a keeper. */
+		receive(from: string, message: PeerMessage): boolean {
+			switch (message.type) {
+				case 'raft': {
+					if (message.to === storage.replica) {
+						replica?.receive(message.from, message.message);
+					}
+
+					return true;
+				}
+
+				case 'probe': {
+					options.send(from, {type: 'probe-reply', replica: storage.replica, members: replica?.raft.members()});
+					return true;
+				}
+
+				case 'probe-reply': {
+					probeReplies.set(from, {replica: message.replica, members: message.members});
+					return true;
+				}
+
+				case 'heartbeat': {
+					onHeartbeat(from, message);
+					return true;
+				}
+
+				case 'call': {
+					void onCall(from, message.id, message.call);
+					return true;
+				}
+
+				default: {
+					return false;
+				}
+			}
+		},
+
+		/** Hands leadership to the voter that is furthest along. */
+		handOver(): void {
+			if (!replica || replica.raft.role() !== 'leader') {
+				return;
+			}
+
+			const {raft} = replica;
+			const others = raft.members().filter(member => member.voter && member.replica !== storage.replica);
+			others.sort((left, right) => raft.matchOf(right.replica) - raft.matchOf(left.replica));
+			if (others[0]) {
+				replica.transfer(others[0].replica);
+			}
+		},
+
+		async stop(): Promise<void> {
+			stopped = true;
+			for (const timer of timers) {
+				clearInterval(timer);
+			}
+
+			replica?.stop();
+			await storage.close();
+			await lock.release();
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/keeper/publish-call.ts
@@ -0,0 +1,38 @@
+/** Turns an operator's set into a command: checked, and as a delta on the version in force. */
+import {
+	BronzebendError, checkSet, diffCatalogues, type ControlState, type Declaration, type Fault, type PublishCommand,
+} from '@bronzebend/core';
+
+/** The set is not sound; nothing was published. */
+export class FaultySetError extends BronzebendError {
+	override readonly name = 'FaultySetError';
+
+	constructor(faults: readonly Fault[]) {
+		super('faulty-set', `Cannot publish: the set has ${faults.length} fault(s). Correct them and publish again.`, {faults});
+	}
+}
+
+/** A call to publish. */
+export type PublishCall = {publicationId: string; base: number; author: string; declarations: Declaration[]};
+
+/**
+Makes the command of a publication.
+
+@throws {FaultySetError} The set has faults.
+*/
+export const createPublishCommand = (state: ControlState, call: PublishCall, atMs: number): PublishCommand => {
+	const checked = checkSet(call.declarations.map(value => ({file: 'publication', value})));
+	if (checked.type === 'faulty') {
+		throw new FaultySetError(checked.faults);
+	}
+
+	return {
+		type: 'publish',
+		publicationId: call.publicationId,
+		base: call.base,
+		contentDigest: checked.catalogue.digest(),
+		delta: diffCatalogues(state.publications.catalogue(), checked.catalogue),
+		author: call.author,
+		atMs,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/leader/leader-desk.ts
@@ -0,0 +1,282 @@
+/**
+What the leader decides for the nodes: leases, dispatchers, portions of limits.
+
+Pure: heartbeats and times go in, replies and commands come out. Commands count only once the
+caller has committed them.
+*/
+import {
+	planTeamGrants, UNLIMITED_RUNNING,
+	type Assignment, type ControlCommand, type ControlState, type GrantChange, type Placement, type PoolDemand,
+} from '@bronzebend/core';
+import type {
+	ClusterState, DispatchOrder, DispatchReport, Heartbeat, HeartbeatReply,
+} from '@bronzebend/wire';
+import {createDispatchLeases} from './dispatch-leases.js';
+import {createNodeDirectory} from './node-directory.js';
+import {DISPATCH_LEASE_MS, LEADER_SETTLE_MS, VIEW_LEASE_MS} from './timings.js';
+
+/** Stands for nodes that a young leader has not heard from. */
+export const UNKNOWN_NODES = '*';
+
+/** What a desk is made of. */
+export type LeaderDeskOptions = {
+	state: ControlState;
+	/** Unique to this leadership. */
+	leadership: string;
+	startedAtMs: number;
+};
+
+/** The leader's decisions for the nodes. */
+export type LeaderDesk = ReturnType<typeof createLeaderDesk>;
+
+/** Creates the desk of one leadership. */
+export const createLeaderDesk = ({state, leadership, startedAtMs}: LeaderDeskOptions) => {
+	const directory = createNodeDirectory();
+	const leases = createDispatchLeases(startedAtMs);
+	const shrinks = new Map<string, Array<{team: string; target: number}>>();
+	const grantsCounters = new Map<string, number>();
+	const assigning = new Set<string>();
+	const openedAtMs = new Map<string, number>();
+	let granting = false;
+	let clusterCounter = 0;
+	let cluster: ClusterState | undefined;
+
+	const grantsVersion = (pool: string): string => `${leadership}:${grantsCounters.get(pool) ?? 0}`;
+
+	const isNoteworthy = (placement: Placement): boolean => {
+		const declared = state.publications.catalogue().find('instance', placement.instance)?.pool;
+		return placement.work !== undefined || placement.pool !== declared;
+	};
+
+	const clusterState = (): ClusterState => {
+		cluster ??= {
+			version: `${leadership}:${clusterCounter}`,
+			assignments: state.assignments.list(),
+			nodes: directory.list().map(node => node.address),
+			placements: state.placements.list().filter(placement => isNoteworthy(placement)),
+		};
+		return cluster;
+	};
+
+	const clusterChanged = (): void => {
+		clusterCounter += 1;
+		cluster = undefined;
+	};
+
+	const orderFor = (assignment: Assignment, report: DispatchReport | undefined, nowMs: number): DispatchOrder => {
+		const {pool, epoch} = assignment;
+		const version = grantsVersion(pool);
+		const isYoung = nowMs - startedAtMs < LEADER_SETTLE_MS;
+		const openedMs = openedAtMs.get(pool) ?? startedAtMs;
+		return {
+			pool,
+			epoch,
+			leaseMs: DISPATCH_LEASE_MS,
+			grantsVersion: version,
+			grants: report?.grantsVersion === version ? undefined : state.grants.ofPool(pool).map(({team, amount, promise}) => ({
+				team, amount, promise: promise?.epoch === epoch ? promise : undefined,
+			})),
+			shrinks: shrinks.get(pool) ?? [],
+			// The first dispatcher of a pool has nobody's tickets to account for.
+			entries: report?.epoch === epoch || epoch === 1 ? [] : [...directory.names(), ...(isYoung ? [UNKNOWN_NODES] : [])],
+			rebuildMs: Math.max(0, Math.round(Math.max(openedMs, startedAtMs) + VIEW_LEASE_MS - nowMs)),
+		};
+	};
+
+	/** Shrinks that dispatchers promised and the state does not hold yet. */
+	const promisedShrinks = (heartbeat: Heartbeat): GrantChange[] => heartbeat.dispatch.flatMap(({pool, epoch, promises}) => {
+		if (state.assignments.find(pool)?.epoch !== epoch) {
+			return [];
+		}
+
+		const settled = new Map(state.grants.ofPool(pool).map(grant => [grant.team, grant.promise?.epoch === epoch ? grant.promise.number : 0]));
+		return promises
+			.filter(({team, number}) => number > (settled.get(team) ?? 0))
+			.map(({team, amount, number}) => ({
+				pool, team, amount, promise: {epoch, number},
+			}));
+	});
+
+	const choosePoolNode = (nowMs: number): string | undefined => {
+		const load = new Map<string, number>();
+		for (const {node} of state.assignments.list()) {
+			load.set(node, (load.get(node) ?? 0) + 1);
+		}
+
+		for (const pool of assigning) {
+			const node = assigningTo.get(pool);
+			if (node !== undefined) {
+				load.set(node, (load.get(node) ?? 0) + 1);
+			}
+		}
+
+		const candidates = directory.list().filter(({address, isEntry, draining}) => isEntry && !draining && directory.isLive(address.node, nowMs));
+		candidates.sort((left, right) => (load.get(left.address.node) ?? 0) - (load.get(right.address.node) ?? 0) || (left.address.node < right.address.node ? -1 : 1));
+		return candidates[0]?.address.node;
+	};
+
+	const assigningTo = new Map<string, string>();
+
+	const planAssignments = (nowMs: number): ControlCommand[] => state.publications.catalogue().list('pool').flatMap(({name: pool}) => {
+		const assignment = state.assignments.find(pool);
+		if (assigning.has(pool) || (assignment && !leases.isOver(assignment, nowMs))) {
+			return [];
+		}
+
+		const node = choosePoolNode(nowMs);
+		if (node === undefined) {
+			return [];
+		}
+
+		assigning.add(pool);
+		assigningTo.set(pool, node);
+		return [{
+			type: 'assign' as const, pool, node, epoch: (assignment?.epoch ?? 0) + 1,
+		}];
+	});
+
+	const demandsOf = (): PoolDemand[] => directory.list().flatMap(node => [...node.dispatch.values()]
+		.filter(report => state.assignments.find(report.pool)?.epoch === report.epoch && !report.released)
+		.flatMap(report => report.demands.map(demand => ({pool: report.pool, ...demand}))));
+
+	/** Pools in which each team may have work, from the queues. */
+	const poolsOfTeams = (): Map<string, Set<string>> => {
+		const pools = new Map<string, Set<string>>();
+		for (const queue of state.publications.catalogue().list('queue')) {
+			const teams = queue.access.type === 'open' ? [queue.access.team] : queue.access.teams;
+			for (const team of teams) {
+				pools.set(team, (pools.get(team) ?? new Set()).add(queue.pool));
+			}
+		}
+
+		return pools;
+	};
+
+	const planGrants = (): ControlCommand[] => {
+		shrinks.clear();
+		const demandsByTeam = new Map<string, PoolDemand[]>();
+		for (const demand of demandsOf()) {
+			demandsByTeam.set(demand.team, [...demandsByTeam.get(demand.team) ?? [], demand]);
+		}
+
+		const changes: GrantChange[] = [];
+		for (const [team, pools] of poolsOfTeams()) {
+			const plan = planTeamGrants({team, limit: state.limitOf(team), byPool: state.grants.ofTeam(team)}, demandsByTeam.get(team) ?? [], [...pools]);
+			changes.push(...plan.growth);
+			for (const {pool, target} of plan.shrinks) {
+				shrinks.set(pool, [...shrinks.get(pool) ?? [], {team, target}]);
+			}
+		}
+
+		if (changes.length === 0 || granting) {
+			return [];
+		}
+
+		granting = true;
+		return [{type: 'grants', changes}];
+	};
+
+	return {
+		directory,
+		clusterState,
+
+		/** Answers a heartbeat; `commands` are to be committed. */
+		heartbeat(heartbeat: Heartbeat, nowMs: number): {reply: HeartbeatReply; commands: ControlCommand[]} {
+			if (directory.hear(heartbeat, nowMs)) {
+				clusterChanged();
+			}
+
+			const {node} = heartbeat.address;
+			const reports = new Map(heartbeat.dispatch.map(report => [report.pool, report]));
+			const dispatch = state.assignments.list().filter(assignment => assignment.node === node).flatMap(assignment => {
+				const report = reports.get(assignment.pool);
+				const holds = report?.epoch === assignment.epoch;
+				if (holds && report.released) {
+					leases.release(assignment);
+				}
+
+				const renewed = leases.renew(assignment, heartbeat.run, holds, nowMs);
+				return renewed ? [orderFor(assignment, report, nowMs)] : [];
+			});
+			const changes = promisedShrinks(heartbeat);
+			const currentCluster = clusterState();
+			return {
+				reply: {
+					type: 'heartbeat-reply',
+					seq: heartbeat.seq,
+					sentAtMs: heartbeat.sentAtMs,
+					leaseMs: VIEW_LEASE_MS,
+					viewVersion: state.publications.version(),
+					view: state.publications.updateSince(heartbeat.viewVersion),
+					cluster: currentCluster.version === heartbeat.clusterVersion ? undefined : currentCluster,
+					dispatch,
+				},
+				commands: changes.length > 0 ? [{type: 'grants', changes}] : [],
+			};
+		},
+
+		/** Decides what time alone brings; `commands` are to be committed. */
+		tick(nowMs: number): ControlCommand[] {
+			if (directory.forgetSilent(nowMs)) {
+				clusterChanged();
+			}
+
+			return [...planAssignments(nowMs), ...planGrants()];
+		},
+
+		/** Takes note that a command of this desk was committed, or failed. */
+		settled(command: ControlCommand, nowMs: number): void {
+			if (command.type === 'assign') {
+				assigning.delete(command.pool);
+				assigningTo.delete(command.pool);
+				const assignment = state.assignments.find(command.pool);
+				if (assignment?.epoch === command.epoch && assignment.node === command.node) {
+					leases.open(assignment, nowMs);
+					openedAtMs.set(command.pool, nowMs);
+				}
+			}
+
+			if (command.type === 'grants' && command.changes.some(change => change.promise === undefined)) {
+				granting = false;
+			}
+		},
+
+		/** Takes note of a command that the state applied, whoever proposed it. */
+		applied(command: ControlCommand): void {
+			switch (command.type) {
+				case 'grants': {
+					for (const {pool} of command.changes) {
+						grantsCounters.set(pool, (grantsCounters.get(pool) ?? 0) + 1);
+					}
+
+					return;
+				}
+
+				case 'claim':
+				case 'settle': {
+					return;
+				}
+
+				case 'publish':
+				case 'withdraw-key':
+				case 'assign':
+				case 'place':
+				case 'remove':
+				case 'start-work':
+				case 'advance-work':
+				case 'cancel-work': {
+					clusterChanged();
+				}
+			}
+		},
+
+		/** Limits and portions by team, for `status`. */
+		teamGrants: () => state.publications.catalogue().list('team').map(({name}) => ({
+			team: name,
+			limit: state.limitOf(name) === UNLIMITED_RUNNING ? undefined : state.limitOf(name),
+			granted: state.grants.totalOf(name),
+			running: demandsOf().filter(demand => demand.team === name).reduce((sum, demand) => sum + demand.running, 0),
+			waiting: demandsOf().filter(demand => demand.team === name).reduce((sum, demand) => sum + demand.waiting, 0),
+		})),
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/operators/operators-server.ts
@@ -0,0 +1,168 @@
+/** The operators' port: health, metrics, status page and calls. */
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import https from 'node:https';
+import type {AddressInfo} from 'node:net';
+import {BronzebendError, equalDigests, sha256Hex} from '@bronzebend/core';
+import {encodeBytes} from '@bronzebend/replica';
+import {leaderCallSchema, type LeaderCall} from '@bronzebend/wire';
+import {CallFailedError, CallTimeoutError, type NodeAgent} from '../node/node-agent.js';
+import type {ClusterStatus} from '../keeper/status.js';
+import type {Log} from '../utils/log.js';
+import {renderPage} from './page.js';
+
+/** Path of calls. */
+export const CALLS_PATH = '/v1/calls';
+/** Largest call, in bytes. */
+const MAX_CALL_BYTES = 64 * 1024 * 1024;
+/** Time for a call, in milliseconds. */
+const CALL_TIMEOUT_MS = 15_000;
+
+/** What an operators' port is made of. */
+export type OperatorsServerOptions = {
+	host: string;
+	port: number;
+	tls?: {key: Buffer; cert: Buffer};
+	operatorKey: string;
+	agent: NodeAgent;
+	log: Log;
+	isReady(): boolean;
+	/** Metrics in the text format, with its content type. */
+	readMetrics(): Promise<{type: string; text: string}>;
+};
+
+/** The operators' port of one process. */
+export type OperatorsServer = Awaited<ReturnType<typeof createOperatorsServer>>;
+
+const sendJson = (res: ServerResponse, status: number, value: unknown): void => {
+	res.writeHead(status, {'content-type': 'application/json', 'cache-control': 'no-store'});
+	res.end(JSON.stringify(value));
+};
+
+const sendFailure = (res: ServerResponse, status: number, error: {code: string; message: string; details?: unknown}): void => {
+	sendJson(res, status, {code: error.code, message: error.message, details: error.details ?? {}});
+};
+
+const readJson = async (req: IncomingMessage): Promise<unknown> => {
+	const chunks: Buffer[] = [];
+	let bytes = 0;
+	for await (const chunk of req as AsyncIterable<Buffer>) {
+		bytes += chunk.length;
+		if (bytes > MAX_CALL_BYTES) {
+			throw new BronzebendError('call-too-large', `Cannot read a call of more than ${MAX_CALL_BYTES} bytes.`);
+		}
+
+		chunks.push(chunk);
+	}
+
+	try {
+		return JSON.parse(Buffer.concat(chunks).toString());
+	} catch {
+		throw new BronzebendError('call-no-json', 'Cannot read the call: it is no JSON.');
+	}
+};
+
+/** Commands that operators may give as such; all others are the system's own. */
+const isOperatorsCall = (call: LeaderCall): boolean => call.type !== 'command' || call.command.type === 'withdraw-key';
+
+/** Starts the operators' port. */
+export const createOperatorsServer = async (options: OperatorsServerOptions) => {
+	const {agent, log} = options;
+	const keyDigest = sha256Hex(options.operatorKey);
+
+	const isOperator = (req: IncomingMessage): boolean => {
+		const bearer = /^Bearer +(.+)$/i.exec(req.headers.authorization ?? '')?.[1];
+		const basic = /^Basic +(.+)$/i.exec(req.headers.authorization ?? '')?.[1];
+		const password = basic === undefined ? undefined : Buffer.from(basic, 'base64').toString().split(':').slice(1).join(':');
+		const secret = bearer ?? password;
+		return secret !== undefined && equalDigests(sha256Hex(secret), keyDigest);
+	};
+
+	const call = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+		const parsed = leaderCallSchema.safeParse(await readJson(req));
+		if (!parsed.success || !isOperatorsCall(parsed.data)) {
+			sendFailure(res, 400, {code: 'invalid-call', message: 'Cannot read the call. Use the command line, or see docs/OPERATORS.md.'});
+			return;
+		}
+
+		const value = await agent.call(parsed.data, {timeoutMs: CALL_TIMEOUT_MS, attemptMs: parsed.data.type === 'add-keeper' ? CALL_TIMEOUT_MS : 3000});
+		if (parsed.data.type === 'backup') {
+			res.writeHead(200, {'content-type': 'application/cbor'});
+			res.end(encodeBytes(value));
+			return;
+		}
+
+		sendJson(res, 200, value ?? {});
+	};
+
+	const page = async (res: ServerResponse): Promise<void> => {
+		const status = await agent.call({type: 'status'}) as ClusterStatus;
+		res.writeHead(200, {'content-type': 'text/html; charset=utf-8', 'cache-control': 'no-store'});
+		res.end(renderPage(status));
+	};
+
+	const route = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+		const path = (req.url ?? '/').split('?', 1)[0];
+		if (path === '/healthz') {
+			sendJson(res, 200, {healthy: true});
+			return;
+		}
+
+		if (path === '/readyz') {
+			const ready = options.isReady();
+			sendJson(res, ready ? 200 : 503, {ready});
+			return;
+		}
+
+		if (!isOperator(req)) {
+			res.setHeader('www-authenticate', 'Basic realm="bronzebend operators"');
+			sendFailure(res, 401, {code: 'wrong-operator-key', message: 'Send the operators\' key as a Bearer token, or as the password.'});
+			return;
+		}
+
+		if (path === '/metrics') {
+			const {type, text} = await options.readMetrics();
+			res.writeHead(200, {'content-type': type});
+			res.end(text);
+			return;
+		}
+
+		if (path === CALLS_PATH && req.method === 'POST') {
+			await call(req, res);
+			return;
+		}
+
+		if (path === '/') {
+			await page(res);
+			return;
+		}
+
+		sendFailure(res, 404, {code: 'no-such-path', message: 'There is /, /metrics, /healthz, /readyz and /v1/calls.'});
+	};
+
+	const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
+		route(req, res).catch((error: unknown) => {
+			if (error instanceof CallTimeoutError) {
+				sendFailure(res, 503, error);
+			} else if (error instanceof CallFailedError || error instanceof BronzebendError) {
+				sendFailure(res, 409, error);
+			} else {
+				log.error('A call failed unexpectedly.', {reason: String(error)});
+				res.destroy();
+			}
+		});
+	};
+
+	const server = options.tls ? https.createServer(options.tls, onRequest) : http.createServer(onRequest);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(options.port, options.host, resolve);
+	});
+
+	return {
+		port: (): number => (server.address() as AddressInfo).port,
+		async stop(): Promise<void> {
+			server.closeAllConnections();
+			server.close();
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/serve.ts
@@ -0,0 +1,227 @@
+/** One process: the parts that its roles need, wired together. */
+import {randomUUID} from 'node:crypto';
+import {readFileSync} from 'node:fs';
+import {createRandom, systemClock, type Clock} from '@bronzebend/core';
+import {createPeerNetwork, type NodeAddress, type PeerMessage} from '@bronzebend/wire';
+import {createDispatchHost} from './dispatch/dispatch-host.js';
+import {createBackendClients, createEntryServer, type EntryServer} from './entry/entry-server.js';
+import {createTicketDesk} from './entry/ticket-desk.js';
+import {createKeeperHost, type KeeperHost} from './keeper/keeper-host.js';
+import {createNodeAgent, type NodeAgent} from './node/node-agent.js';
+import {createOperatorsServer} from './operators/operators-server.js';
+import {readSecret, roles, type Settings} from './settings.js';
+import {createLogs, type LogFactory} from './utils/log.js';
+import {createMetrics} from './utils/metrics.js';
+import {createTracing} from './utils/tracing.js';
+
+/** Time in which the balancer sees that this process is not ready, in milliseconds. */
+const UNREADY_MS = 500;
+/** Time in which other nodes take over what this one hands over, in milliseconds. */
+const HAND_OVER_MS = 1000;
+
+/** What can be passed in beside the settings. */
+export type ServeOptions = {clock?: Clock; logs?: LogFactory; seed?: number; onFatal?(error: unknown): void};
+
+/** A running process. */
+export type RunningNode = Awaited<ReturnType<typeof serve>>;
+
+const readTls = (files: {keyFile: string; certFile: string} | undefined): {key: Buffer; cert: Buffer} | undefined => files && {key: readFileSync(files.keyFile), cert: readFileSync(files.certFile)};
+
+const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, milliseconds);
+});
+
+/** Starts a process by its settings. */
+export const serve = async (settings: Settings, options: ServeOptions = {}) => {
+	const {node} = settings;
+	const clock = options.clock ?? systemClock;
+	const logs = options.logs ?? createLogs(settings.log, node);
+	const log = logs('node');
+	const secret = readSecret(settings.clusterSecretFile);
+	const operatorKey = readSecret(settings.operatorKeyFile);
+	const metrics = createMetrics();
+	const tracing = createTracing(node, settings.traces);
+	const isEntry = settings.roles.includes(roles.entry);
+	const keeperAddresses = new Map(settings.keepers.map(keeper => [keeper.node, {host: keeper.host, port: keeper.port}]));
+	let agent: NodeAgent | undefined;
+	let keeper: KeeperHost | undefined;
+	let entry: EntryServer | undefined;
+	let stopping = false;
+
+	const onFatal = (error: unknown): void => {
+		log.error('Cannot go on.', {reason: String(error)});
+		if (options.onFatal) {
+			options.onFatal(error);
+			return;
+		}
+
+		process.exitCode = 70;
+		// Nothing may be sent after the disk failed, so the process ends without its usual order.
+		process.exit();
+	};
+
+	const onMessage = (from: string, message: PeerMessage): void => {
+		if (message.type === 'dispatch') {
+			dispatchHost?.receive(from, message.pool, message.epoch, message.request);
+			return;
+		}
+
+		if (message.type === 'dispatch-answer') {
+			tickets?.receive(message.pool, message.epoch, message.answer);
+			return;
+		}
+
+		if (agent?.receive(from, message) !== true) {
+			keeper?.receive(from, message);
+		}
+	};
+
+	const peersTls = readTls(settings.peersTls);
+	const network = await createPeerNetwork({
+		node,
+		host: settings.peers.host,
+		port: settings.peers.port,
+		secret,
+		tls: peersTls && {...peersTls, ca: readFileSync(settings.peersTls!.caFile)},
+		clock,
+		locate: name => keeperAddresses.get(name) ?? agent?.view.addressOf(name),
+		onMessage,
+		onFault(what, peer) {
+			logs('peers').warn('Refused a peer\'s message.', {what, peer});
+		},
+	});
+	const send = (to: string, message: PeerMessage): void => {
+		network.send(to, message);
+	};
+
+	const address = (): NodeAddress => ({
+		node, host: settings.peers.advertise ?? settings.peers.host, port: network.port(), dataCentre: settings.dataCentre, region: settings.region,
+	});
+
+	agent = createNodeAgent({
+		address,
+		run: randomUUID(),
+		isEntry,
+		keepers: settings.keepers.map(item => item.node),
+		clock,
+		log: logs('agent'),
+		send,
+		dispatchReports: () => dispatchHost?.reports() ?? [],
+		onOrders(orders, sentAtMs) {
+			dispatchHost?.takeOrders(orders, sentAtMs);
+		},
+		onChange() {
+			metrics.version.set(agent!.view.version());
+			dispatchHost?.onViewChange(node);
+			tickets?.onViewChange();
+			entry?.onViewChange();
+		},
+	});
+	const dispatchHost = isEntry ? createDispatchHost({
+		view: agent.view, clock, log: logs('dispatch'), send,
+	}) : undefined;
+	const clients = createBackendClients(() => clock.monotonicMs());
+	const tickets = isEntry ? createTicketDesk({
+		node, view: agent.view, nowMs: () => clock.monotonicMs(), send, openConnections: pool => clients.openOf(pool),
+	}) : undefined;
+
+	if (settings.roles.includes(roles.keeper)) {
+		keeper = await createKeeperHost({
+			node,
+			folder: settings.dataFolder!,
+			keepers: settings.keepers.map(item => item.node),
+			clock,
+			random: createRandom(options.seed ?? Math.floor(clock.wallMs()) ^ network.port()),
+			log: logs('keeper'),
+			send,
+			onFatal,
+		});
+	}
+
+	agent.start();
+	if (tickets && settings.callers) {
+		entry = await createEntryServer({
+			host: settings.callers.host,
+			port: settings.callers.port,
+			tls: readTls(settings.callersTls),
+			agent,
+			tickets,
+			clients,
+			clock,
+			log: logs('entry'),
+			metrics,
+			tracing,
+		});
+	}
+
+	const isReady = (): boolean => !stopping && agent.view.isFresh(clock.monotonicMs());
+
+	const readMetrics = async (): Promise<{type: string; text: string}> => {
+		for (const {pool, teams} of dispatchHost?.usage() ?? []) {
+			for (const {team, running, share, cap} of teams) {
+				metrics.running.set({pool, team}, running);
+				metrics.share.set({pool, team}, share);
+				metrics.granted.set({pool, team}, cap);
+			}
+		}
+
+		metrics.controlBytes.set({direction: 'sent'}, network.stats.bytesSent);
+		metrics.controlBytes.set({direction: 'received'}, network.stats.bytesReceived);
+		return {type: metrics.registry.contentType, text: await metrics.registry.metrics()};
+	};
+
+	const operators = settings.operators && await createOperatorsServer({
+		host: settings.operators.host,
+		port: settings.operators.port,
+		tls: readTls(settings.operatorsTls),
+		operatorKey,
+		agent,
+		log: logs('operators'),
+		isReady,
+		readMetrics,
+	});
+	log.info('Started.', {callers: entry?.port(), peers: network.port(), operators: operators?.port()});
+
+	/** Ends everything at once. */
+	const stopNow = async (): Promise<void> => {
+		stopping = true;
+		tickets?.stop();
+		dispatchHost?.stop();
+		agent.stop();
+		await entry?.stop();
+		await operators?.stop();
+		await keeper?.stop();
+		await network.close();
+		await tracing.stop();
+	};
+
+	return {
+		node,
+		agent,
+		network,
+		isReady,
+		keeper: () => keeper,
+		callersPort: (): number | undefined => entry?.port(),
+		operatorsPort: (): number | undefined => operators?.port(),
+		peersPort: (): number => network.port(),
+		dispatching: () => dispatchHost?.usage() ?? [],
+		stopNow,
+
+		/** Stops in order: not ready, hand over, finish what runs, end. */
+		async stop(): Promise<void> {
+			log.info('Stopping.');
+			stopping = true;
+			await pause(UNREADY_MS);
+			dispatchHost?.releaseAll();
+			agent.drain();
+			await entry?.drain(settings.drainSeconds * 1000);
+			if (keeper?.isLeading()) {
+				keeper.handOver();
+			}
+
+			await pause(HAND_OVER_MS);
+			await stopNow();
+			log.info('Stopped.');
+		},
+	};
+};
--- /dev/null
+++ b/packages/replica/src/index.ts
@@ -0,0 +1,6 @@
+export * from './disk.js';
+export * from './folder-lock.js';
+export * from './frames.js';
+export * from './raft.js';
+export * from './replica.js';
+export * from './storage.js';
--- /dev/null
+++ b/packages/replica/src/raft-log.ts
@@ -0,0 +1,85 @@
+/** The in-memory part of the replicated log, from the last snapshot on. */
+import type {LogEntry, Member} from '@bronzebend/wire';
+
+/** Position and members at the start of the log. */
+export type LogBase = {index: number; term: number; members: Member[]};
+
+/** The log of one replica. */
+export type RaftLog = ReturnType<typeof createRaftLog>;
+
+/** Creates a log that starts after `base`. */
+export const createRaftLog = (base: LogBase, initial: readonly LogEntry[] = []) => {
+	let start = base;
+	let entries = [...initial];
+
+	const lastIndex = (): number => start.index + entries.length;
+	const entryAt = (index: number): LogEntry | undefined => entries[index - start.index - 1];
+	const termAt = (index: number): number | undefined => (index === start.index ? start.term : entryAt(index)?.term);
+
+	const membersAt = (index: number): {index: number; members: Member[]} => {
+		for (let at = Math.min(index, lastIndex()); at > start.index; at -= 1) {
+			const {payload} = entryAt(at)!;
+			if (payload.type === 'members') {
+				return {index: at, members: payload.members};
+			}
+		}
+
+		return {index: start.index, members: start.members};
+	};
+
+	let latest = membersAt(lastIndex());
+
+	return {
+		lastIndex,
+		lastTerm: (): number => termAt(lastIndex())!,
+		startIndex: () => start.index,
+		entryAt,
+		/** Term at an index; undefined where the log does not reach. */
+		termAt,
+		/** Members in force, which take effect when appended. */
+		members: (): Member[] => latest.members,
+		/** Index of the entry that set the members. */
+		membersIndex: (): number => latest.index,
+		membersAt: (index: number): Member[] => membersAt(index).members,
+
+		slice: (from: number, most: number): LogEntry[] => entries.slice(from - start.index - 1, from - start.index - 1 + most),
+
+		/** Appends entries, cutting whatever conflicts. */
+		append(added: readonly LogEntry[]): void {
+			const first = added[0];
+			if (!first) {
+				return;
+			}
+
+			const cuts = first.index <= lastIndex();
+			entries = cuts ? entries.slice(0, first.index - start.index - 1) : entries;
+			entries.push(...added);
+			const setsMembers = added.some(entry => entry.payload.type === 'members');
+			if (cuts || setsMembers) {
+				latest = membersAt(lastIndex());
+			}
+		},
+
+		/** Drops entries up to an index that a snapshot covers. */
+		compact(index: number): void {
+			if (index <= start.index) {
+				return;
+			}
+
+			const term = termAt(index)!;
+			const {members} = membersAt(index);
+			entries = entries.slice(index - start.index);
+			start = {index, term, members};
+			latest = membersAt(lastIndex());
+		},
+
+		/** Replaces the whole log by a snapshot's position. */
+		reset(next: LogBase): void {
+			start = next;
+			entries = [];
+			latest = {index: next.index, members: next.members};
+		},
+
+		size: () => entries.length,
+	};
+};
--- /dev/null
+++ b/packages/replica/src/raft.ts
@@ -0,0 +1,605 @@
+/**
+Agreement of the keeper replicas on one log: elections with pre-vote, replication, membership.
+
+Pure: events and times go in, an output comes out. The caller makes `hardState`, `append` and
+`snapshot` durable before it sends `afterSync` and before it reports them by a `synced` event.
+*/
+import {BronzebendError, UnreachableError} from '@bronzebend/core';
+import type {
+	LogEntry, LogPayload, Member, RaftMessage, Snapshot,
+} from '@bronzebend/wire';
+import {createProgress, type Progress} from './progress.js';
+import {createRaftLog, type LogBase} from './raft-log.js';
+
+/** Timing of a replica group, in milliseconds. */
+export type RaftTimings = {
+	heartbeatMs: number;
+	/** A follower votes for no other within this time of a leader's message. */
+	minElectionMs: number;
+	maxElectionMs: number;
+	/** Share of `minElectionMs` by which clocks may run apart. */
+	maxDriftRatio: number;
+};
+
+/** Timings for data centres about a millisecond apart. */
+export const defaultTimings: RaftTimings = {
+	heartbeatMs: 100, minElectionMs: 700, maxElectionMs: 1400, maxDriftRatio: 0.1,
+};
+
+/** Entries in one append message at most. */
+const MAX_ENTRIES_PER_APPEND = 256;
+
+/** Term and vote, durable before any message that depends on them. */
+export type HardState = {term: number; votedFor: string | undefined};
+
+/** What a replica starts from. */
+export type RestoredState = {hardState: HardState; base: LogBase; entries: LogEntry[]};
+
+/** Role of a replica. */
+export type Role = 'follower' | 'candidate' | 'leader';
+
+/** Everything that a replica reacts to. */
+export type RaftEvent =
+	| {type: 'tick'}
+	| {type: 'receive'; from: string; message: RaftMessage}
+	| {type: 'propose'; payloads: LogPayload[]}
+	| {type: 'synced'; index: number; term: number}
+	| {type: 'compacted'; index: number}
+	| {type: 'transfer'; to: string};
+
+/** A message with its receiver's replica identity. */
+export type Outgoing = {to: string; message: RaftMessage};
+
+/** What a replica wants done. */
+export type RaftOutput = {
+	hardState?: HardState;
+	append: LogEntry[];
+	/** A received snapshot that replaces state machine and log. */
+	snapshot?: Snapshot;
+	/** Messages that promise nothing about durable state. */
+	now: Outgoing[];
+	/** Messages to send once the rest of the output is durable. */
+	afterSync: Outgoing[];
+	committed: LogEntry[];
+	/** Index given to the first proposed payload; undefined where this replica does not lead. */
+	proposedAt?: number;
+};
+
+/** What a replica is made of. */
+export type RaftOptions = {
+	replica: string;
+	restored: RestoredState;
+	timings?: RaftTimings;
+	/** Uniform in [0, 1). */
+	random: () => number;
+	/** The last snapshot, for replicas that lag behind the log. */
+	readSnapshot: () => Snapshot | undefined;
+	startedAtMs: number;
+};
+
+/** A change of members that the rules forbid now. */
+export class MembershipError extends BronzebendError {
+	override readonly name = 'MembershipError';
+}
+
+/** One replica's agreement state. */
+export type Raft = ReturnType<typeof createRaft>;
+
+/** Creates the agreement state of one replica. */
+export const createRaft = ({replica, restored, timings = defaultTimings, random, readSnapshot, startedAtMs}: RaftOptions) => {
+	const log = createRaftLog(restored.base, restored.entries);
+	let {term, votedFor} = restored.hardState;
+	let role: Role = 'follower';
+	let leader: string | undefined;
+	let commitIndex = restored.base.index;
+	let appliedIndex = restored.base.index;
+	let syncedIndex = log.lastIndex();
+	let termStartIndex = Infinity;
+	// After a restart the last leader contact is forgotten, so it is taken to be now: leases rely on it.
+	let leaderContactMs = startedAtMs;
+	let electionAtMs = 0;
+	let heartbeatAtMs = 0;
+	let votes = new Set<string>();
+	let preVoting = false;
+	let transferTo: string | undefined;
+	let transferUntilMs = 0;
+	let progress = new Map<string, Progress>();
+	let output: RaftOutput;
+
+	const voters = (): Member[] => log.members().filter(member => member.voter);
+	const isVoter = (id: string): boolean => voters().some(member => member.replica === id);
+	const quorum = (): number => Math.floor(voters().length / 2) + 1;
+	const peers = (): Member[] => log.members().filter(member => member.replica !== replica);
+
+	const resetElection = (nowMs: number): void => {
+		electionAtMs = nowMs + timings.minElectionMs + (random() * (timings.maxElectionMs - timings.minElectionMs));
+	};
+
+	resetElection(startedAtMs);
+
+	const saveHardState = (): void => {
+		output.hardState = {term, votedFor};
+	};
+
+	const becomeFollower = (nextTerm: number, nextLeader: string | undefined): void => {
+		if (nextTerm > term) {
+			term = nextTerm;
+			votedFor = undefined;
+			saveHardState();
+		}
+
+		role = 'follower';
+		leader = nextLeader;
+		preVoting = false;
+		transferTo = undefined;
+		progress = new Map();
+	};
+
+	const appendToLog = (entries: LogEntry[]): void => {
+		log.append(entries);
+		syncedIndex = Math.min(syncedIndex, entries[0]!.index - 1);
+		output.append.push(...entries);
+	};
+
+	const sendAppend = (member: Member, nowMs: number): void => {
+		const peer = progress.get(member.replica)!;
+		const prevIndex = peer.next - 1;
+		const prevTerm = log.termAt(prevIndex);
+		if (prevTerm === undefined) {
+			const snapshot = readSnapshot();
+			if (snapshot && peer.maySendSnapshot(nowMs)) {
+				output.now.push({
+					to: member.replica, message: {
+						type: 'install', term, snapshot, sentAtMs: nowMs,
+					},
+				});
+			}
+
+			return;
+		}
+
+		const entries = log.slice(peer.next, MAX_ENTRIES_PER_APPEND);
+		peer.next += entries.length;
+		output.now.push({
+			to: member.replica, message: {
+				type: 'append', term, prevIndex, prevTerm, entries, commit: commitIndex, sentAtMs: nowMs,
+			},
+		});
+	};
+
+	const broadcast = (nowMs: number): void => {
+		heartbeatAtMs = nowMs + timings.heartbeatMs;
+		for (const member of peers()) {
+			if (!progress.has(member.replica)) {
+				progress.set(member.replica, createProgress(log.lastIndex() + 1, -Infinity));
+			}
+
+			sendAppend(member, nowMs);
+		}
+	};
+
+	const emitCommitted = (): void => {
+		while (appliedIndex < commitIndex) {
+			appliedIndex += 1;
+			output.committed.push(log.entryAt(appliedIndex)!);
+		}
+	};
+
+	const advanceCommit = (nowMs: number): void => {
+		const matches = voters().map(member => (member.replica === replica ? syncedIndex : progress.get(member.replica)?.match ?? 0));
+		matches.sort((left, right) => right - left);
+		const agreed = matches[quorum() - 1] ?? 0;
+		// Entries of earlier terms commit only together with one of this term.
+		if (agreed > commitIndex && log.termAt(agreed) === term) {
+			commitIndex = agreed;
+			emitCommitted();
+			if (commitIndex >= log.membersIndex() && !isVoter(replica)) {
+				becomeFollower(term, undefined);
+				resetElection(nowMs);
+				return;
+			}
+
+			broadcast(nowMs);
+		}
+	};
+
+	const becomeLeader = (nowMs: number): void => {
+		role = 'leader';
+		leader = replica;
+		preVoting = false;
+		transferTo = undefined;
+		progress = new Map(peers().map(member => [member.replica, createProgress(log.lastIndex() + 1, nowMs)]));
+		termStartIndex = log.lastIndex() + 1;
+		appendToLog([{index: termStartIndex, term, payload: {type: 'no-op'}}]);
+		broadcast(nowMs);
+	};
+
+	const askVotes = (message: RaftMessage, list: Outgoing[]): void => {
+		list.push(...voters().filter(member => member.replica !== replica).map(member => ({to: member.replica, message})));
+	};
+
+	const campaign = (nowMs: number, transfer: boolean): void => {
+		role = 'candidate';
+		leader = undefined;
+		preVoting = false;
+		term += 1;
+		votedFor = replica;
+		saveHardState();
+		resetElection(nowMs);
+		votes = new Set([replica]);
+		if (votes.size >= quorum()) {
+			becomeLeader(nowMs);
+			return;
+		}
+
+		askVotes({
+			type: 'vote', term, lastIndex: log.lastIndex(), lastTerm: log.lastTerm(), transfer,
+		}, output.afterSync);
+	};
+
+	const preCampaign = (nowMs: number): void => {
+		resetElection(nowMs);
+		if (!isVoter(replica)) {
+			return;
+		}
+
+		role = 'candidate';
+		leader = undefined;
+		preVoting = true;
+		votes = new Set([replica]);
+		if (votes.size >= quorum()) {
+			campaign(nowMs, false);
+			return;
+		}
+
+		askVotes({
+			type: 'pre-vote', term: term + 1, lastIndex: log.lastIndex(), lastTerm: log.lastTerm(),
+		}, output.now);
+	};
+
+	const isUpToDate = (lastIndex: number, lastTerm: number): boolean => lastTerm > log.lastTerm() || (lastTerm === log.lastTerm() && lastIndex >= log.lastIndex());
+	const hearsLeader = (nowMs: number): boolean => role === 'leader' || nowMs - leaderContactMs < timings.minElectionMs;
+
+	const onPreVote = (from: string, message: RaftMessage & {type: 'pre-vote'}, nowMs: number): void => {
+		const granted = message.term > term && !hearsLeader(nowMs) && isUpToDate(message.lastIndex, message.lastTerm);
+		output.now.push({to: from, message: {type: 'pre-vote-reply', term: granted ? message.term : term, granted}});
+	};
+
+	const onVote = (from: string, message: RaftMessage & {type: 'vote'}, nowMs: number): void => {
+		if (message.term > term && hearsLeader(nowMs) && !message.transfer) {
+			return;
+		}
+
+		if (message.term > term) {
+			becomeFollower(message.term, undefined);
+		}
+
+		const granted = message.term === term && (votedFor === undefined || votedFor === from) && isUpToDate(message.lastIndex, message.lastTerm);
+		if (granted) {
+			votedFor = from;
+			saveHardState();
+			resetElection(nowMs);
+		}
+
+		output.afterSync.push({to: from, message: {type: 'vote-reply', term, granted}});
+	};
+
+	const onVoteReply = (from: string, message: RaftMessage & {type: 'vote-reply' | 'pre-vote-reply'}, nowMs: number): void => {
+		const isPre = message.type === 'pre-vote-reply';
+		if (!message.granted && message.term > term) {
+			becomeFollower(message.term, undefined);
+			return;
+		}
+
+		const expectedTerm = isPre ? term + 1 : term;
+		if (role !== 'candidate' || preVoting !== isPre || !message.granted || message.term !== expectedTerm || !isVoter(from)) {
+			return;
+		}
+
+		votes.add(from);
+		if (votes.size < quorum()) {
+			return;
+		}
+
+		if (isPre) {
+			campaign(nowMs, false);
+		} else {
+			becomeLeader(nowMs);
+		}
+	};
+
+	const followLeader = (from: string, leaderTerm: number, nowMs: number): void => {
+		if (leaderTerm > term || role !== 'follower' || leader !== from) {
+			becomeFollower(leaderTerm, from);
+		}
+
+		leaderContactMs = nowMs;
+		resetElection(nowMs);
+	};
+
+	const replyAppend = (to: string, success: boolean, index: number, sentAtMs: number): void => {
+		output.afterSync.push({
+			to, message: {
+				type: 'append-reply', term, success, index, sentAtMs,
+			},
+		});
+	};
+
+	const onAppend = (from: string, message: RaftMessage & {type: 'append'}, nowMs: number): void => {
+		if (message.term < term) {
+			replyAppend(from, false, 0, message.sentAtMs);
+			return;
+		}
+
+		followLeader(from, message.term, nowMs);
+		const lastNew = message.prevIndex + message.entries.length;
+		// What a snapshot covers is committed, so it matches whatever the leader sends for it.
+		const fromStart = message.prevIndex < log.startIndex();
+		if (!fromStart && log.termAt(message.prevIndex) !== message.prevTerm) {
+			const hint = Math.min(log.lastIndex(), message.prevIndex - 1);
+			replyAppend(from, false, Math.max(hint, commitIndex), message.sentAtMs);
+			return;
+		}
+
+		const fresh = message.entries.filter(entry => entry.index > log.startIndex());
+		const conflict = fresh.findIndex(entry => log.termAt(entry.index) !== entry.term);
+		if (conflict !== -1) {
+			appendToLog(fresh.slice(conflict));
+		}
+
+		const matched = Math.max(lastNew, log.startIndex());
+		if (message.commit > commitIndex) {
+			commitIndex = Math.max(commitIndex, Math.min(message.commit, matched));
+			emitCommitted();
+		}
+
+		replyAppend(from, true, matched, message.sentAtMs);
+	};
+
+	const onAppendReply = (from: string, message: RaftMessage & {type: 'append-reply'}, nowMs: number): void => {
+		const peer = progress.get(from);
+		if (role !== 'leader' || message.term !== term || !peer) {
+			if (message.term > term) {
+				becomeFollower(message.term, undefined);
+			}
+
+			return;
+		}
+
+		peer.heardAt(message.sentAtMs);
+		if (!message.success) {
+			peer.next = Math.max(peer.match + 1, Math.min(message.index + 1, peer.next - 1));
+			sendAppend(log.members().find(member => member.replica === from)!, nowMs);
+			return;
+		}
+
+		peer.match = Math.max(peer.match, message.index);
+		peer.next = Math.max(peer.next, peer.match + 1);
+		advanceCommit(nowMs);
+		// Committing a change of members may have ended this leadership.
+		const member = log.members().find(other => other.replica === from);
+		if ((role as Role) !== 'leader' || !member) {
+			return;
+		}
+
+		if (transferTo === from && peer.match === log.lastIndex()) {
+			output.now.push({to: from, message: {type: 'timeout-now', term}});
+		}
+
+		if (peer.next <= log.lastIndex()) {
+			sendAppend(member, nowMs);
+		}
+	};
+
+	const onInstall = (from: string, message: RaftMessage & {type: 'install'}, nowMs: number): void => {
+		if (message.term < term) {
+			replyAppend(from, false, 0, message.sentAtMs);
+			return;
+		}
+
+		followLeader(from, message.term, nowMs);
+		const {snapshot} = message;
+		if (snapshot.index > commitIndex) {
+			log.reset({index: snapshot.index, term: snapshot.term, members: snapshot.members});
+			commitIndex = snapshot.index;
+			appliedIndex = snapshot.index;
+			syncedIndex = snapshot.index;
+			output.append = [];
+			output.committed = [];
+			output.snapshot = snapshot;
+		}
+
+		replyAppend(from, true, Math.min(commitIndex, snapshot.index), message.sentAtMs);
+	};
+
+	const receive = (from: string, message: RaftMessage, nowMs: number): void => {
+		switch (message.type) {
+			case 'pre-vote': {
+				onPreVote(from, message, nowMs);
+				return;
+			}
+
+			case 'vote': {
+				onVote(from, message, nowMs);
+				return;
+			}
+
+			case 'pre-vote-reply':
+			case 'vote-reply': {
+				onVoteReply(from, message, nowMs);
+				return;
+			}
+
+			case 'append': {
+				onAppend(from, message, nowMs);
+				return;
+			}
+
+			case 'append-reply': {
+				onAppendReply(from, message, nowMs);
+				return;
+			}
+
+			case 'install': {
+				onInstall(from, message, nowMs);
+				return;
+			}
+
+			case 'timeout-now': {
+				if (message.term === term && from === leader && isVoter(replica)) {
+					campaign(nowMs, true);
+				}
+
+				return;
+			}
+
+			default: {
+				throw new UnreachableError(message);
+			}
+		}
+	};
+
+	/** Latest time of sending that a quorum has answered. */
+	const quorumHeardMs = (nowMs: number): number => {
+		const heard = voters().map(member => (member.replica === replica ? nowMs : progress.get(member.replica)?.heardMs() ?? -Infinity));
+		heard.sort((left, right) => right - left);
+		return heard[quorum() - 1] ?? -Infinity;
+	};
+
+	const tick = (nowMs: number): void => {
+		if (role !== 'leader') {
+			if (nowMs >= electionAtMs) {
+				preCampaign(nowMs);
+			}
+
+			return;
+		}
+
+		// A leader that offered a transfer gave up its lease for this term, so it does not go on leading.
+		const transferFailed = transferTo !== undefined && nowMs >= transferUntilMs;
+		if (transferFailed || nowMs - quorumHeardMs(nowMs) > timings.maxElectionMs) {
+			becomeFollower(term, undefined);
+			resetElection(nowMs);
+			return;
+		}
+
+		if (nowMs >= heartbeatAtMs) {
+			broadcast(nowMs);
+		}
+	};
+
+	const checkMembers = (next: readonly Member[]): void => {
+		if (commitIndex < termStartIndex || commitIndex < log.membersIndex()) {
+			throw new MembershipError('membership-busy', 'Cannot change keepers: an earlier change is not committed yet. Try again in a second.');
+		}
+
+		const before = new Set(voters().map(member => member.replica));
+		const after = new Set(next.filter(member => member.voter).map(member => member.replica));
+		const joining = [...after].filter(id => !before.has(id));
+		const changed = [...before].filter(id => !after.has(id)).length + joining.length;
+		if (changed > 1 || after.size === 0) {
+			throw new MembershipError('membership-one-at-a-time', 'Cannot change keepers: one voter at a time may join or leave.');
+		}
+
+		if (joining.some(id => (progress.get(id)?.match ?? 0) < commitIndex)) {
+			throw new MembershipError('membership-not-caught-up', 'Cannot make the keeper a voter: it has not received the whole log yet. Add it as a learner and wait.');
+		}
+	};
+
+	const propose = (payloads: readonly LogPayload[], nowMs: number): void => {
+		if (role !== 'leader' || transferTo !== undefined) {
+			return;
+		}
+
+		for (const payload of payloads) {
+			if (payload.type === 'members') {
+				checkMembers(payload.members);
+			}
+		}
+
+		const first = log.lastIndex() + 1;
+		output.proposedAt = first;
+		appendToLog(payloads.map((payload, offset) => ({index: first + offset, term, payload})));
+		broadcast(nowMs);
+	};
+
+	return {
+		/**
+		Reacts to one event.
+
+		@throws {MembershipError} A proposed change of members is not allowed now.
+		*/
+		handle(event: RaftEvent, nowMs: number): RaftOutput {
+			output = {
+				append: [], now: [], afterSync: [], committed: [],
+			};
+			switch (event.type) {
+				case 'tick': {
+					tick(nowMs);
+					break;
+				}
+
+				case 'receive': {
+					receive(event.from, event.message, nowMs);
+					break;
+				}
+
+				case 'propose': {
+					propose(event.payloads, nowMs);
+					break;
+				}
+
+				case 'synced': {
+					if (log.termAt(event.index) === event.term) {
+						syncedIndex = Math.max(syncedIndex, event.index);
+					}
+
+					if (role === 'leader') {
+						advanceCommit(nowMs);
+					}
+
+					break;
+				}
+
+				case 'compacted': {
+					log.compact(event.index);
+					break;
+				}
+
+				case 'transfer': {
+					if (role === 'leader') {
+						transferTo = event.to;
+						transferUntilMs = nowMs + timings.maxElectionMs;
+						broadcast(nowMs);
+					}
+
+					break;
+				}
+
+				default: {
+					throw new UnreachableError(event);
+				}
+			}
+
+			return output;
+		},
+
+		replica,
+		role: () => role,
+		term: () => term,
+		leader: () => leader,
+		commitIndex: () => commitIndex,
+		lastIndex: () => log.lastIndex(),
+		members: () => log.members(),
+		membersAt: (index: number) => log.membersAt(index),
+		termAt: (index: number) => log.termAt(index),
+		entriesAfter: (index: number): LogEntry[] => log.slice(index + 1, Infinity),
+		matchOf: (id: string): number => (id === replica ? syncedIndex : progress.get(id)?.match ?? 0),
+
+		/** True while no other replica can have become leader and all earlier terms are applied here. */
+		hasLease(nowMs: number): boolean {
+			const span = timings.minElectionMs * (1 - timings.maxDriftRatio);
+			return role === 'leader' && transferTo === undefined && commitIndex >= termStartIndex && nowMs < quorumHeardMs(nowMs) + span;
+		},
+	};
+};
--- /dev/null
+++ b/packages/replica/src/replica.ts
@@ -0,0 +1,367 @@
+/** Drives one replica: agreement, disk, state machine and messages, one event after another. */
+import {BronzebendError, type Clock, type ControlCommand} from '@bronzebend/core';
+import type {
+	LogEntry, LogPayload, Member, RaftMessage, Snapshot,
+} from '@bronzebend/wire';
+import {
+	createRaft, type Outgoing, type Raft, type RaftEvent, type RaftOutput, type RaftTimings,
+} from './raft.js';
+import {DiskFullError, type Storage, type StorageOperation} from './storage.js';
+
+/** Applied entries after which the log is cut by a snapshot. */
+export const SNAPSHOT_INTERVAL = 1000;
+/** Pause before a batch is tried again on a full disk, in milliseconds. */
+const DISK_FULL_PAUSE_MS = 500;
+
+/** This replica does not lead; `leader` is the node that may. */
+export class NotLeaderError extends BronzebendError {
+	override readonly name = 'NotLeaderError';
+
+	constructor(readonly leader: string | undefined) {
+		super('not-leader', 'Cannot accept the change here: this keeper does not lead. Ask the leader.', {leader});
+	}
+}
+
+/** Leadership ended before the change was known to be accepted; it may or may not be. */
+export class OutcomeUnknownError extends BronzebendError {
+	override readonly name = 'OutcomeUnknownError';
+
+	constructor() {
+		super('outcome-unknown', 'The leader changed before the change was confirmed. Send it again with the same ID.');
+	}
+}
+
+/** The state that the log drives. */
+export type StateMachine<Outcome> = {
+	apply(command: ControlCommand, index: number): Outcome;
+	snapshot(): Uint8Array<ArrayBuffer>;
+	restore(data: Uint8Array): void;
+};
+
+/** What a replica is made of. */
+export type ReplicaOptions<Outcome> = {
+	storage: Storage;
+	stateMachine: StateMachine<Outcome>;
+	clock: Clock;
+	random: () => number;
+	timings?: RaftTimings;
+	snapshotInterval?: number;
+	send(to: Member, message: RaftMessage): void;
+	/** Waits; a fake in tests. */
+	sleep(milliseconds: number): Promise<void>;
+	/** Called after each batch of events. */
+	onProgress?(): void;
+	/** The disk failed for good; the process must stop. */
+	onFatal(error: unknown): void;
+};
+
+type Pending<Outcome> = {term: number; resolve(outcome: Outcome): void; reject(error: BronzebendError): void};
+type Proposal<Outcome> = {payload: LogPayload; resolve(outcome: Outcome): void; reject(error: BronzebendError): void};
+
+/** A running replica. */
+export type Replica<Outcome> = ReturnType<typeof createReplica<Outcome>>;
+
+/** Creates a replica on opened storage that belongs to a group. */
+export const createReplica = <Outcome>(options: ReplicaOptions<Outcome>) => {
+	const {storage, stateMachine, clock, onProgress} = options;
+	const snapshotInterval = options.snapshotInterval ?? SNAPSHOT_INTERVAL;
+	const raft: Raft = createRaft({
+		replica: storage.replica,
+		restored: storage.restored(),
+		timings: options.timings,
+		random: options.random,
+		readSnapshot: () => storage.snapshot(),
+		startedAtMs: clock.monotonicMs(),
+	});
+	const initial = storage.snapshot();
+	if (initial && initial.data.length > 0) {
+		stateMachine.restore(initial.data);
+	}
+
+	let appliedIndex = initial?.index ?? 0;
+	let events: RaftEvent[] = [];
+	let proposals: Array<Proposal<Outcome>> = [];
+	const pending = new Map<number, Pending<Outcome>>();
+	let busy = false;
+	let stopped = false;
+	let diskFull = false;
+
+	const deliver = (messages: readonly Outgoing[]): void => {
+		for (const {to, message} of messages) {
+			const member = raft.members().find(other => other.replica === to);
+			if (member) {
+				options.send(member, message);
+			}
+		}
+	};
+
+	const applyEntry = (entry: LogEntry): void => {
+		appliedIndex = entry.index;
+		const waiter = pending.get(entry.index);
+		pending.delete(entry.index);
+		const outcome = entry.payload.type === 'command' ? stateMachine.apply(entry.payload.command, entry.index) : undefined;
+		if (waiter?.term === entry.term) {
+			waiter.resolve(outcome as Outcome);
+		} else {
+			waiter?.reject(new OutcomeUnknownError());
+		}
+	};
+
+	const rejectPending = (): void => {
+		for (const waiter of pending.values()) {
+			waiter.reject(new OutcomeUnknownError());
+		}
+
+		pending.clear();
+	};
+
+	const collect = (output: RaftOutput, operations: StorageOperation[], deferred: Outgoing[]): void => {
+		if (output.hardState) {
+			operations.push({type: 'hard-state', hardState: output.hardState});
+		}
+
+		if (output.append.length > 0) {
+			operations.push({type: 'append', entries: output.append});
+		}
+
+		deferred.push(...output.afterSync);
+		deliver(output.now);
+		for (const entry of output.committed) {
+			applyEntry(entry);
+		}
+	};
+
+	const saveWhenRoom = async (operations: readonly StorageOperation[]): Promise<void> => {
+		while (!stopped) {
+			try {
+				// Each batch waits for its own sync before the next may start.
+				// eslint-disable-next-line no-await-in-loop
+				await storage.save(operations);
+				diskFull = false;
+				return;
+			} catch (error) {
+				if (!(error instanceof DiskFullError)) {
+					throw error;
+				}
+
+				diskFull = true;
+				refuseProposals();
+				// eslint-disable-next-line no-await-in-loop
+				await options.sleep(DISK_FULL_PAUSE_MS);
+			}
+		}
+	};
+
+	const refuseProposals = (): void => {
+		const refused = proposals;
+		proposals = [];
+		for (const proposal of refused) {
+			proposal.reject(new DiskFullError());
+		}
+	};
+
+	const installSnapshot = async (snapshot: Snapshot): Promise<void> => {
+		rejectPending();
+		stateMachine.restore(snapshot.data);
+		appliedIndex = snapshot.index;
+		await storage.saveSnapshot(snapshot, []);
+	};
+
+	const takeProposals = (): void => {
+		const batch = proposals;
+		proposals = [];
+		const first = batch[0];
+		if (!first) {
+			return;
+		}
+
+		if (raft.role() !== 'leader') {
+			const leader = raft.members().find(member => member.replica === raft.leader())?.node;
+			for (const proposal of batch) {
+				proposal.reject(new NotLeaderError(leader));
+			}
+
+			return;
+		}
+
+		events.push({type: 'propose', payloads: batch.map(proposal => proposal.payload)});
+		proposedBatch = batch;
+	};
+
+	let proposedBatch: Array<Proposal<Outcome>> = [];
+
+	const registerProposals = (proposedAt: number | undefined): void => {
+		const batch = proposedBatch;
+		proposedBatch = [];
+		for (const [offset, proposal] of batch.entries()) {
+			if (proposedAt === undefined) {
+				proposal.reject(new NotLeaderError(undefined));
+			} else {
+				pending.set(proposedAt + offset, {term: raft.term(), resolve: proposal.resolve, reject: proposal.reject});
+			}
+		}
+	};
+
+	const handleEvent = async (event: RaftEvent, operations: StorageOperation[], deferred: Outgoing[]): Promise<void> => {
+		let output: RaftOutput;
+		try {
+			output = raft.handle(event, clock.monotonicMs());
+		} catch (error) {
+			if (event.type !== 'propose') {
+				throw error;
+			}
+
+			const batch = proposedBatch;
+			proposedBatch = [];
+			for (const proposal of batch) {
+				proposal.reject(error as BronzebendError);
+			}
+
+			return;
+		}
+
+		if (event.type === 'propose') {
+			registerProposals(output.proposedAt);
+		}
+
+		if (output.snapshot) {
+			// The log before the snapshot is void, so nothing of it needs saving.
+			const states = operations.filter(operation => operation.type === 'hard-state');
+			operations.length = 0;
+			operations.push(...states);
+			await installSnapshot(output.snapshot);
+		}
+
+		collect(output, operations, deferred);
+	};
+
+	const takeSnapshot = async (): Promise<void> => {
+		const covered = storage.snapshot()?.index ?? 0;
+		if (appliedIndex - covered < snapshotInterval) {
+			return;
+		}
+
+		const snapshot: Snapshot = {
+			index: appliedIndex,
+			term: raft.termAt(appliedIndex)!,
+			members: raft.membersAt(appliedIndex),
+			data: stateMachine.snapshot(),
+		};
+		try {
+			await storage.saveSnapshot(snapshot, raft.entriesAfter(appliedIndex));
+			raft.handle({type: 'compacted', index: appliedIndex}, clock.monotonicMs());
+		} catch (error) {
+			if (!(error instanceof DiskFullError)) {
+				throw error;
+			}
+		}
+	};
+
+	const runBatch = async (): Promise<void> => {
+		takeProposals();
+		const batch = events;
+		events = [];
+		const operations: StorageOperation[] = [];
+		const deferred: Outgoing[] = [];
+		for (const event of batch) {
+			// Events are handled in order; only a received snapshot makes one wait.
+			// eslint-disable-next-line no-await-in-loop
+			await handleEvent(event, operations, deferred);
+		}
+
+		if (operations.length > 0) {
+			await saveWhenRoom(operations);
+			if (stopped) {
+				return;
+			}
+
+			const index = raft.lastIndex();
+			collect(raft.handle({type: 'synced', index, term: raft.termAt(index)!}, clock.monotonicMs()), [], deferred);
+		}
+
+		deliver(deferred);
+		if (raft.role() !== 'leader' && pending.size > 0) {
+			rejectPending();
+		}
+
+		await takeSnapshot();
+		onProgress?.();
+	};
+
+	const pump = async (): Promise<void> => {
+		if (busy || stopped) {
+			return;
+		}
+
+		busy = true;
+		try {
+			while (!stopped && (events.length > 0 || proposals.length > 0)) {
+				// eslint-disable-next-line no-await-in-loop
+				await runBatch();
+			}
+		} catch (error) {
+			stopped = true;
+			options.onFatal(error);
+		} finally {
+			busy = false;
+		}
+	};
+
+	const push = (event: RaftEvent): void => {
+		events.push(event);
+		void pump();
+	};
+
+	const proposePayload = async (payload: LogPayload): Promise<Outcome> => new Promise<Outcome>((resolve, reject) => {
+		if (diskFull) {
+			reject(new DiskFullError());
+			return;
+		}
+
+		proposals.push({payload, resolve, reject});
+		void pump();
+	});
+
+	return {
+		replica: storage.replica,
+		raft,
+		isDiskFull: () => diskFull,
+		appliedIndex: () => appliedIndex,
+
+		tick(): void {
+			push({type: 'tick'});
+		},
+
+		receive(from: string, message: RaftMessage): void {
+			push({type: 'receive', from, message});
+		},
+
+		/**
+		Proposes a command and waits until it is committed and applied.
+
+		@throws {NotLeaderError} This replica does not lead.
+		@throws {OutcomeUnknownError} Leadership ended first.
+		@throws {DiskFullError} There is no room for it.
+		*/
+		propose: async (command: ControlCommand): Promise<Outcome> => proposePayload({type: 'command', command}),
+
+		/** Proposes new members; see {@link propose} for errors. */
+		async changeMembers(members: Member[]): Promise<void> {
+			await proposePayload({type: 'members', members});
+		},
+
+		/** Offers leadership to another voter. */
+		transfer(to: string): void {
+			push({type: 'transfer', to});
+		},
+
+		/** True while what is applied here is the latest accepted state. */
+		hasLease: (): boolean => raft.hasLease(clock.monotonicMs()) && appliedIndex >= raft.commitIndex(),
+
+		stop(): void {
+			stopped = true;
+			rejectPending();
+			refuseProposals();
+		},
+	};
+};
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,4 @@
+export * from './frame-codec.js';
+export * from './messages.js';
+export * from './peer-network.js';
+export * from './raft-messages.js';
--- /dev/null
+++ b/packages/wire/src/messages.ts
@@ -0,0 +1,216 @@
+/** Every message between the system's processes; validators and types derive from these schemas. */
+import {z} from 'zod';
+import {
+	refusalReasons, ticketOutcomes,
+	type ControlCommand, type ControlOutcome, type Declaration, type Placement, type ViewUpdate,
+} from '@bronzebend/core';
+import {memberSchema, raftMessageSchema} from './raft-messages.js';
+
+const count = z.number().int().min(0);
+const name = z.string().max(200);
+
+/** Where a node can be reached by other nodes. */
+export const nodeAddressSchema = z.strictObject({
+	node: name, host: z.string(), port: count, dataCentre: name, region: name,
+});
+/** Where a node can be reached by other nodes. */
+export type NodeAddress = z.infer<typeof nodeAddressSchema>;
+
+const promise = z.strictObject({epoch: count, number: count});
+
+/** What a node tells the leader about a pool that it dispatches. */
+export const dispatchReportSchema = z.strictObject({
+	pool: name,
+	epoch: count,
+	/** True once the node gives no more tickets for this epoch. */
+	released: z.boolean(),
+	demands: z.array(z.strictObject({team: name, running: count, waiting: count})),
+	/** Smaller portions that the dispatcher keeps to from now on. */
+	promises: z.array(z.strictObject({team: name, amount: count, number: count})),
+	/** Instances on which nothing of this pool can be running. */
+	drained: z.array(name),
+	/** Instances that are out without a plan: silent, ejected or unhealthy. */
+	out: z.array(name),
+	slots: count,
+	live: count,
+	/** Version of the grants that the dispatcher has. */
+	grantsVersion: z.string(),
+});
+/** What a node tells the leader about a pool that it dispatches. */
+export type DispatchReport = z.infer<typeof dispatchReportSchema>;
+
+const heartbeat = z.strictObject({
+	type: z.literal('heartbeat'),
+	seq: count,
+	/** Sender's monotonic time, in milliseconds. */
+	sentAtMs: z.number(),
+	/** Identity of one run of the process. */
+	run: z.string(),
+	address: nodeAddressSchema,
+	isEntry: z.boolean(),
+	/** True while the node stops: it takes no pools and wants rid of those it has. */
+	draining: z.boolean(),
+	viewVersion: count,
+	clusterVersion: z.string(),
+	dispatch: z.array(dispatchReportSchema),
+});
+/** A node's heartbeat to the leader. */
+export type Heartbeat = z.infer<typeof heartbeat>;
+
+const assignment = z.strictObject({pool: name, node: name, epoch: count});
+
+/** Soft state that all nodes share. */
+export const clusterStateSchema = z.strictObject({
+	version: z.string(),
+	assignments: z.array(assignment),
+	nodes: z.array(nodeAddressSchema),
+	placements: z.array(z.custom<Placement>()),
+});
+/** Soft state that all nodes share. */
+export type ClusterState = z.infer<typeof clusterStateSchema>;
+
+/** What the leader tells the dispatcher of a pool. */
+export const dispatchOrderSchema = z.strictObject({
+	pool: name,
+	epoch: count,
+	/** Lease from the heartbeat's time of sending, in milliseconds. */
+	leaseMs: count,
+	grantsVersion: z.string(),
+	/** Absent where the dispatcher has this version already. */
+	grants: z.array(z.strictObject({team: name, amount: count, promise: promise.optional()})).optional(),
+	shrinks: z.array(z.strictObject({team: name, target: count})),
+	/** Nodes that may hold tickets of an earlier epoch. */
+	entries: z.array(name),
+	/** Time after which silent entries can start nothing any more, in milliseconds. */
+	rebuildMs: count,
+});
+/** What the leader tells the dispatcher of a pool. */
+export type DispatchOrder = z.infer<typeof dispatchOrderSchema>;
+
+const heartbeatReply = z.strictObject({
+	type: z.literal('heartbeat-reply'),
+	seq: count,
+	sentAtMs: z.number(),
+	/** Lease of the view from the heartbeat's time of sending, in milliseconds. */
+	leaseMs: count,
+	viewVersion: count,
+	view: z.custom<ViewUpdate>().optional(),
+	cluster: clusterStateSchema.optional(),
+	dispatch: z.array(dispatchOrderSchema),
+});
+/** The leader's answer to a heartbeat. */
+export type HeartbeatReply = z.infer<typeof heartbeatReply>;
+
+const waitingRequest = z.strictObject({
+	requestId: z.string(),
+	entry: name,
+	team: name,
+	queue: name,
+	deadlineMs: z.number(),
+	tried: z.array(name),
+});
+
+const announcement = z.strictObject({
+	instance: name,
+	service: name,
+	address: z.string(),
+	dataCentre: name,
+	rack: name,
+	slots: count,
+	connections: count,
+	healthy: z.boolean(),
+	leaving: z.boolean(),
+	inFlight: z.array(z.string()).max(10_000),
+});
+
+const heldReport = z.strictObject({
+	entry: name,
+	seq: count,
+	epoch: count,
+	held: z.array(z.strictObject({ticketId: z.string(), instance: name})),
+	waiting: z.array(z.string()),
+	connections: z.array(z.strictObject({instance: name, open: count})),
+});
+
+/** What entries send to a dispatcher. */
+export const dispatchRequestSchema = z.discriminatedUnion('type', [
+	z.strictObject({type: z.literal('enqueue'), request: waitingRequest, reportSeq: count}),
+	z.strictObject({type: z.literal('cancel'), requestId: z.string()}),
+	z.strictObject({
+		type: z.literal('release'), ticketId: z.string(), outcome: z.enum(ticketOutcomes), ranMs: z.number(),
+	}),
+	z.strictObject({type: z.literal('announce'), announcement}),
+	z.strictObject({type: z.literal('report'), report: heldReport}),
+]);
+/** What entries send to a dispatcher. */
+export type DispatchRequest = z.infer<typeof dispatchRequestSchema>;
+
+/** What a dispatcher sends to entries. */
+export const dispatchAnswerSchema = z.discriminatedUnion('type', [
+	z.strictObject({
+		type: z.literal('ticket'),
+		ticket: z.strictObject({
+			ticketId: z.string(), requestId: z.string(), entry: name, instance: name, address: z.string(), epoch: count, reportSeq: count,
+		}),
+	}),
+	z.strictObject({
+		type: z.literal('refusal'), entry: name, requestId: z.string(), reason: z.enum(refusalReasons), retryAfterMs: count,
+	}),
+	z.strictObject({type: z.literal('resend'), entry: name, requestIds: z.array(z.string())}),
+]);
+/** What a dispatcher sends to entries. */
+export type DispatchAnswer = z.infer<typeof dispatchAnswerSchema>;
+
+/** A call to the leader. */
+export const leaderCallSchema = z.discriminatedUnion('type', [
+	z.strictObject({type: z.literal('command'), command: z.custom<ControlCommand>()}),
+	z.strictObject({
+		type: z.literal('publish'),
+		publicationId: z.string().min(1).max(200),
+		base: count,
+		author: z.string().max(200),
+		declarations: z.array(z.custom<Declaration>()),
+	}),
+	z.strictObject({type: z.literal('status')}),
+	z.strictObject({type: z.literal('history')}),
+	z.strictObject({type: z.literal('read-set')}),
+	z.strictObject({type: z.literal('backup')}),
+	z.strictObject({type: z.literal('plan'), declarations: z.array(z.custom<Declaration>()).optional()}),
+	z.strictObject({type: z.literal('members')}),
+	z.strictObject({type: z.literal('add-keeper'), node: name}),
+	z.strictObject({type: z.literal('remove-keeper'), node: name}),
+]);
+/** A call to the leader. */
+export type LeaderCall = z.infer<typeof leaderCallSchema>;
+
+/** Answer to a call: a value, or a typed failure. */
+export const callResultSchema = z.discriminatedUnion('type', [
+	z.strictObject({type: z.literal('value'), value: z.unknown()}),
+	z.strictObject({
+		type: z.literal('failure'), code: z.string(), message: z.string(), details: z.record(z.string(), z.unknown()),
+	}),
+]);
+/** Answer to a call: a value, or a typed failure. */
+export type CallResult = z.infer<typeof callResultSchema>;
+
+/** One message between two processes. */
+export const peerMessageSchema = z.discriminatedUnion('type', [
+	z.strictObject({
+		type: z.literal('raft'), from: z.string(), to: z.string(), message: raftMessageSchema,
+	}),
+	z.strictObject({type: z.literal('probe')}),
+	z.strictObject({type: z.literal('probe-reply'), replica: z.string(), members: z.array(memberSchema).optional()}),
+	heartbeat,
+	heartbeatReply,
+	z.strictObject({type: z.literal('not-leader'), seq: count, leader: name.optional()}),
+	z.strictObject({type: z.literal('poke')}),
+	z.strictObject({type: z.literal('call'), id: count, call: leaderCallSchema}),
+	z.strictObject({type: z.literal('call-reply'), id: count, result: callResultSchema}),
+	z.strictObject({type: z.literal('dispatch'), pool: name, epoch: count, request: dispatchRequestSchema}),
+	z.strictObject({type: z.literal('dispatch-answer'), pool: name, epoch: count, answer: dispatchAnswerSchema}),
+]);
+/** One message between two processes. */
+export type PeerMessage = z.infer<typeof peerMessageSchema>;
+
+/** What applying a command gave, as calls return it. */
+export type CommandResult = ControlOutcome;
--- /dev/null
+++ b/utils/stand-in-backend.ts
@@ -0,0 +1,153 @@
+/** A stand-in for a backend server: answers, announces itself, reports what it works on. */
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+/** Pause between two announcements, in milliseconds. */
+const ANNOUNCE_MS = 1000;
+
+/** How a stand-in behaves; may be changed while it runs. */
+export type StandInBehaviour = {
+	/** Time that the work of a request takes, in milliseconds. */
+	workMs: number;
+	/** Answers every request with this status, at once. */
+	failWith?: number;
+	/** Cuts the answer after half of its body. */
+	cutAnswers?: boolean;
+};
+
+/** What a stand-in is made of. */
+export type StandInOptions = {
+	service: string;
+	instance: string;
+	dataCentre?: string;
+	rack?: string;
+	slots: number;
+	connections?: number;
+	announceKey: string;
+	/** Callers' addresses of entries, used in turn as a balancer would. */
+	entries: readonly string[];
+	behaviour?: Partial<StandInBehaviour>;
+	/** Called when work on a request starts. */
+	onRun?(id: string, req: IncomingMessage): void;
+};
+
+/** A running stand-in. */
+export type StandInBackend = Awaited<ReturnType<typeof startStandInBackend>>;
+
+/** Starts a stand-in on a free loopback port. */
+export const startStandInBackend = async (options: StandInOptions) => {
+	const behaviour: StandInBehaviour = {workMs: 5, ...options.behaviour};
+	const inFlight = new Set<string>();
+	let leaving = false;
+	let turn = 0;
+	let handled = 0;
+	let mostAtOnce = 0;
+
+	const readAll = async (req: IncomingMessage): Promise<Buffer> => {
+		const chunks: Buffer[] = [];
+		for await (const chunk of req as AsyncIterable<Buffer>) {
+			chunks.push(chunk);
+		}
+
+		return Buffer.concat(chunks);
+	};
+
+	const answer = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+		const ticket = String(req.headers['bronzebend-ticket'] ?? `direct-${handled}`);
+		handled += 1;
+		inFlight.add(ticket);
+		mostAtOnce = Math.max(mostAtOnce, inFlight.size);
+		options.onRun?.(String(req.headers['x-request-id'] ?? ''), req);
+		try {
+			const body = await readAll(req);
+			if (behaviour.failWith !== undefined) {
+				res.writeHead(behaviour.failWith);
+				res.end('failed');
+				return;
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, behaviour.workMs);
+			});
+			const text = JSON.stringify({
+				instance: options.instance, method: req.method, path: req.url, bytes: body.length, requestId: req.headers['x-request-id'],
+			});
+			res.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
+			if (behaviour.cutAnswers) {
+				res.write(text.slice(0, text.length / 2));
+				res.destroy();
+				return;
+			}
+
+			res.end(text);
+		} catch {
+			res.destroy();
+		} finally {
+			inFlight.delete(ticket);
+		}
+	};
+
+	const server = http.createServer((req, res) => {
+		void answer(req, res);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+
+	const announce = async (): Promise<number> => {
+		const entry = options.entries[turn % options.entries.length]!;
+		turn += 1;
+		try {
+			const response = await fetch(`${entry}/bronzebend/v1/announce`, {
+				method: 'POST',
+				headers: {authorization: `Bearer ${options.announceKey}`},
+				body: JSON.stringify({
+					service: options.service,
+					instance: options.instance,
+					dataCentre: options.dataCentre ?? '',
+					rack: options.rack ?? '',
+					address: `http://127.0.0.1:${port}`,
+					slots: options.slots,
+					connections: options.connections ?? 64,
+					leaving,
+					inFlight: [...inFlight],
+				}),
+				signal: AbortSignal.timeout(800),
+			});
+			await response.arrayBuffer();
+			return response.status;
+		} catch {
+			return 0;
+		}
+	};
+
+	const timer = setInterval(() => {
+		void announce();
+	}, ANNOUNCE_MS);
+
+	return {
+		behaviour,
+		announce,
+		url: `http://127.0.0.1:${port}`,
+		handled: () => handled,
+		mostAtOnce: () => mostAtOnce,
+		inFlight: () => inFlight.size,
+
+		/** Says that it leaves; it still answers what reaches it. */
+		async leave(): Promise<void> {
+			leaving = true;
+			await announce();
+		},
+
+		async stop(): Promise<void> {
+			clearInterval(timer);
+			server.closeAllConnections();
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+};
