--- a/packages/cli/src/arguments.ts
+++ b/packages/cli/src/arguments.ts
@@ -5,10 +5,10 @@
 /** Arguments of commands that call a server. */
 export const serverArguments = {
 	server: {
-		type: 'string', description: 'Operators\' port of any node', default: process.env['BRONZEBEND_SERVER'] ?? 'http://127.0.0.1:7900', valueHint: 'URL',
+		type: 'string', description: 'Operators\' port of any node', default: process.env.BRONZEBEND_SERVER ?? 'http://127.0.0.1:7900', valueHint: 'URL',
 	},
 	'key-file': {
-		type: 'string', description: 'File with the operators\' key', default: process.env['BRONZEBEND_KEY_FILE'] ?? 'data/start/operator.key', valueHint: 'FILE',
+		type: 'string', description: 'File with the operators\' key', default: process.env.BRONZEBEND_KEY_FILE ?? 'data/start/operator.key', valueHint: 'FILE',
 	},
 	json: {type: 'boolean', description: 'Print JSON for scripts', default: false},
 } as const;
--- a/packages/cli/src/commands/cluster.ts
+++ b/packages/cli/src/commands/cluster.ts
@@ -3,7 +3,9 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import os from 'node:os';
 import process from 'node:process';
-import {sha256Hex, type ControlSnapshot, type Declaration, type PublishOutcome} from '@bronzebend/core';
+import {
+	sha256Hex, type ControlSnapshot, type Declaration, type PublishOutcome,
+} from '@bronzebend/core';
 import type {ClusterStatus} from '@bronzebend/daemon';
 import {
 	createFileDisk, decodeBytes, encodeBytes, readFolder as readDataFolder,
@@ -22,7 +24,9 @@
 	print(`Version ${status.version} in force, led by ${status.leader} in term ${status.term}.\n`);
 	print(formatTable([
 		['POOL', 'DISPATCHER', 'LIVE', 'WANTED', 'SLOTS', 'RUNNING', 'WAITING', 'OUT/BUDGET'],
-		...status.pools.map(pool => [pool.pool, pool.dispatcher ?? '-', String(pool.live), String(pool.wanted), String(pool.slots), String(pool.running), String(pool.waiting), `${pool.out.length}/${pool.maxOut}`]),
+		...status.pools.map(pool => [
+			pool.pool, pool.dispatcher ?? '-', ...[pool.live, pool.wanted, pool.slots, pool.running, pool.waiting].map(String), `${pool.out.length}/${pool.maxOut}`,
+		]),
 	]));
 	print('');
 	print(formatTable([
@@ -69,8 +73,9 @@
 		}
 
 		const secret = randomBytes(SECRET_BYTES).toString('base64url');
+		const holder = args.team === undefined ? {purpose: 'announce', service: args.service} : {purpose: 'submit', team: args.team};
 		const declaration = {
-			kind: 'key', name: args.name, sha256: sha256Hex(secret), purpose: args.team === undefined ? 'announce' : 'submit', ...(args.team === undefined ? {service: args.service} : {team: args.team}),
+			kind: 'key', name: args.name, sha256: sha256Hex(secret), ...holder,
 		};
 		if (args.json) {
 			printJson({secret, declaration});
--- a/packages/cli/src/commands/declarations.ts
+++ b/packages/cli/src/commands/declarations.ts
@@ -1,4 +1,5 @@
 /** Commands on a folder of declarations: check, diff, publish, show, history. */
+import process from 'node:process';
 import {randomUUID} from 'node:crypto';
 import os from 'node:os';
 import {
@@ -141,6 +142,7 @@
 		}
 
 		const client = clientOf(args);
+		const published = await readPublished(client);
 		const publicationId = args.id ?? randomUUID();
 		if (!args.json) {
 			print(`Publishing as "${publicationId}".`);
@@ -149,7 +151,7 @@
 		const outcome = await client.call({
 			type: 'publish',
 			publicationId,
-			base: base ?? (await readPublished(client)).version,
+			base: base ?? published.version,
 			author: args.author,
 			declarations: [...catalogue.objects.values()],
 		}) as {outcome: PublishOutcome};
--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -6,27 +6,32 @@
 
 export const serveCommand = defineCommand({
 	meta: {name: 'serve', description: 'Run one process with the roles that its settings name'},
-	args: {settings: {
-		type: 'string', description: 'Settings file', required: true, valueHint: 'FILE',
-	}},
+	args: {
+		settings: {
+			type: 'string', description: 'Settings file', required: true, valueHint: 'FILE',
+		},
+	},
 	run: runCommand(async ({args}) => {
 		const node = await serve(readSettings(args.settings));
 		let isStopping = false;
-		const stop = (): void => {
+		const stop = async (): Promise<void> => {
 			if (isStopping) {
 				return;
 			}
 
 			isStopping = true;
-			node.stop().then(() => {
-				process.exit();
-			}, (error: unknown) => {
+			await node.stop();
+			process.exit();
+		};
+
+		const onSignal = (): void => {
+			stop().catch((error: unknown) => {
 				process.stderr.write(`Cannot stop in order: ${String(error)}\n`);
 				process.exit(1);
 			});
 		};
 
-		process.on('SIGTERM', stop);
-		process.on('SIGINT', stop);
+		process.on('SIGTERM', onSignal);
+		process.on('SIGINT', onSignal);
 	}),
 });
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -34,7 +34,7 @@
 
 /** The command that the words name, as deep as they go. */
 const locate = (words: readonly string[]): {command: AnyCommand; parent: AnyCommand | undefined} => {
-	let command = main as AnyCommand;
+	let command = main;
 	let parent: AnyCommand | undefined;
 	for (const word of words) {
 		const next = (command.subCommands as Record<string, AnyCommand> | undefined)?.[word];
--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -65,7 +65,7 @@
 		}
 
 		for (const {instance} of placements.list()) {
-			if (!catalogue.find('instance', instance)) {
+			if (!catalogue.has('instance', instance)) {
 				placements.apply({type: 'remove', instance});
 			}
 		}
--- a/packages/core/src/control/grants.ts
+++ b/packages/core/src/control/grants.ts
@@ -73,9 +73,11 @@
 
 	const describe = (pool: string, team: string, amount: number): Grant => {
 		const promise = promises.get(promiseId(pool, team));
-		return promise ? {
-			pool, team, amount, promise,
-		} : {pool, team, amount};
+		return promise
+			? {
+				pool, team, amount, promise,
+			}
+			: {pool, team, amount};
 	};
 
 	const amountOf = (pool: string, team: string): number => byTeam.get(team)?.get(pool) ?? 0;
@@ -104,8 +106,8 @@
 			}
 		},
 
-		snapshot: (): Grant[] => {
-			const ids = new Set([...byTeam].flatMap(([team, pools]) => [...pools.keys()].map(pool => promiseId(pool, team))).concat([...promises.keys()]));
+		snapshot(): Grant[] {
+			const ids = new Set([...[...byTeam].flatMap(([team, pools]) => [...pools.keys()].map(pool => promiseId(pool, team))), ...promises.keys()]);
 			return [...ids].map(id => {
 				const [pool, team] = id.split(' ') as [string, string];
 				return describe(pool, team, amountOf(pool, team));
--- a/packages/core/src/control/publications.ts
+++ b/packages/core/src/control/publications.ts
@@ -1,5 +1,7 @@
 /** Accepted versions of the configuration: compare-and-swap, idempotent resends, monotonic versions. */
-import {applyDelta, createCatalogue, objectId, type Catalogue, type CatalogueDelta, type ObjectId} from '../declarations/catalogue.js';
+import {
+	applyDelta, createCatalogue, objectId, type Catalogue, type CatalogueDelta, type ObjectId,
+} from '../declarations/catalogue.js';
 import type {Declaration} from '../declarations/kinds.js';
 
 /** Versions whose deltas are kept, for nodes that lag and for `history`. */
@@ -162,7 +164,9 @@
 
 			const records = history.filter(record => record.version > from);
 			if (from > version || from === 0 || records.length !== version - from) {
-				return {type: 'full', to: version, declarations: [...catalogue.objects.values()], withdrawn: [...withdrawn]};
+				return {
+					type: 'full', to: version, declarations: [...catalogue.objects.values()], withdrawn: [...withdrawn],
+				};
 			}
 
 			return {
--- a/packages/core/src/declarations/catalogue.ts
+++ b/packages/core/src/declarations/catalogue.ts
@@ -12,6 +12,7 @@
 export type Catalogue = {
 	readonly objects: ReadonlyMap<ObjectId, Declaration>;
 	find<K extends Kind>(kind: K, name: string): DeclarationOf<K> | undefined;
+	has(kind: Kind, name: string): boolean;
 	list<K extends Kind>(kind: K): ReadonlyArray<DeclarationOf<K>>;
 	/** Digest of the content; equal sets have equal digests. */
 	digest(): string;
@@ -34,6 +35,7 @@
 	return {
 		objects,
 		find: <K extends Kind>(kind: K, name: string) => objects.get(`${kind}/${name}`) as DeclarationOf<K> | undefined,
+		has: (kind, name) => objects.has(`${kind}/${name}`),
 		list: <K extends Kind>(kind: K) => (byKind.get(kind) ?? []) as Array<DeclarationOf<K>>,
 		digest() {
 			const ids = [...objects.keys()].sort();
--- a/packages/core/src/declarations/check-set.ts
+++ b/packages/core/src/declarations/check-set.ts
@@ -111,7 +111,7 @@
 const checkReferences = (located: readonly Located[], catalogue: Catalogue, report: Report): void => {
 	for (const item of located) {
 		for (const [path, kind, name] of referencesOf(item.declaration)) {
-			if (!catalogue.find(kind, name)) {
+			if (!catalogue.has(kind, name)) {
 				report(item, 'dangling-reference', path, `No ${kind} is named "${name}".`, `Declare ${kind}/${name} or name another.`);
 			}
 		}
@@ -132,7 +132,8 @@
 		let current = parentOf(item.declaration);
 		while (current && !visited.has(current)) {
 			if (objectId(current) === objectId(item.declaration)) {
-				report(item, 'reference-cycle', item.declaration.kind === 'pool' ? 'sparePool' : 'parent', `${objectId(item.declaration)} refers to itself through others.`, 'Remove one reference of the cycle.');
+				const path = item.declaration.kind === 'pool' ? 'sparePool' : 'parent';
+				report(item, 'reference-cycle', path, `${objectId(item.declaration)} refers to itself through others.`, 'Remove one reference of the cycle.');
 				break;
 			}
 
@@ -156,11 +157,11 @@
 		}
 
 		if (waved.has(declaration.name) && declaration.availability.maxOut === 0) {
-			report(item, 'budget-forbids-maintenance', 'availability.maxOut', 'A wave covers this pool, but its budget never lets an instance out.', 'Allow at least 1, or take the pool out of the wave.');
+			report(item, 'budget-forbids-maintenance', 'availability.maxOut', 'A wave covers this pool, but its budget lets no instance out.', 'Allow 1, or take the pool out of the wave.');
 		}
 
 		if (declaration.availability.maxOut > 0 && declaration.availability.maxOut >= declaration.capacity.instances && declaration.capacity.instances > 1) {
-			report(item, 'budget-empties-pool', 'availability.maxOut', 'The budget lets every instance out at once.', 'Lower maxOut below capacity.instances.');
+			report(item, 'budget-empties-pool', 'availability.maxOut', 'The budget lets every instance out at once.', 'Lower it below capacity.instances.');
 		}
 
 		if (declaration.sparePool !== undefined && catalogue.find('pool', declaration.sparePool)?.spare === false) {
@@ -169,7 +170,8 @@
 
 		const assigned = members.get(declaration.name) ?? 0;
 		if (!declaration.spare && declaration.sparePool === undefined && assigned < declaration.capacity.instances) {
-			report(item, 'capacity-unreachable', 'capacity.instances', `The pool wants ${declaration.capacity.instances} instances, has ${assigned} and no spare pool.`, 'Lower the capacity, declare instances or name a spare pool.');
+			const message = `The pool wants ${declaration.capacity.instances} instances, has ${assigned} and no spare pool.`;
+			report(item, 'capacity-unreachable', 'capacity.instances', message, 'Lower the capacity, declare instances or name a spare pool.');
 		}
 	}
 };
--- a/packages/core/src/dispatch/backend-table.ts
+++ b/packages/core/src/dispatch/backend-table.ts
@@ -204,18 +204,15 @@
 				}
 
 				case ticketOutcomes.failed:
-				case ticketOutcomes.notRun: {
-					noteFailure(backend, nowMs);
-					return;
-				}
-
+				case ticketOutcomes.notRun:
 				case ticketOutcomes.unknown: {
 					noteFailure(backend, nowMs);
-					return;
+					break;
 				}
 
 				case ticketOutcomes.unused: {
 					// Says nothing of the backend server.
+					break;
 				}
 			}
 		},
--- a/packages/core/src/utils/canonical-json.ts
+++ b/packages/core/src/utils/canonical-json.ts
@@ -1,4 +1,5 @@
 /** JSON with sorted keys, so that equal values have equal digests. */
+import {Buffer} from 'node:buffer';
 import {createHash, timingSafeEqual} from 'node:crypto';
 
 const sortKeys = (value: unknown): unknown => {
--- a/packages/daemon/src/dispatch/dispatch-host.ts
+++ b/packages/daemon/src/dispatch/dispatch-host.ts
@@ -163,7 +163,7 @@
 		/** Takes an entry's request for a pool. */
 		receive(from: string, pool: string, epoch: number, request: DispatchRequest): void {
 			const host = hosted.get(pool);
-			if (host && host.dispatcher.epoch === epoch && !host.released) {
+			if (host?.dispatcher.epoch === epoch && !host.released) {
 				run(host, request);
 				return;
 			}
--- a/packages/daemon/src/entry/announcements.ts
+++ b/packages/daemon/src/entry/announcements.ts
@@ -1,4 +1,5 @@
 /** Announcements of backend servers: checked, authenticated, passed on to the pool's dispatcher. */
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
 	ANNOUNCEMENT_LEASE_MS, keyPurposes, sha256Hex, type Announcement,
--- a/packages/daemon/src/entry/attempt.ts
+++ b/packages/daemon/src/entry/attempt.ts
@@ -1,4 +1,5 @@
 /** One try of a request at one backend server, streamed both ways. */
+import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
 import {ticketOutcomes, type TicketOutcome} from '@bronzebend/core';
@@ -167,7 +168,7 @@
 	signal.addEventListener('abort', onAbort, {once: true});
 	try {
 		options.client.dispatch({
-			method: options.method as Dispatcher.HttpMethod,
+			method: options.method,
 			path: options.path,
 			headers: options.headers,
 			body: options.body,
--- a/packages/daemon/src/entry/entry-server.ts
+++ b/packages/daemon/src/entry/entry-server.ts
@@ -1,4 +1,5 @@
 /** The callers' port: takes requests, waits for their turn, streams them to backend servers. */
+import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import https from 'node:https';
@@ -11,7 +12,7 @@
 import type {Metrics} from '../utils/metrics.js';
 import type {Tracing} from '../utils/tracing.js';
 import {ANNOUNCE_PATH, createAnnouncements} from './announcements.js';
-import {createBackendClients, type BackendClients} from './backend-clients.js';
+import {type BackendClients} from './backend-clients.js';
 import {createClaimDesk} from './claim-desk.js';
 import {
 	BadFieldError, bearerSecret, deadlineOf, fields, isIdempotent,
@@ -242,7 +243,9 @@
 		socket.end(rawProblem(error.code === 'HPE_HEADER_OVERFLOW' ? problems.headTooLarge : problems.badFraming));
 	};
 
-	const limits = {maxHeaderSize: MAX_HEAD_BYTES, headersTimeout: HEAD_TIMEOUT_MS, requestTimeout: 0, insecureHTTPParser: false};
+	const limits = {
+		maxHeaderSize: MAX_HEAD_BYTES, headersTimeout: HEAD_TIMEOUT_MS, requestTimeout: 0, insecureHTTPParser: false,
+	};
 	const server = options.tls ? https.createServer({...limits, ...options.tls}) : http.createServer(limits);
 	server.on('request', (req: IncomingMessage, res: ServerResponse) => {
 		onRequest(req, res, false);
@@ -280,7 +283,7 @@
 		onViewChange(): void {
 			for (const request of running) {
 				const problem = recheck(request.queue, request.digest);
-				if (problem && problem.status === 401) {
+				if (problem?.status === 401) {
 					request.withdrawn = true;
 					request.waitController?.abort();
 				}
@@ -312,4 +315,4 @@
 	};
 };
 
-export {createBackendClients};
+export {createBackendClients} from './backend-clients.js';
--- a/packages/daemon/src/entry/http-fields.ts
+++ b/packages/daemon/src/entry/http-fields.ts
@@ -30,7 +30,9 @@
 const connectionTokens = (headers: IncomingHttpHeaders): Set<string> => new Set((headers.connection ?? '').split(',').map(token => token.trim().toLowerCase()));
 
 /** Name and value pairs of a raw header list. */
-export const rawPairs = (raw: readonly string[]): Array<[string, string]> => raw.flatMap((name, index) => (index % 2 === 0 ? [[name, raw[index + 1]!]] : [])) as Array<[string, string]>;
+export const rawPairs = (raw: readonly string[]): Array<[string, string]> => raw
+	.map((name, index): [string, string] => [name, raw[index + 1]!])
+	.filter((_, index) => index % 2 === 0);
 
 /** Request fields that go on to the backend server, as a flat list. */
 export const forwardedRequestFields = (raw: readonly string[], headers: IncomingHttpHeaders): string[] => {
@@ -81,6 +83,6 @@
 
 /** The secret of a Bearer authorization; undefined where there is none. */
 export const bearerSecret = (headers: IncomingHttpHeaders): string | undefined => {
-	const match = /^Bearer +([\w\-.~+/]+=*)$/i.exec(headers.authorization ?? '');
+	const match = /^bearer +([\w\-.~+/]+=*)$/i.exec(headers.authorization ?? '');
 	return match?.[1];
 };
--- a/packages/daemon/src/entry/problem.ts
+++ b/packages/daemon/src/entry/problem.ts
@@ -40,7 +40,7 @@
 	claimUnavailable: problem('claim-unavailable', 503, 'Cannot claim the request now', 'The keepers did not confirm the idempotency key in time. Send the request again with the same key.'),
 	keyReused: problem('idempotency-key-reused', 422, 'Idempotency key reused', 'This idempotency key was used for another request. Use a new one for each request.'),
 	outcomeUnknown: problem('outcome-unknown', 409, 'Outcome unknown, not run again', 'An earlier send of this request started and its outcome is not known. It is not run again.', executions.unknown),
-	answerNotKept: problem('answer-not-kept', 409, 'Answered before, not run again', 'An earlier send of this request was answered; the answer was too large to keep. It is not run again.', executions.unknown),
+	answerNotKept: problem('answer-not-kept', 409, 'Answered before, not run again', 'An earlier send was answered; that answer was too large to keep. It is not run again.', executions.unknown),
 	unreachable: problem('backend-unreachable', 503, 'No backend server reached', 'No backend server could be reached; none received the request.'),
 	backendRefused: problem('backend-refused', 503, 'Backend server refused', 'The backend server said that it did not run the request.'),
 	backendCut: problem('backend-cut', 502, 'Backend server lost', 'The backend server was lost before it answered. The request may have run.', executions.unknown),
--- a/packages/daemon/src/entry/request-run.ts
+++ b/packages/daemon/src/entry/request-run.ts
@@ -1,4 +1,5 @@
 /** The course of one admitted request: tickets, claim, tries, retries. */
+import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Transform, type Readable} from 'node:stream';
@@ -167,7 +168,7 @@
 	/** Claims the request once; a ticket is held meanwhile. */
 	const claimOnce = async (course: Course): Promise<RequestEnd | undefined> => {
 		const {request} = course;
-		if (course.claim || request.idempotent || request.idempotencyKey === undefined) {
+		if (course.claim !== undefined || request.idempotent || request.idempotencyKey === undefined) {
 			return undefined;
 		}
 
--- a/packages/daemon/src/keeper/keeper-host.ts
+++ b/packages/daemon/src/keeper/keeper-host.ts
@@ -93,7 +93,7 @@
 	};
 
 	const updateDesk = (): void => {
-		if (!replica || replica.raft.role() !== 'leader') {
+		if (replica?.raft.role() !== 'leader') {
 			if (desk) {
 				log.info('No longer leading.', {term: deskTerm});
 			}
@@ -130,20 +130,25 @@
 		});
 	};
 
+	const proposeOne = async (command: ControlCommand): Promise<void> => {
+		const proposingDesk = desk;
+		try {
+			await replica?.propose(command);
+		} catch (error) {
+			log.debug('A decision was not committed.', {reason: String(error)});
+		}
+
+		proposingDesk?.settled(command, clock.monotonicMs());
+	};
+
 	const proposeAll = (commands: readonly ControlCommand[]): void => {
 		for (const command of commands) {
-			const proposingDesk = desk;
-			const settle = (): void => {
-				proposingDesk?.settled(command, clock.monotonicMs());
-			};
-
-			replica?.propose(command).then(settle, (error: unknown) => {
-				log.debug('A decision was not committed.', {reason: String(error)});
-				settle();
-			});
+			void proposeOne(command);
 		}
 	};
 
+	const leaderNode = (): string | undefined => replica?.raft.members().find(member => member.replica === replica?.raft.leader())?.node;
+
 	const memberChanges = createMemberChanges({
 		replica: () => replica,
 		probe(name) {
@@ -153,12 +158,11 @@
 	});
 
 	const confirmLeading = (): {replica: Replica<ControlOutcome>; desk: LeaderDesk} => {
-		if (!replica || !desk || !replica.hasLease()) {
-			const leader = replica?.raft.members().find(member => member.replica === replica?.raft.leader())?.node;
-			throw new NotLeaderError(leader);
+		if (replica?.hasLease() === true && desk) {
+			return {replica, desk};
 		}
 
-		return {replica, desk};
+		throw new NotLeaderError(leaderNode());
 	};
 
 	const runCommand = async (command: ControlCommand): Promise<ControlOutcome> => {
@@ -232,8 +236,8 @@
 
 	const onHeartbeat = (from: string, heartbeat: Heartbeat): void => {
 		updateDesk();
-		if (!replica || !desk || !replica.hasLease()) {
-			const leader = replica?.raft.members().find(member => member.replica === replica?.raft.leader())?.node;
+		if (replica?.hasLease() !== true || desk === undefined) {
+			const leader = leaderNode();
 			options.send(from, {type: 'not-leader', seq: heartbeat.seq, leader: leader === node ? undefined : leader});
 			return;
 		}
@@ -245,18 +249,19 @@
 
 	const form = async (): Promise<void> => {
 		const decision = decideForming({node, replica: storage.replica}, keepers, probeReplies);
-		if (replica || decision.type === 'wait') {
+		if (replica !== undefined || decision.type === 'wait') {
 			return;
 		}
 
 		await storage.form(decision.members, new Uint8Array());
-		log.info(decision.members.some(member => member.replica === storage.replica) ? 'Joined the group of keepers.' : 'Waiting to be added to the group of keepers.', {members: decision.members.length});
+		const isMember = decision.members.some(member => member.replica === storage.replica);
+		log.info(isMember ? 'Joined the group of keepers.' : 'Waiting to be added to the group of keepers.', {members: decision.members.length});
 		startReplica();
 	};
 
 	let forming = false;
 	const probe = (): void => {
-		if (replica || forming || stopped) {
+		if (replica !== undefined || forming || stopped) {
 			return;
 		}
 
@@ -330,7 +335,7 @@
 
 		/** Hands leadership to the voter that is furthest along. */
 		handOver(): void {
-			if (!replica || replica.raft.role() !== 'leader') {
+			if (replica?.raft.role() !== 'leader') {
 				return;
 			}
 
--- a/packages/daemon/src/keeper/member-changes.ts
+++ b/packages/daemon/src/keeper/member-changes.ts
@@ -69,7 +69,8 @@
 				await current.changeMembers([...members, {replica: id, node, voter: false}]);
 			}
 
-			await waitFor(() => current.raft.matchOf(id) >= current.raft.commitIndex(), new KeeperChangeError('keeper-lags', `Cannot add ${node}: it did not receive the log in time. It stays a learner; try again.`));
+			const lags = new KeeperChangeError('keeper-lags', `Cannot add ${node}: it did not receive the log in time. It stays a learner; try again.`);
+			await waitFor(() => current.raft.matchOf(id) >= current.raft.commitIndex(), lags);
 			await current.changeMembers(current.raft.members().map(member => (member.replica === id ? {...member, voter: true} : member)));
 			return current.raft.members();
 		},
--- a/packages/daemon/src/leader/leader-desk.ts
+++ b/packages/daemon/src/leader/leader-desk.ts
@@ -73,9 +73,11 @@
 			epoch,
 			leaseMs: DISPATCH_LEASE_MS,
 			grantsVersion: version,
-			grants: report?.grantsVersion === version ? undefined : state.grants.ofPool(pool).map(({team, amount, promise}) => ({
-				team, amount, promise: promise?.epoch === epoch ? promise : undefined,
-			})),
+			grants: report?.grantsVersion === version
+				? undefined
+				: state.grants.ofPool(pool).map(({team, amount, promise}) => ({
+					team, amount, promise: promise?.epoch === epoch ? promise : undefined,
+				})),
 			shrinks: shrinks.get(pool) ?? [],
 			// The first dispatcher of a pool has nobody's tickets to account for.
 			entries: report?.epoch === epoch || epoch === 1 ? [] : [...directory.names(), ...(isYoung ? [UNKNOWN_NODES] : [])],
--- a/packages/daemon/src/node/view.ts
+++ b/packages/daemon/src/node/view.ts
@@ -1,6 +1,6 @@
 /** What a node knows of the cluster, and until when it may rely on it. */
 import {
-	applyDelta, createCatalogue, keyPurposes,
+	applyDelta, createCatalogue, type keyPurposes,
 	type Assignment, type Catalogue, type Key, type Placement, type Queue,
 } from '@bronzebend/core';
 import type {HeartbeatReply, NodeAddress} from '@bronzebend/wire';
--- a/packages/daemon/src/operators/operators-server.ts
+++ b/packages/daemon/src/operators/operators-server.ts
@@ -1,4 +1,5 @@
 /** The operators' port: health, metrics, status page and calls. */
+import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import https from 'node:https';
 import type {AddressInfo} from 'node:net';
@@ -70,8 +71,8 @@
 	const keyDigest = sha256Hex(options.operatorKey);
 
 	const isOperator = (req: IncomingMessage): boolean => {
-		const bearer = /^Bearer +(.+)$/i.exec(req.headers.authorization ?? '')?.[1];
-		const basic = /^Basic +(.+)$/i.exec(req.headers.authorization ?? '')?.[1];
+		const bearer = /^bearer +(.+)$/i.exec(req.headers.authorization ?? '')?.[1];
+		const basic = /^basic +(.+)$/i.exec(req.headers.authorization ?? '')?.[1];
 		const password = basic === undefined ? undefined : Buffer.from(basic, 'base64').toString().split(':').slice(1).join(':');
 		const secret = bearer ?? password;
 		return secret !== undefined && equalDigests(sha256Hex(secret), keyDigest);
--- a/packages/daemon/src/operators/page.ts
+++ b/packages/daemon/src/operators/page.ts
@@ -1,9 +1,11 @@
 /** The read-only status page: server-made HTML. */
 import type {ClusterStatus} from '../keeper/status.js';
 
-const escapeHtml = (value: unknown): string => String(value ?? '–').replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;').replaceAll('"', '&quot;');
+type Cell = string | number | undefined;
 
-type Column<Row> = {title: string; read(row: Row): unknown; isBad?(row: Row): boolean};
+const escapeHtml = (value: Cell): string => String(value ?? '–').replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;').replaceAll('"', '&quot;');
+
+type Column<Row> = {title: string; read(row: Row): Cell; isBad?(row: Row): boolean};
 
 const table = <Row>(caption: string, rows: readonly Row[], columns: ReadonlyArray<Column<Row>>): string => {
 	const head = columns.map(column => `<th scope="col">${escapeHtml(column.title)}</th>`).join('');
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -1,4 +1,6 @@
 /** One process: the parts that its roles need, wired together. */
+import {type Buffer} from 'node:buffer';
+import process from 'node:process';
 import {randomUUID} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {createRandom, systemClock, type Clock} from '@bronzebend/core';
@@ -43,7 +45,7 @@
 	const tracing = createTracing(node, settings.traces);
 	const isEntry = settings.roles.includes(roles.entry);
 	const keeperAddresses = new Map(settings.keepers.map(keeper => [keeper.node, {host: keeper.host, port: keeper.port}]));
-	let agent: NodeAgent | undefined;
+	const late: {agent?: NodeAgent} = {};
 	let keeper: KeeperHost | undefined;
 	let entry: EntryServer | undefined;
 	let stopping = false;
@@ -71,7 +73,7 @@
 			return;
 		}
 
-		if (agent?.receive(from, message) !== true) {
+		if (late.agent?.receive(from, message) !== true) {
 			keeper?.receive(from, message);
 		}
 	};
@@ -84,7 +86,7 @@
 		secret,
 		tls: peersTls && {...peersTls, ca: readFileSync(settings.peersTls!.caFile)},
 		clock,
-		locate: name => keeperAddresses.get(name) ?? agent?.view.addressOf(name),
+		locate: name => keeperAddresses.get(name) ?? late.agent?.view.addressOf(name),
 		onMessage,
 		onFault(what, peer) {
 			logs('peers').warn('Refused a peer\'s message.', {what, peer});
@@ -98,7 +100,7 @@
 		node, host: settings.peers.advertise ?? settings.peers.host, port: network.port(), dataCentre: settings.dataCentre, region: settings.region,
 	});
 
-	agent = createNodeAgent({
+	const agent = createNodeAgent({
 		address,
 		run: randomUUID(),
 		isEntry,
@@ -111,19 +113,23 @@
 			dispatchHost?.takeOrders(orders, sentAtMs);
 		},
 		onChange() {
-			metrics.version.set(agent!.view.version());
+			metrics.version.set(agent.view.version());
 			dispatchHost?.onViewChange(node);
 			tickets?.onViewChange();
 			entry?.onViewChange();
 		},
 	});
-	const dispatchHost = isEntry ? createDispatchHost({
-		view: agent.view, clock, log: logs('dispatch'), send,
-	}) : undefined;
+	const dispatchHost = isEntry
+		? createDispatchHost({
+			view: agent.view, clock, log: logs('dispatch'), send,
+		})
+		: undefined;
 	const clients = createBackendClients(() => clock.monotonicMs());
-	const tickets = isEntry ? createTicketDesk({
-		node, view: agent.view, nowMs: () => clock.monotonicMs(), send, openConnections: pool => clients.openOf(pool),
-	}) : undefined;
+	const tickets = isEntry
+		? createTicketDesk({
+			node, view: agent.view, nowMs: () => clock.monotonicMs(), send, openConnections: pool => clients.openOf(pool),
+		})
+		: undefined;
 
 	if (settings.roles.includes(roles.keeper)) {
 		keeper = await createKeeperHost({
@@ -131,7 +137,7 @@
 			folder: settings.dataFolder!,
 			keepers: settings.keepers.map(item => item.node),
 			clock,
-			random: createRandom(options.seed ?? Math.floor(clock.wallMs()) ^ network.port()),
+			random: createRandom(options.seed ?? Math.floor(clock.wallMs()) + network.port()),
 			log: logs('keeper'),
 			send,
 			onFatal,
--- a/packages/replica/src/frames.ts
+++ b/packages/replica/src/frames.ts
@@ -1,4 +1,5 @@
 /** Records on disk: magic, length and checksums, so that torn and damaged ones are told apart. */
+import {Buffer} from 'node:buffer';
 import {crc32} from 'node:zlib';
 import {BronzebendError} from '@bronzebend/core';
 import {Decoder, Encoder} from 'cbor-x';
--- a/packages/replica/src/raft-log.ts
+++ b/packages/replica/src/raft-log.ts
@@ -42,7 +42,7 @@
 		membersIndex: (): number => latest.index,
 		membersAt: (index: number): Member[] => membersAt(index).members,
 
-		slice: (from: number, most: number): LogEntry[] => entries.slice(from - start.index - 1, from - start.index - 1 + most),
+		slice: (from: number, most: number = Number.MAX_SAFE_INTEGER): LogEntry[] => entries.slice(from - start.index - 1, from - start.index - 1 + most),
 
 		/** Appends entries, cutting whatever conflicts. */
 		append(added: readonly LogEntry[]): void {
--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -593,7 +593,7 @@
 		members: () => log.members(),
 		membersAt: (index: number) => log.membersAt(index),
 		termAt: (index: number) => log.termAt(index),
-		entriesAfter: (index: number): LogEntry[] => log.slice(index + 1, Infinity),
+		entriesAfter: (index: number): LogEntry[] => log.slice(index + 1),
 		matchOf: (id: string): number => (id === replica ? syncedIndex : progress.get(id)?.match ?? 0),
 
 		/** True while no other replica can have become leader and all earlier terms are applied here. */
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -85,6 +85,7 @@
 	let busy = false;
 	let stopped = false;
 	let diskFull = false;
+	const isStopped = (): boolean => stopped;
 
 	const deliver = (messages: readonly Outgoing[]): void => {
 		for (const {to, message} of messages) {
@@ -132,7 +133,11 @@
 	};
 
 	const saveWhenRoom = async (operations: readonly StorageOperation[]): Promise<void> => {
-		while (!stopped) {
+		for (;;) {
+			if (isStopped()) {
+				return;
+			}
+
 			try {
 				// Each batch waits for its own sync before the next may start.
 				// eslint-disable-next-line no-await-in-loop
@@ -295,7 +300,7 @@
 
 		busy = true;
 		try {
-			while (!stopped && (events.length > 0 || proposals.length > 0)) {
+			while (!isStopped() && (events.length > 0 || proposals.length > 0)) {
 				// eslint-disable-next-line no-await-in-loop
 				await runBatch();
 			}
--- a/packages/wire/src/frame-codec.ts
+++ b/packages/wire/src/frame-codec.ts
@@ -1,4 +1,5 @@
 /** Length-prefixed CBOR frames on a byte stream. */
+import {Buffer} from 'node:buffer';
 import {BronzebendError} from '@bronzebend/core';
 import {Decoder, Encoder} from 'cbor-x';
 
--- a/packages/wire/src/handshake.ts
+++ b/packages/wire/src/handshake.ts
@@ -1,4 +1,5 @@
 /** Proof that both ends of a connection hold the cluster's secret. */
+import {Buffer} from 'node:buffer';
 import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
 import {z} from 'zod';
 
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -206,8 +206,12 @@
 	z.strictObject({type: z.literal('poke')}),
 	z.strictObject({type: z.literal('call'), id: count, call: leaderCallSchema}),
 	z.strictObject({type: z.literal('call-reply'), id: count, result: callResultSchema}),
-	z.strictObject({type: z.literal('dispatch'), pool: name, epoch: count, request: dispatchRequestSchema}),
-	z.strictObject({type: z.literal('dispatch-answer'), pool: name, epoch: count, answer: dispatchAnswerSchema}),
+	z.strictObject({
+		type: z.literal('dispatch'), pool: name, epoch: count, request: dispatchRequestSchema,
+	}),
+	z.strictObject({
+		type: z.literal('dispatch-answer'), pool: name, epoch: count, answer: dispatchAnswerSchema,
+	}),
 ]);
 /** One message between two processes. */
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- a/packages/wire/src/peer-network.ts
+++ b/packages/wire/src/peer-network.ts
@@ -4,6 +4,7 @@
 Delivery is best effort: a message may be lost when a connection breaks, and every protocol on top
 repeats what matters. Each direction has a connection of its own, owned by its sender.
 */
+import {type Buffer} from 'node:buffer';
 import net from 'node:net';
 import tls from 'node:tls';
 import type {Clock} from '@bronzebend/core';
--- a/packages/wire/src/raft-messages.ts
+++ b/packages/wire/src/raft-messages.ts
@@ -63,7 +63,9 @@
 		index: count,
 		sentAtMs: z.number(),
 	}),
-	z.strictObject({type: z.literal('install'), term: count, snapshot: snapshotSchema, sentAtMs: z.number()}),
+	z.strictObject({
+		type: z.literal('install'), term: count, snapshot: snapshotSchema, sentAtMs: z.number(),
+	}),
 	z.strictObject({type: z.literal('timeout-now'), term: count}),
 ]);
 /** One replica's message to another. */
--- /dev/null
+++ b/tests/replica/raft.spec.ts
@@ -0,0 +1,206 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {createRaftGroup, type RaftGroup} from '../fixtures/raft-group.js';
+
+const electLeader = (group: RaftGroup): string => {
+	group.run(4000);
+	const [leader] = group.leaders();
+	assert.ok(leader !== undefined, 'a leader is elected');
+	return leader;
+};
+
+describe('raft', () => {
+	it('should elect one leader and commit on all replicas', () => {
+		const group = createRaftGroup(3, 1);
+		electLeader(group);
+		group.propose('a');
+		group.run(500);
+		assert.deepEqual(group.ids.map(id => group.marksOf(id)), [['a'], ['a'], ['a']]);
+		assert.deepEqual(group.violations, []);
+	});
+
+	it('should keep the leader when an isolated replica returns', () => {
+		const group = createRaftGroup(3, 2);
+		const leader = electLeader(group);
+		const term = group.node(leader).raft.term();
+		const outsider = group.ids.find(id => id !== leader)!;
+		group.isolate(outsider);
+		group.run(60_000);
+		group.heal();
+		group.run(5000);
+		assert.deepEqual(group.leaders(), [leader]);
+		assert.equal(group.node(leader).raft.term(), term);
+	});
+
+	it('should step down as leader when it hears no quorum, and lose its lease before another leads', () => {
+		const group = createRaftGroup(5, 3);
+		const leader = electLeader(group);
+		group.isolate(leader);
+		group.run(5000);
+		assert.notEqual(group.node(leader).raft.role(), 'leader');
+		assert.equal(group.leaders().length, 1);
+		assert.deepEqual(group.violations, []);
+	});
+
+	it('should lead on through one-way cuts to a single follower', () => {
+		const group = createRaftGroup(3, 4);
+		const leader = electLeader(group);
+		const [first] = group.ids.filter(id => id !== leader);
+		group.cutOneWay(first!, leader);
+		group.run(20_000);
+		assert.deepEqual(group.leaders(), [leader]);
+		group.heal();
+		group.cutOneWay(leader, first!);
+		group.run(20_000);
+		assert.deepEqual(group.leaders(), [leader]);
+	});
+
+	it('should hand leadership over without waiting for an election timeout', () => {
+		const group = createRaftGroup(3, 5);
+		const leader = electLeader(group);
+		const heir = group.ids.find(id => id !== leader)!;
+		group.handle(group.node(leader), {type: 'transfer', to: heir});
+		assert.equal(group.node(leader).raft.hasLease(group.nowMs()), false);
+		group.run(100);
+		assert.deepEqual(group.leaders(), [heir]);
+		assert.deepEqual(group.violations, []);
+	});
+
+	it('should not resume a lease after a transfer that failed', () => {
+		const group = createRaftGroup(3, 6);
+		const leader = electLeader(group);
+		const heir = group.ids.find(id => id !== leader)!;
+		group.crash(heir);
+		const term = group.node(leader).raft.term();
+		group.handle(group.node(leader), {type: 'transfer', to: heir});
+		group.run(10_000);
+		assert.equal(group.leaders().length, 1);
+		assert.ok(group.node(group.leaders()[0]!).raft.term() > term);
+	});
+
+	it('should refuse to change two voters at once', () => {
+		const group = createRaftGroup(3, 7);
+		const leader = electLeader(group);
+		const members = [{replica: leader, node: leader, voter: true}];
+		assert.throws(
+			() => group.handle(group.node(leader), {type: 'propose', payloads: [{type: 'members', members}]}),
+			{code: 'membership-one-at-a-time'},
+		);
+	});
+
+	it('should refuse a voter that has not received the log', () => {
+		const group = createRaftGroup(3, 8);
+		const leader = electLeader(group);
+		const members = [...group.node(leader).raft.members(), {replica: 'new', node: 'new', voter: true}];
+		assert.throws(
+			() => group.handle(group.node(leader), {type: 'propose', payloads: [{type: 'members', members}]}),
+			{code: 'membership-not-caught-up'},
+		);
+	});
+
+	it('should never vote twice in a term across a restart', () => {
+		const group = createRaftGroup(3, 9);
+		const leader = electLeader(group);
+		const voter = group.ids.find(id => id !== leader)!;
+		const term = group.node(voter).raft.term() + 5;
+		const ask = (from: string): boolean => {
+			const output = group.handle(group.node(voter), {
+				type: 'receive', from, message: {
+					type: 'vote', term, lastIndex: 100, lastTerm: 100, transfer: true,
+				},
+			});
+			return output!.afterSync.some(({message}) => message.type === 'vote-reply' && message.granted);
+		};
+
+		assert.equal(ask('r1'), true);
+		group.crash(voter);
+		group.restart(voter);
+		assert.equal(ask('other'), false);
+	});
+
+	it('should keep one leader a term, one lease and one log under crashes, cuts, loss, duplication and crossing', () => {
+		const action = fc.oneof(
+			fc.record({type: fc.constant('propose' as const)}),
+			fc.record({type: fc.constant('crash' as const), node: fc.nat(4)}),
+			fc.record({type: fc.constant('restart' as const), node: fc.nat(4)}),
+			fc.record({type: fc.constant('isolate' as const), node: fc.nat(4)}),
+			fc.record({type: fc.constant('cut' as const), node: fc.nat(4), other: fc.nat(4)}),
+			fc.record({type: fc.constant('heal' as const)}),
+			fc.record({type: fc.constant('transfer' as const), node: fc.nat(4)}),
+			fc.record({type: fc.constant('run' as const), milliseconds: fc.integer({min: 20, max: 3000})}),
+		);
+		fc.assert(fc.property(fc.integer(), fc.constantFrom(3, 5), fc.array(action, {minLength: 10, maxLength: 40}), (seed, size, actions) => {
+			const group = createRaftGroup(size, seed, {loss: 0.1, duplication: 0.1, maxDelayMs: 120});
+			const idOf = (index: number): string => group.ids[index % size]!;
+			let mark = 0;
+			for (const step of actions) {
+				switch (step.type) {
+					case 'propose': {
+						mark += 1;
+						group.propose(`m${mark}`);
+						break;
+					}
+
+					case 'crash': {
+						group.crash(idOf(step.node));
+						break;
+					}
+
+					case 'restart': {
+						if (!group.node(idOf(step.node)).up) {
+							group.restart(idOf(step.node));
+						}
+
+						break;
+					}
+
+					case 'isolate': {
+						group.isolate(idOf(step.node));
+						break;
+					}
+
+					case 'cut': {
+						group.cutOneWay(idOf(step.node), idOf(step.other));
+						break;
+					}
+
+					case 'heal': {
+						group.heal();
+						break;
+					}
+
+					case 'transfer': {
+						const leader = group.leaders().at(-1);
+						if (leader !== undefined && leader !== idOf(step.node)) {
+							group.handle(group.node(leader), {type: 'transfer', to: idOf(step.node)});
+						}
+
+						break;
+					}
+
+					case 'run': {
+						group.run(step.milliseconds);
+						break;
+					}
+				}
+			}
+
+			assert.deepEqual(group.violations, []);
+			group.heal();
+			for (const id of group.ids) {
+				if (!group.node(id).up) {
+					group.restart(id);
+				}
+			}
+
+			group.run(15_000);
+			group.propose('last');
+			group.run(3000);
+			assert.deepEqual(group.violations, []);
+			for (const id of group.ids) {
+				assert.equal(group.marksOf(id).at(-1), 'last');
+			}
+		}), {seed: 20_261_204, numRuns: 120});
+	});
+});
--- a/utils/stand-in-backend.ts
+++ b/utils/stand-in-backend.ts
@@ -1,4 +1,5 @@
 /** A stand-in for a backend server: answers, announces itself, reports what it works on. */
+import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
--- a/utils/start.ts
+++ b/utils/start.ts
@@ -62,8 +62,9 @@
 
 const startBackends = async (): Promise<void> => {
 	const services = ['intake', 'diagnosis', 'parts', 'courier', 'audit'];
-	const backends = await Promise.all(services.flatMap(service => [1, 2].map(async number => startStandInBackend({
-		service, instance: `${service}-${number}`, dataCentre: number === 1 ? 'dc-a' : 'dc-b', rack: number === 1 ? 'a-1' : 'b-1', slots: 8, announceKey: `schaumwerk-announce-${service}`, entries: [callers],
+	const places = [{dataCentre: 'dc-a', rack: 'a-1'}, {dataCentre: 'dc-b', rack: 'b-1'}];
+	const backends = await Promise.all(services.flatMap(service => places.map(async (place, index) => startStandInBackend({
+		service, instance: `${service}-${index + 1}`, ...place, slots: 8, announceKey: `schaumwerk-announce-${service}`, entries: [callers],
 	}))));
 	await waitUntil('the stand-ins are announced', async () => {
 		const statuses = await Promise.all(backends.map(async backend => backend.announce()));
@@ -95,7 +96,7 @@
 await tour();
 
 const stop = (): void => {
-	node.stop().finally(() => {
+	void node.stop().finally(() => {
 		process.exit();
 	});
 };
