--- a/packages/core/src/dispatch/pool-dispatcher.ts
+++ b/packages/core/src/dispatch/pool-dispatcher.ts
@@ -323,8 +323,9 @@
 			}
 		}
 
-		for (const {instance, open} of held.connections) {
-			table.setConnections(instance, held.entry, open);
+		const open = new Map(held.connections.map(connection => [connection.instance, connection.open]));
+		for (const {instance} of table.list()) {
+			table.setConnections(instance, held.entry, open.get(instance) ?? 0);
 		}
 
 		if (held.epoch >= epoch) {
@@ -465,8 +466,17 @@
 		usage: () => ledger.usage(),
 		backends: () => table.list(),
 
+		/** Ends the holds of teams that need not shrink any more. */
+		endHolds(shrinking: ReadonlySet<string>): void {
+			for (const team of ledger.heldTeams().filter(name => !shrinking.has(name))) {
+				ledger.setHold(team, Infinity);
+			}
+		},
+
 		/** Lowers a team's cap towards a target and returns what the pool promises not to exceed. */
 		shrink(team: string, target: number): number {
+			// Without the hold, work that waits would take each slot that comes free.
+			ledger.setHold(team, target);
 			const cap = Math.max(target, ledger.runningOf(team));
 			ledger.setCap(team, Math.min(cap, ledger.capOf(team)));
 			return ledger.capOf(team);
--- a/packages/core/src/dispatch/team-ledger.ts
+++ b/packages/core/src/dispatch/team-ledger.ts
@@ -22,6 +22,8 @@
 	weight: number;
 	/** Units of the upper limit granted to this pool. */
 	cap: number;
+	/** Running count from which nothing starts while the portion is being shrunk. */
+	hold: number;
 	running: number;
 	waiting: number;
 	share: number;
@@ -54,7 +56,7 @@
 		}
 
 		const created: TeamState = {
-			name, weight: 1, cap: 0, running: 0, waiting: 0, share: 0, lagMs: 0, urgentRun: 0, queues: new Map(),
+			name, weight: 1, cap: 0, hold: Infinity, running: 0, waiting: 0, share: 0, lagMs: 0, urgentRun: 0, queues: new Map(),
 		};
 		teams.set(name, created);
 		return created;
@@ -160,6 +162,14 @@
 			stale = true;
 		},
 
+		/** Holds a team's starts at a count; Infinity ends that. */
+		setHold(name: string, hold: number): void {
+			teamOf(name).hold = hold;
+		},
+
+		/** Teams that are held. */
+		heldTeams: (): string[] => [...teams.values()].filter(team => team.hold < Infinity).map(team => team.name),
+
 		waitingOf: (name: string): number => teams.get(name)?.waiting ?? 0,
 		runningOf: (name: string): number => teams.get(name)?.running ?? 0,
 		capOf: (name: string): number => teams.get(name)?.cap ?? 0,
@@ -192,7 +202,7 @@
 			let best: TeamState | undefined;
 			let bestClaim = -Infinity;
 			for (const team of teams.values()) {
-				if (team.waiting === 0 || team.running >= team.cap) {
+				if (team.waiting === 0 || team.running >= Math.min(team.cap, team.hold)) {
 					continue;
 				}
 
--- a/packages/daemon/src/dispatch/dispatch-host.ts
+++ b/packages/daemon/src/dispatch/dispatch-host.ts
@@ -104,6 +104,7 @@
 	};
 
 	const takeShrinks = (host: Hosted, order: DispatchOrder): void => {
+		host.dispatcher.endHolds(new Set(order.shrinks.map(({team}) => team)));
 		for (const {team, target} of order.shrinks) {
 			const granted = host.granted.get(team) ?? 0;
 			if (host.promises.has(team) || target >= granted) {
--- a/tests/replica/raft.spec.ts
+++ b/tests/replica/raft.spec.ts
@@ -46,7 +46,7 @@
 	it('should lead on through one-way cuts to a single follower', () => {
 		const group = createRaftGroup(3, 4);
 		const leader = electLeader(group);
-		const [first] = group.ids.filter(id => id !== leader);
+		const first = group.ids.find(id => id !== leader);
 		group.cutOneWay(first!, leader);
 		group.run(20_000);
 		assert.deepEqual(group.leaders(), [leader]);
--- a/tests/replica/storage.spec.ts
+++ b/tests/replica/storage.spec.ts
@@ -5,7 +5,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {describe, it} from 'node:test';
 import {
-	CorruptFileError, createFileDisk, DiskFullError, FolderLockedError, lockFolder, openStorage, readFolder,
+	type CorruptFileError, createFileDisk, DiskFullError, FolderLockedError, lockFolder, openStorage, readFolder,
 } from '@bronzebend/replica';
 import type {LogEntry} from '@bronzebend/wire';
 import {CrashError, createMemoryDisk, type MemoryDisk} from '../fixtures/memory-disk.js';
