Plan moves, drains and reboots within availability budgets

Ruled out: the count of what is out was right; the exemption for instances that are out already was the fault.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,6 +8,7 @@
 import {
 	checkCommand, diffCommand, historyCommand, publishCommand, showCommand,
 } from './commands/declarations.js';
+import {planCommand} from './commands/plan.js';
 import {serveCommand} from './commands/serve.js';
 import {exitCodes} from './output.js';
 
@@ -19,6 +20,7 @@
 	history: historyCommand,
 	show: showCommand,
 	status: statusCommand,
+	plan: planCommand,
 	keys: keysCommand,
 	backup: backupCommand,
 	restore: restoreCommand,
--- a/packages/core/src/dispatch/pool-dispatcher.ts
+++ b/packages/core/src/dispatch/pool-dispatcher.ts
@@ -497,12 +497,19 @@
 			return backend.excluded && backend.confirmed && table.usedSlots(backend) === 0 && reportsIdle;
 		},
 
+		/** Whether a backend server announces itself as healthy, planned work apart. */
+		isReady(instance: string, nowMs: number): boolean {
+			const backend = table.find(instance);
+			return backend !== undefined && backend.expiresAtMs > nowMs && backend.announced.healthy && !backend.announced.leaving;
+		},
+
 		/** Counts of live, ejected and silent backend servers. */
 		health(nowMs: number) {
 			const list = table.list();
 			return {
 				live: list.filter(backend => table.isLive(backend, nowMs) && !table.isEjected(backend, nowMs)).length,
 				ejected: list.filter(backend => table.isEjected(backend, nowMs)).length,
+				known: list.map(backend => backend.instance),
 				out: list.filter(backend => !table.isLive(backend, nowMs) || table.isEjected(backend, nowMs)).map(backend => backend.instance),
 				slots: list.map(backend => table.usableSlots(backend, nowMs)).reduce((sum, count) => sum + count, 0),
 			};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,3 +18,7 @@
 export * from './utils/clock.js';
 export * from './utils/errors.js';
 export * from './utils/random.js';
+export * from './plan/daily-window.js';
+export * from './plan/evidence.js';
+export * from './plan/planner.js';
+export * from './plan/pool-budget.js';
--- a/packages/daemon/src/dispatch/dispatch-host.ts
+++ b/packages/daemon/src/dispatch/dispatch-host.ts
@@ -194,6 +194,8 @@
 					demands: dispatcher.usage().filter(({running, waiting}) => running + waiting > 0).map(({team, running, waiting}) => ({team, running, waiting})),
 					promises: [...host.promises].map(([team, {amount, number}]) => ({team, amount, number})),
 					drained: view.excludedOf(dispatcher.pool).filter(instance => dispatcher.isDrained(instance, nowMs)),
+					ready: view.excludedOf(dispatcher.pool).filter(instance => dispatcher.isReady(instance, nowMs)),
+					known: health.known,
 					out: health.out,
 					slots: health.slots,
 					live: health.live,
--- a/packages/daemon/src/keeper/keeper-host.ts
+++ b/packages/daemon/src/keeper/keeper-host.ts
@@ -1,7 +1,7 @@
 /** A keeper: one replica of the shared state, and the leader's work while it leads. */
 import {
 	BronzebendError, createControlState, UnreachableError,
-	type Clock, type ControlCommand, type ControlOutcome, type ControlSnapshot, type ControlState,
+	type Clock, type ControlCommand, type ControlOutcome, type ControlSnapshot, type ControlState, type Declaration,
 } from '@bronzebend/core';
 import {
 	createFileDisk, createReplica, decodeBytes, encodeBytes, lockFolder, NotLeaderError, openStorage, type Replica,
@@ -10,10 +10,12 @@
 	CallResult, Heartbeat, LeaderCall, Member, PeerMessage,
 } from '@bronzebend/wire';
 import {createLeaderDesk, type LeaderDesk} from '../leader/leader-desk.js';
+import type {Platform} from '../leader/platform-client.js';
+import {createWorkRunner, PLAN_MS, previewPlan, type WorkRunner} from '../leader/work-runner.js';
 import type {Log} from '../utils/log.js';
 import {decideForming, type ProbeReply} from './bootstrap.js';
 import {createMemberChanges} from './member-changes.js';
-import {createPublishCommand} from './publish-call.js';
+import {checkedCatalogue, createPublishCommand} from './publish-call.js';
 import {describeStatus} from './status.js';
 
 /** Pause between two ticks of the replica, in milliseconds. */
@@ -31,6 +33,7 @@
 	clock: Clock;
 	random: () => number;
 	log: Log;
+	platform: Platform;
 	send(to: string, message: PeerMessage): void;
 	onFatal(error: unknown): void;
 };
@@ -63,6 +66,8 @@
 	let state: ControlState = createControlState();
 	let replica: Replica<ControlOutcome> | undefined;
 	let desk: LeaderDesk | undefined;
+	let runner: WorkRunner | undefined;
+	let leadingSinceMs = 0;
 	let deskTerm = -1;
 	let stopped = false;
 	const probeReplies = new Map<string, ProbeReply>();
@@ -99,12 +104,17 @@
 			}
 
 			desk = undefined;
+			runner = undefined;
 			return;
 		}
 
 		if (replica.hasLease() && (!desk || deskTerm !== replica.raft.term())) {
 			deskTerm = replica.raft.term();
-			desk = createLeaderDesk({state, leadership: `${storage.replica.slice(0, 8)}.${deskTerm}`, startedAtMs: clock.monotonicMs()});
+			leadingSinceMs = clock.monotonicMs();
+			desk = createLeaderDesk({state, leadership: `${storage.replica.slice(0, 8)}.${deskTerm}`, startedAtMs: leadingSinceMs});
+			runner = createWorkRunner({
+				state, directory: desk.directory, platform: options.platform, clock, log, startedAtMs: leadingSinceMs, propose: proposeAll,
+			});
 			log.info('Leading.', {term: deskTerm, version: state.publications.version()});
 		}
 	};
@@ -202,7 +212,7 @@
 			}
 
 			case 'plan': {
-				throw new BronzebendError('not-built', 'Cannot plan: this version has no planner yet.');
+				return describePlan(leading.desk, call.declarations);
 			}
 
 			case 'members': {
@@ -223,6 +233,16 @@
 		}
 	};
 
+	const describePlan = (current: LeaderDesk, declarations: Declaration[] | undefined): unknown => {
+		if (declarations === undefined) {
+			return runner?.latest() ?? {};
+		}
+
+		return previewPlan({
+			state, directory: current.directory, clock, startedAtMs: leadingSinceMs,
+		}, checkedCatalogue(declarations));
+	};
+
 	const onCall = async (from: string, id: number, call: LeaderCall): Promise<void> => {
 		let result: CallResult;
 		try {
@@ -287,6 +307,11 @@
 				proposeAll(desk.tick(clock.monotonicMs()));
 			}
 		}, DESK_TICK_MS),
+		setInterval(() => {
+			if (replica?.hasLease()) {
+				runner?.step();
+			}
+		}, PLAN_MS),
 		setInterval(probe, PROBE_MS),
 	);
 	probe();
--- a/packages/daemon/src/keeper/publish-call.ts
+++ b/packages/daemon/src/keeper/publish-call.ts
@@ -1,6 +1,6 @@
 /** Turns an operator's set into a command: checked, and as a delta on the version in force. */
 import {
-	BronzebendError, checkSet, diffCatalogues, type ControlState, type Declaration, type Fault, type PublishCommand,
+	BronzebendError, checkSet, diffCatalogues, type Catalogue, type ControlState, type Declaration, type Fault, type PublishCommand,
 } from '@bronzebend/core';
 
 /** The set is not sound; nothing was published. */
@@ -16,22 +16,32 @@
 export type PublishCall = {publicationId: string; base: number; author: string; declarations: Declaration[]};
 
 /**
-Makes the command of a publication.
+Checks a set.
 
 @throws {FaultySetError} The set has faults.
 */
-export const createPublishCommand = (state: ControlState, call: PublishCall, atMs: number): PublishCommand => {
-	const checked = checkSet(call.declarations.map(value => ({file: 'publication', value})));
+export const checkedCatalogue = (declarations: readonly Declaration[]): Catalogue => {
+	const checked = checkSet(declarations.map(value => ({file: 'publication', value})));
 	if (checked.type === 'faulty') {
 		throw new FaultySetError(checked.faults);
 	}
 
+	return checked.catalogue;
+};
+
+/**
+Makes the command of a publication.
+
+@throws {FaultySetError} The set has faults.
+*/
+export const createPublishCommand = (state: ControlState, call: PublishCall, atMs: number): PublishCommand => {
+	const catalogue = checkedCatalogue(call.declarations);
 	return {
 		type: 'publish',
 		publicationId: call.publicationId,
 		base: call.base,
-		contentDigest: checked.catalogue.digest(),
-		delta: diffCatalogues(state.publications.catalogue(), checked.catalogue),
+		contentDigest: catalogue.digest(),
+		delta: diffCatalogues(state.publications.catalogue(), catalogue),
 		author: call.author,
 		atMs,
 	};
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -9,6 +9,7 @@
 import {createBackendClients, createEntryServer, type EntryServer} from './entry/entry-server.js';
 import {createTicketDesk} from './entry/ticket-desk.js';
 import {createKeeperHost, type KeeperHost} from './keeper/keeper-host.js';
+import {createNoPlatform, createPlatformClient} from './leader/platform-client.js';
 import {createNodeAgent, type NodeAgent} from './node/node-agent.js';
 import {createOperatorsServer} from './operators/operators-server.js';
 import {readSecret, roles, type Settings} from './settings.js';
@@ -139,6 +140,9 @@
 			clock,
 			random: createRandom(options.seed ?? Math.floor(clock.wallMs()) + network.port()),
 			log: logs('keeper'),
+			platform: settings.platform
+				? createPlatformClient({url: settings.platform.url, key: settings.platform.keyFile === undefined ? undefined : readSecret(settings.platform.keyFile)})
+				: createNoPlatform(),
 			send,
 			onFatal,
 		});
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -131,6 +131,7 @@
 		callersTls: resolveTls(settings.callersTls),
 		peersTls: resolveTls(settings.peersTls),
 		operatorsTls: resolveTls(settings.operatorsTls),
+		platform: settings.platform && {...settings.platform, ...(settings.platform.keyFile === undefined ? {} : {keyFile: resolve(settings.platform.keyFile)})},
 		traces: settings.traces && {file: resolve(settings.traces.file)},
 		recording: settings.recording && {...settings.recording, file: resolve(settings.recording.file)},
 	};
--- a/packages/replica/src/storage.ts
+++ b/packages/replica/src/storage.ts
@@ -30,7 +30,7 @@
 	}
 }
 
-/** A sync failed, so what is durable is unknown; the process must stop. */
+/** A sync failed, so what is durable is unknown; this process must stop. */
 export class SyncFailedError extends BronzebendError {
 	override readonly name = 'SyncFailedError';
 
@@ -177,7 +177,7 @@
 		Makes a batch durable.
 
 		@throws {DiskFullError} There was no room; the batch is not in the log and may be saved again.
-		@throws {SyncFailedError} The disk failed; the process must stop.
+		@throws {SyncFailedError} The disk failed; this process must stop.
 		*/
 		async save(operations: readonly StorageOperation[]): Promise<void> {
 			await appendRecord(encodeFrame(operations));
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -31,6 +31,10 @@
 	drained: z.array(name),
 	/** Instances that are out without a plan: silent, ejected or unhealthy. */
 	out: z.array(name),
+	/** Backend servers that the dispatcher knows of. */
+	known: z.array(name),
+	/** Instances in planned work that announce themselves as healthy. */
+	ready: z.array(name),
 	slots: count,
 	live: count,
 	/** Version of the grants that the dispatcher has. */
--- /dev/null
+++ b/utils/measure.ts
@@ -0,0 +1,42 @@
+/** `npm run measure [-- SECTION…]`: runs the measurements and writes one table. */
+import {existsSync, readFileSync, writeFileSync, mkdirSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {measureCapacity} from './measure/capacity.js';
+import {measureDispatch, measureOverload} from './measure/dispatch.js';
+import {renderTable, type Figure} from './measure/table.js';
+
+const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
+const folder = path.join(root, 'docs', 'measurements');
+const jsonFile = path.join(folder, 'latest.json');
+
+const sections: Record<string, () => Promise<Figure[]>> = {
+	dispatch: measureDispatch,
+	overload: measureOverload,
+	capacity: measureCapacity,
+};
+
+const wanted = process.argv.slice(2);
+const unknown = wanted.filter(name => !(name in sections));
+if (unknown.length > 0) {
+	process.stderr.write(`No such section: ${unknown.join(', ')}. There are ${Object.keys(sections).join(', ')}.\n`);
+	process.exit(2);
+}
+
+const names = wanted.length > 0 ? wanted : Object.keys(sections);
+const earlier = existsSync(jsonFile) ? JSON.parse(readFileSync(jsonFile, 'utf8')) as Figure[] : [];
+const figures: Figure[] = [];
+for (const name of names) {
+	process.stderr.write(`measuring ${name} …\n`);
+	figures.push(...await sections[name]!());
+}
+
+const table = renderTable(figures, earlier);
+process.stdout.write(`${table}\n`);
+mkdirSync(folder, {recursive: true});
+const kept = earlier.filter(figure => !names.includes(figure.section));
+const all = [...kept, ...figures];
+writeFileSync(jsonFile, `${JSON.stringify(all, undefined, '\t')}\n`);
+writeFileSync(path.join(folder, 'latest.md'), `# Figures of the last run of each section\n\n${renderTable(all, [])}\n`);
+process.exit();
--- a/xo.config.js
+++ b/xo.config.js
@@ -27,9 +27,12 @@
 	{files: ['packages/wire/src/**/*.ts'], rules: forbid('@bronzebend/replica', '@bronzebend/daemon', '@bronzebend/cli')},
 	{files: ['packages/replica/src/**/*.ts'], rules: forbid('@bronzebend/daemon', '@bronzebend/cli')},
 	{files: ['packages/daemon/src/**/*.ts'], rules: forbid('@bronzebend/cli')},
-	{files: ['packages/daemon/src/leader/**/*.ts'], rules: forbid('@bronzebend/cli', 'node:*', '**/keeper/*', '**/entry/*', '**/dispatch/*', '**/operators/*')},
+	{files: ['packages/daemon/src/leader/**/*.ts'], rules: forbid('@bronzebend/cli', '@bronzebend/replica', 'node:*', '**/keeper/*', '**/entry/*', '**/dispatch/*', '**/operators/*')},
 	{files: ['packages/daemon/src/entry/**/*.ts'], rules: forbid('@bronzebend/cli', '@bronzebend/replica', '**/keeper/*', '**/dispatch/*', '**/operators/*')},
 	{files: ['packages/daemon/src/dispatch/**/*.ts'], rules: forbid('@bronzebend/cli', '@bronzebend/replica', '**/keeper/*', '**/entry/*', '**/operators/*')},
 	{files: ['packages/daemon/src/node/**/*.ts'], rules: forbid('@bronzebend/cli', '@bronzebend/replica', '**/keeper/*', '**/entry/*', '**/dispatch/*', '**/operators/*')},
+	// The test runner collects what describe and it return; steps of tests and scripts follow one another.
+	{files: ['tests/**/*.ts'], rules: {'@typescript-eslint/no-floating-promises': 'off', 'no-await-in-loop': 'off'}},
+	{files: ['utils/**/*.ts'], rules: {'no-await-in-loop': 'off'}},
 	{ignores: ['**/lib/**']},
 ];
