--- a/packages/core/src/plan/forecast.ts
+++ b/packages/core/src/plan/forecast.ts
@@ -5,23 +5,29 @@
 
 /** Creates an empty forecast. */
 export const createForecast = () => {
-	const levels = new Map<string, {level: number; atMs: number}>();
+	const levels = new Map<string, {level: number; sinceMs: number; atMs: number}>();
 
 	return {
 		/** Takes what a pool asks for now, in slots. */
 		observe(pool: string, demand: number, nowMs: number): void {
 			const last = levels.get(pool);
 			if (!last) {
-				levels.set(pool, {level: demand, atMs: nowMs});
+				levels.set(pool, {level: demand, sinceMs: nowMs, atMs: nowMs});
 				return;
 			}
 
-			const gain = 1 - Math.exp(-Math.max(0, nowMs - last.atMs) / FORECAST_HORIZON_MS);
-			levels.set(pool, {level: last.level + ((demand - last.level) * gain), atMs: nowMs});
+			const spanMs = Math.max(0, nowMs - last.atMs);
+			const ageMs = Math.max(1, nowMs - last.sinceMs);
+			// A plain mean until there is a whole horizon, so that the first look does not weigh for minutes.
+			const gain = Math.max(1 - Math.exp(-spanMs / FORECAST_HORIZON_MS), spanMs / ageMs);
+			levels.set(pool, {level: last.level + ((demand - last.level) * gain), sinceMs: last.sinceMs, atMs: nowMs});
 		},
 
-		/** Slots the pool is expected to need; 0 before any observation. */
-		slotsOf: (pool: string): number => levels.get(pool)?.level ?? 0,
+		/** Slots the pool is expected to need; undefined until it was observed for half a horizon. */
+		slotsOf(pool: string): number | undefined {
+			const known = levels.get(pool);
+			return known !== undefined && known.atMs - known.sinceMs >= FORECAST_HORIZON_MS / 2 ? known.level : undefined;
+		},
 	};
 };
 
--- a/packages/core/src/plan/planner.ts
+++ b/packages/core/src/plan/planner.ts
@@ -70,6 +70,8 @@
 	input: PlannerInput;
 	members: Map<string, Member[]>;
 	budgets: Map<string, PoolBudget>;
+	/** Instances on their way into each pool. */
+	coming: Map<string, number>;
 	isQuiet: boolean;
 	objective: Policy['objective'];
 	buffer: number;
@@ -277,8 +279,7 @@
 			const leaves = placement.work?.plan.type === 'move' && placement.work.plan.target !== pool;
 			return !leaves && !isLost(placement.instance, step.input.wallMs);
 		}).length;
-		const coming = step.input.placements.filter(({pool: current, work}) => current !== pool && work?.plan.type === 'move' && work.plan.target === pool).length;
-		return staying + coming;
+		return staying + (step.coming.get(pool) ?? 0);
 	};
 
 	/** A spare instance for a pool: in the data centre where the pool has the fewest, so that failures stay apart. */
@@ -304,7 +305,7 @@
 
 		const supply = supplyOf(step, pool.name);
 		const missing = pool.capacity.instances - supply;
-		const expected = forecast.slotsOf(pool.name) / Math.max(1, slotsOf(pool, supply));
+		const expected = (forecast.slotsOf(pool.name) ?? 0) / Math.max(1, slotsOf(pool, supply));
 		const isShort = hasSettled(`fill ${pool.name}`, missing > 0, input.wallMs);
 		const gain = objective.closenessToShare * Math.max(0, expected - LEND_ABOVE) * supply;
 		const wantsLoan = hasSettled(`loan ${pool.name}`, missing <= 0 && gain > objective.moves, input.wallMs);
@@ -342,7 +343,7 @@
 
 		const supply = supplyOf(step, pool.name);
 		const surplus = supply - pool.capacity.instances;
-		const without = forecast.slotsOf(pool.name) / Math.max(1, slotsOf(pool, supply - 1));
+		const without = (forecast.slotsOf(pool.name) ?? Infinity) / Math.max(1, slotsOf(pool, supply - 1));
 		const bufferIsShort = supplyOf(step, pool.sparePool) < Math.min(step.buffer, input.catalogue.find('pool', pool.sparePool)!.capacity.instances);
 		const returns = hasSettled(`return ${pool.name}`, surplus > 0 && (without < RETURN_BELOW || bufferIsShort), input.wallMs);
 		if (!returns) {
@@ -412,7 +413,7 @@
 				output.waits.push({
 					pool, instance: instance.name, what: `reboot for ${wave.name}`, reason: refusal,
 				});
-				if (refusal !== 'data-centre-budget-used-up') {
+				if (refusal === 'budget-used-up' || refusal === 'stale-evidence') {
 					return;
 				}
 
@@ -456,6 +457,17 @@
 		}
 	};
 
+	const countComing = ({placements}: PlannerInput): Map<string, number> => {
+		const coming = new Map<string, number>();
+		for (const {pool, work} of placements) {
+			if (work?.plan.type === 'move' && work.plan.target !== pool) {
+				coming.set(work.plan.target, (coming.get(work.plan.target) ?? 0) + 1);
+			}
+		}
+
+		return coming;
+	};
+
 	const prepare = (input: PlannerInput): Step => {
 		const members = groupMembers(input);
 		const pools = input.catalogue.list('pool');
@@ -467,6 +479,7 @@
 			input,
 			members,
 			budgets: new Map(pools.map(pool => [pool.name, budgetOf(pool, members.get(pool.name) ?? [], input)])),
+			coming: countComing(input),
 			isQuiet: isInAny(policy?.quietWindows ?? [], input.wallMs),
 			objective: policy?.objective ?? DEFAULT_OBJECTIVE,
 			buffer,
--- a/packages/core/src/plan/pool-budget.ts
+++ b/packages/core/src/plan/pool-budget.ts
@@ -15,7 +15,7 @@
 };
 
 /** Why an instance may not be taken out. */
-export type BudgetRefusal = 'stale-evidence' | 'budget-used-up' | 'data-centre-budget-used-up';
+export type BudgetRefusal = 'stale-evidence' | 'out-already' | 'budget-used-up' | 'data-centre-budget-used-up';
 
 /** Creates the budget as it stands before the step. */
 export const createPoolBudget = ({pool, members, out, isFresh}: PoolBudgetOptions) => {
@@ -46,13 +46,16 @@
 				return 'stale-evidence';
 			}
 
-			// An instance that is out already costs no more count, but planned work keeps it out for longer.
-			const more = taken.has(instance.name) ? 0 : 1;
-			if (outCount(more) > maxOut) {
+			// Planned work would keep an instance out for longer that may be about to return.
+			if (taken.has(instance.name)) {
+				return 'out-already';
+			}
+
+			if (outCount(1) > maxOut) {
 				return 'budget-used-up';
 			}
 
-			return (outByDataCentre.get(instance.dataCentre) ?? 0) + more > maxOutPerDataCentre ? 'data-centre-budget-used-up' : undefined;
+			return (outByDataCentre.get(instance.dataCentre) ?? 0) + 1 > maxOutPerDataCentre ? 'data-centre-budget-used-up' : undefined;
 		},
 
 		take(instance: Instance): void {
