Measure path and durable state with real processes

Cause: the cost of control and of the path was not known. Change: npm run measure -- path state, on processes shared with the fault run.

--- a/packages/replica/src/storage.ts
+++ b/packages/replica/src/storage.ts
@@ -4,6 +4,7 @@
 Each batch of operations is one record, written and synced before the next, so only the last
 record can be torn.
 */
+import process from 'node:process';
 import {randomUUID} from 'node:crypto';
 import {BronzebendError} from '@bronzebend/core';
 import type {LogEntry, Member, Snapshot} from '@bronzebend/wire';
--- a/utils/faults.ts
+++ b/utils/faults.ts
@@ -1,22 +1,20 @@
 /** `npm run faults [-- SEED [SECONDS]]`: real processes over loopback under kills, pauses, restarts and rolling stops. */
-import {spawn, type ChildProcess} from 'node:child_process';
-import {mkdtempSync, writeFileSync, openSync} from 'node:fs';
-import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
-import {fileURLToPath} from 'node:url';
-import {createClient, ServerError} from '@bronzebend/cli';
+import {ServerError} from '@bronzebend/cli';
 import {createRandom, type Declaration, type PublishOutcome} from '@bronzebend/core';
-import type {ClusterStatus, Settings} from '@bronzebend/daemon';
+import type {ClusterStatus} from '@bronzebend/daemon';
 import {Agent, request} from 'undici';
 import {createLedger} from './faults/ledger.js';
-import {readExample, waitUntil, writeLocalSettings} from './local-cluster.js';
+import {readExample, waitUntil} from './local-cluster.js';
+import {
+	callersUrl, clientOf, ended, isReady, root, startProcessCluster, type NodeProcess as PlainProcess,
+} from './process-cluster.js';
 import {startStandInBackend} from './stand-in-backend.js';
 
 const ENTRIES = 9;
 const KEEPERS = 5;
 const CALLERS = 24;
-const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
 const seed = Number(process.argv[2] ?? 20_261_204);
 const seconds = Number(process.argv[3] ?? 60);
 const random = createRandom(seed);
@@ -32,44 +30,14 @@
 
 const pick = <T>(list: readonly T[]): T => list[Math.floor(random() * list.length)]!;
 
-type NodeProcess = {settings: Settings; file: string; child: ChildProcess; state: 'up' | 'paused' | 'down' | 'stopping'; isReady: boolean};
+type NodeProcess = PlainProcess & {state: 'up' | 'paused' | 'down' | 'stopping'; isReady: boolean};
 
-const folder = mkdtempSync(path.join(os.tmpdir(), 'bronzebend-faults-'));
-const allSettings = await writeLocalSettings({entries: ENTRIES, keepers: KEEPERS, extra: {log: {level: 'info', format: 'text'}}}, folder);
-
-const start = (settings: Settings, file: string): ChildProcess => {
-	const logFile = openSync(path.join(folder, `${settings.node}.log`), 'a');
-	return spawn(process.execPath, [path.join(root, 'packages/cli/lib/main.js'), 'serve', '--settings', file], {stdio: ['ignore', logFile, logFile]});
-};
-
-const nodes: NodeProcess[] = allSettings.map(settings => {
-	const file = path.join(folder, `${settings.node}.json`);
-	writeFileSync(file, JSON.stringify(settings));
-	return {
-		settings, file, child: start(settings, file), state: 'up', isReady: true,
-	};
-});
-
-const callersUrl = (node: NodeProcess): string => `http://127.0.0.1:${node.settings.callers!.port}`;
-const operatorsUrl = (node: NodeProcess): string => `http://127.0.0.1:${node.settings.operators!.port}`;
-const clientOf = (node: NodeProcess) => createClient({server: operatorsUrl(node), keyFile: node.settings.operatorKeyFile});
+say(`seed ${seed}, ${seconds} s, ${ENTRIES} entries, ${KEEPERS} of them keepers`);
+const cluster = await startProcessCluster({entries: ENTRIES, keepers: KEEPERS});
+say(`logs in ${path.basename(cluster.folder)}`);
+const nodes = cluster.nodes.map((node): NodeProcess => Object.assign(node, {state: 'up' as const, isReady: true}));
 const upNodes = (): NodeProcess[] => nodes.filter(node => node.state === 'up');
 
-const isReady = async (node: NodeProcess): Promise<boolean> => {
-	try {
-		const response = await fetch(`${operatorsUrl(node)}/readyz`, {signal: AbortSignal.timeout(500)});
-		await response.arrayBuffer();
-		return response.ok;
-	} catch {
-		return false;
-	}
-};
-
-const allReady = async (): Promise<boolean> => {
-	const ready = await Promise.all(nodes.map(async node => isReady(node)));
-	return ready.every(Boolean);
-};
-
 const declarations = readExample(path.join(root, 'examples', 'schaumwerk')).map((item): Declaration => (item.kind === 'limit' ? {...item, running: 12} : item));
 const limits = new Map(declarations.flatMap(item => (item.kind === 'limit' ? [[item.team, item.running] as const] : [])));
 const ledger = createLedger(limits);
@@ -200,23 +168,11 @@
 };
 
 const restart = async (node: NodeProcess): Promise<void> => {
-	node.child = start(node.settings, node.file);
 	node.state = 'down';
-	await waitUntil(`${node.settings.node} is ready`, async () => isReady(node), 30_000);
+	await cluster.restart(node);
 	node.state = 'up';
 };
 
-const ended = async (child: ChildProcess): Promise<void> => new Promise(resolve => {
-	if (child.exitCode !== null || child.signalCode !== null) {
-		resolve();
-		return;
-	}
-
-	child.once('exit', () => {
-		resolve();
-	});
-});
-
 /** At most two keepers may be away at once, as with five of them. */
 const mayTouch = (node: NodeProcess): boolean => {
 	const keepersAway = nodes.slice(0, KEEPERS).filter(item => item.state !== 'up').length;
@@ -277,9 +233,7 @@
 	}
 };
 
-say(`seed ${seed}, ${seconds} s, ${ENTRIES} entries, ${KEEPERS} of them keepers, logs in ${path.basename(folder)}`);
 try {
-	await waitUntil('all nodes are ready', allReady, 30_000);
 	const first = await clientOf(nodes[0]!).call({
 		type: 'publish', publicationId: 'first', base: 0, author: 'faults', declarations,
 	}) as {outcome: PublishOutcome};
@@ -294,7 +248,7 @@
 	await pause(seconds * 1000);
 	isOver = true;
 	await Promise.all([...callers, ...side]);
-	await waitUntil('all nodes are ready again', allReady, 30_000);
+	await waitUntil('all nodes are ready again', cluster.allReady, 30_000);
 	const history = await clientOf(nodes[0]!).call({type: 'history'}) as Array<{publicationId: string; version: number}>;
 	for (const [publicationId, version] of accepted) {
 		if (!history.some(line => line.publicationId === publicationId && line.version === version)) {
@@ -304,10 +258,7 @@
 
 	await Promise.all(backends.map(async backend => backend.stop()));
 } finally {
-	for (const node of nodes) {
-		node.child.kill('SIGCONT');
-		node.child.kill('SIGKILL');
-	}
+	cluster.kill();
 }
 
 for (const [what, count] of [...ledger.tally].sort(([left], [right]) => (left < right ? -1 : 1))) {
--- a/utils/measure.ts
+++ b/utils/measure.ts
@@ -7,6 +7,8 @@
 import {fileURLToPath} from 'node:url';
 import {measureCapacity} from './measure/capacity.js';
 import {measureDispatch, measureOverload} from './measure/dispatch.js';
+import {measurePath} from './measure/path.js';
+import {measureState} from './measure/state.js';
 import {renderTable, type Figure} from './measure/table.js';
 
 const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
@@ -14,6 +16,8 @@
 const jsonFile = path.join(folder, 'latest.json');
 
 const sections: Record<string, () => Promise<Figure[]>> = {
+	path: measurePath,
+	state: measureState,
 	dispatch: measureDispatch,
 	overload: measureOverload,
 	capacity: measureCapacity,
