--- a/packages/daemon/src/leader/timings.ts
+++ b/packages/daemon/src/leader/timings.ts
@@ -1,7 +1,7 @@
 /** Leases between nodes and the leader, in milliseconds. */
 
 /** Pause between two heartbeats of a node. */
-export const NODE_HEARTBEAT_MS = 250;
+export const NODE_HEARTBEAT_MS = 500;
 /** How long a node may rely on its view; with clock drift this stays below the 3 s in which a withdrawn key must stop. */
 export const VIEW_LEASE_MS = 2200;
 /** How long a node may dispatch a pool; work must stop reaching a leaving server within 2 s. */
--- a/packages/daemon/src/node/node-agent.ts
+++ b/packages/daemon/src/node/node-agent.ts
@@ -8,7 +8,7 @@
 import {createView} from './view.js';
 
 /** Silence after which another keeper is asked, in milliseconds. */
-const LEADER_SILENCE_MS = 400;
+const LEADER_SILENCE_MS = 700;
 /** Default time for a call, in milliseconds. */
 const CALL_TIMEOUT_MS = 5000;
 
@@ -109,6 +109,11 @@
 		if (change.view || change.cluster) {
 			options.onChange(change);
 		}
+
+		if (change.view) {
+			// Tells the leader at once what is in force here.
+			beat();
+		}
 	};
 
 	const callOnce = async (call: LeaderCall, timeoutMs: number): Promise<CallResult | undefined> => new Promise(resolve => {
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -43,7 +43,7 @@
 	const secret = readSecret(settings.clusterSecretFile);
 	const operatorKey = readSecret(settings.operatorKeyFile);
 	const metrics = createMetrics();
-	const tracing = createTracing(node, settings.traces);
+	const tracing = await createTracing(node, settings.traces);
 	const isEntry = settings.roles.includes(roles.entry);
 	const keeperAddresses = new Map(settings.keepers.map(keeper => [keeper.node, {host: keeper.host, port: keeper.port}]));
 	const late: {agent?: NodeAgent} = {};
--- a/packages/daemon/src/utils/tracing.ts
+++ b/packages/daemon/src/utils/tracing.ts
@@ -1,12 +1,5 @@
-/** Spans for each hop, with W3C trace context, through OpenTelemetry. */
-import {createWriteStream} from 'node:fs';
-import {
-	context, trace, SpanKind, SpanStatusCode, type Attributes, type Context, type Span, type Tracer,
-} from '@opentelemetry/api';
-import {W3CTraceContextPropagator} from '@opentelemetry/core';
-import {
-	BasicTracerProvider, BatchSpanProcessor, type ReadableSpan, type SpanExporter,
-} from '@opentelemetry/sdk-trace-base';
+/** Spans for each hop, with W3C trace context. */
+import type {Attributes} from '@opentelemetry/api';
 
 /** Spans of one process. */
 export type Tracing = {
@@ -30,88 +23,30 @@
 	end(attributes?: Attributes): void;
 };
 
-const toMicros = ([seconds, nanos]: [number, number]): number => (seconds * 1e6) + Math.round(nanos / 1e3);
+const ignore = (): void => undefined;
 
-/** Appends finished spans to a file, one JSON object a line, to be read without a collector. */
-const createFileExporter = (file: string): SpanExporter => {
-	const stream = createWriteStream(file, {flags: 'a'});
-	const describe = (span: ReadableSpan): string => JSON.stringify({
-		traceId: span.spanContext().traceId,
-		spanId: span.spanContext().spanId,
-		parentSpanId: span.parentSpanContext?.spanId,
-		name: span.name,
-		startUs: toMicros(span.startTime),
-		durationUs: toMicros(span.duration),
-		attributes: span.attributes,
-	});
-	return {
-		export(spans, done) {
-			stream.write(`${spans.map(span => describe(span)).join('\n')}\n`, error => {
-				done(error ? {code: 1, error} : {code: 0});
-			});
-		},
-		async shutdown() {
-			await new Promise<void>(resolve => {
-				stream.end(() => {
-					resolve();
-				});
-			});
-		},
-	};
-};
-
-const propagator = new W3CTraceContextPropagator();
-const setter = {
-	set(carrier: Record<string, string>, key: string, value: string) {
-		carrier[key] = value;
+/** Passes the caller's trace context on without spans of its own. */
+const createPassThrough = (): Tracing => ({
+	startRequest(headers) {
+		const traceparent = typeof headers['traceparent'] === 'string' ? headers['traceparent'] : undefined;
+		const fields: Record<string, string> = traceparent === undefined ? {} : {traceparent};
+		return {
+			traceId: traceparent?.split('-')[1] ?? '',
+			child: () => ({fields: () => fields, end: ignore}),
+			end: ignore,
+		};
 	},
-};
-const getter = {
-	keys: (carrier: Record<string, unknown>) => Object.keys(carrier),
-	get: (carrier: Record<string, unknown>, key: string) => carrier[key] as string | string[] | undefined,
-};
-
-const createHop = (tracer: Tracer, parent: Context, name: string, attributes: Attributes): HopSpan => {
-	const span: Span = tracer.startSpan(name, {kind: SpanKind.CLIENT, attributes}, parent);
-	return {
-		fields() {
-			const carrier: Record<string, string> = {};
-			propagator.inject(trace.setSpan(parent, span), carrier, setter);
-			return carrier;
-		},
-		end(extra = {}) {
-			span.setAttributes(extra);
-			span.end();
-		},
-	};
-};
+	async stop() {
+		// Nothing was opened.
+	},
+});
 
-/** Creates the spans of a process; without an exporter they only carry trace context on. */
-export const createTracing = (node: string, traces: {file: string} | undefined): Tracing => {
-	const processors = traces ? [new BatchSpanProcessor(createFileExporter(traces.file))] : [];
-	const provider = new BasicTracerProvider({spanProcessors: processors});
-	const tracer = provider.getTracer('bronzebend');
-	return {
-		startRequest(headers, attributes) {
-			const parent = propagator.extract(context.active(), headers, getter);
-			const span = tracer.startSpan('entry', {kind: SpanKind.SERVER, attributes: {...attributes, node}}, parent);
-			const own = trace.setSpan(parent, span);
-			return {
-				traceId: span.spanContext().traceId,
-				child: (name, extra = {}) => createHop(tracer, own, name, extra),
-				end(extra, failed) {
-					span.setAttributes(extra);
-					if (failed) {
-						span.setStatus({code: SpanStatusCode.ERROR});
-					}
+/** Creates the spans of a process. The tracing library is loaded only where spans are kept, for its memory. */
+export const createTracing = async (node: string, traces: {file: string} | undefined): Promise<Tracing> => {
+	if (!traces) {
+		return createPassThrough();
+	}
 
-					span.end();
-				},
-			};
-		},
-		async stop() {
-			await provider.shutdown();
-		},
-	};
+	const {createFileTracing} = await import('./file-tracing.js');
+	return createFileTracing(node, traces.file);
 };
-
--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -23,7 +23,7 @@
 
 /** Timings for data centres about a millisecond apart. */
 export const defaultTimings: RaftTimings = {
-	heartbeatMs: 100, minElectionMs: 700, maxElectionMs: 1400, maxDriftRatio: 0.1,
+	heartbeatMs: 200, minElectionMs: 700, maxElectionMs: 1400, maxDriftRatio: 0.1,
 };
 
 /** Entries in one append message at most. */
--- a/packages/replica/src/storage.ts
+++ b/packages/replica/src/storage.ts
@@ -4,14 +4,15 @@
 Each batch of operations is one record, written and synced before the next, so only the last
 record can be torn.
 */
-import process from 'node:process';
-import {randomUUID} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import {BronzebendError} from '@bronzebend/core';
 import type {LogEntry, Member, Snapshot} from '@bronzebend/wire';
 import type {Disk} from './disk.js';
 import {CorruptFileError, decodeFile, encodeFrame} from './frames.js';
 import type {HardState, RestoredState} from './raft.js';
 
+/** Random bytes of a replica's identity; short, since every message carries two. */
+const REPLICA_ID_BYTES = 9;
 const LOG_FILE = 'log';
 const SNAPSHOT_FILE = 'snapshot';
 const IDENTITY_FILE = 'identity';
@@ -114,7 +115,7 @@
 /** Opens a folder, gives it an identity where it has none, and cuts a torn end of its log. */
 export const openStorage = async (disk: Disk) => {
 	const content = await readFolder(disk);
-	const replica = content.replica ?? randomUUID();
+	const replica = content.replica ?? randomBytes(REPLICA_ID_BYTES).toString('base64url');
 	if (content.replica === undefined) {
 		await writeAside(disk, IDENTITY_FILE, encodeFrame({replica, format: 1} satisfies Identity));
 	}
--- a/packages/wire/src/frame-codec.ts
+++ b/packages/wire/src/frame-codec.ts
@@ -7,8 +7,6 @@
 export const MAX_FRAME_BYTES = 64 * 1024 * 1024;
 const LENGTH_BYTES = 4;
 
-const encoder = new Encoder({structuredClone: false, useRecords: false, tagUint8Array: false});
-const decoder = new Decoder({structuredClone: false, useRecords: false});
 
 /** The peer sent bytes that are no frame; the connection is closed. */
 export class BadFrameError extends BronzebendError {
@@ -19,17 +17,29 @@
 	}
 }
 
-/** Encodes one value with its length in front. */
-export const encodeMessage = (value: unknown): Buffer => {
-	const body = encoder.encode(value);
-	const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
-	frame.writeUInt32BE(body.length, 0);
-	body.copy(frame, LENGTH_BYTES);
-	return frame;
+/** Encodes the values of one connection; every frame must be sent, in order. */
+export const createFrameWriter = () => {
+	// Shapes of objects are sent once a connection and referred to after that.
+	const encoder = new Encoder({structuredClone: false, tagUint8Array: false, sequential: true});
+
+	return {
+		/** Encodes one value with its length in front. */
+		encode(value: unknown): Buffer {
+			const body = encoder.encode(value);
+			const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+			frame.writeUInt32BE(body.length, 0);
+			body.copy(frame, LENGTH_BYTES);
+			return frame;
+		},
+	};
 };
 
+/** Encodes the values of one connection. */
+export type FrameWriter = ReturnType<typeof createFrameWriter>;
+
 /** Cuts a byte stream into values. */
 export const createFrameReader = () => {
+	const decoder = new Decoder({structuredClone: false, structures: []});
 	let chunks: Buffer[] = [];
 	let buffered = 0;
 
--- a/packages/wire/src/peer-network.ts
+++ b/packages/wire/src/peer-network.ts
@@ -8,7 +8,7 @@
 import net from 'node:net';
 import tls from 'node:tls';
 import type {Clock} from '@bronzebend/core';
-import {createFrameReader, encodeMessage} from './frame-codec.js';
+import {createFrameReader, createFrameWriter, type FrameWriter} from './frame-codec.js';
 import {
 	clientProof, createNonce, handshakeSchema, sameProof, serverProof,
 } from './handshake.js';
@@ -16,6 +16,8 @@
 
 /** Unsent bytes to one peer above which messages to it are dropped. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
+/** Messages that wait for a connection to open at most; more are dropped. */
+const MAX_QUEUED_MESSAGES = 10_000;
 /** Pause before a broken connection is opened again, in milliseconds. */
 const RECONNECT_PAUSE_MS = 100;
 /** Time in which a connection must be open and proven, in milliseconds. */
@@ -41,7 +43,7 @@
 /** Counts of what went over the wire. */
 export type NetworkStats = {bytesSent: number; bytesReceived: number; messagesSent: number; dropped: number; rejected: number};
 
-type Outbound = {socket: net.Socket; ready: boolean; queue: Buffer[]; queuedBytes: number; host: string; port: number};
+type Outbound = {socket: net.Socket; writer: FrameWriter; ready: boolean; queue: PeerMessage[]; host: string; port: number};
 
 /** The messages of one process. */
 export type PeerNetwork = Awaited<ReturnType<typeof createPeerNetwork>>;
@@ -97,6 +99,7 @@
 			inbound.delete(socket);
 		});
 		const nonce = createNonce();
+		const writer = createFrameWriter();
 		let peer: string | undefined;
 		const timer = setTimeout(() => {
 			if (peer === undefined) {
@@ -118,9 +121,9 @@
 			}
 
 			peer = parsed.data.node;
-			socket.write(encodeMessage({type: 'accepted', node, proof: serverProof(secret, nonce, parsed.data.nonce, node)}));
+			socket.write(writer.encode({type: 'accepted', node, proof: serverProof(secret, nonce, parsed.data.nonce, node)}));
 		});
-		socket.write(encodeMessage({type: 'challenge', nonce}));
+		socket.write(writer.encode({type: 'challenge', nonce}));
 	};
 
 	const listener = options.tls
@@ -140,6 +143,13 @@
 		}
 	};
 
+	const write = ({socket, writer}: Outbound, message: PeerMessage): void => {
+		const frame = writer.encode(message);
+		stats.messagesSent += 1;
+		stats.bytesSent += frame.length;
+		socket.write(frame);
+	};
+
 	const prove = (to: string, connection: Outbound): void => {
 		const clientNonce = createNonce();
 		let serverNonce = '';
@@ -147,7 +157,7 @@
 			const parsed = handshakeSchema.safeParse(value);
 			if (parsed.success && parsed.data.type === 'challenge' && serverNonce === '') {
 				serverNonce = parsed.data.nonce;
-				connection.socket.write(encodeMessage({
+				connection.socket.write(connection.writer.encode({
 					type: 'proof', node, nonce: clientNonce, proof: clientProof(secret, serverNonce, clientNonce, node),
 				}));
 				return;
@@ -160,12 +170,11 @@
 			}
 
 			connection.ready = true;
-			for (const frame of connection.queue) {
-				connection.socket.write(frame);
+			for (const message of connection.queue) {
+				write(connection, message);
 			}
 
 			connection.queue = [];
-			connection.queuedBytes = 0;
 		});
 	};
 
@@ -178,7 +187,7 @@
 		const socket = options.tls ? tls.connect({...options.tls, ...address, checkServerIdentity: () => undefined}) : net.connect(address);
 		socket.setNoDelay(true);
 		const connection: Outbound = {
-			socket, ready: false, queue: [], queuedBytes: 0, ...address,
+			socket, writer: createFrameWriter(), ready: false, queue: [], ...address,
 		};
 		outbound.set(to, connection);
 		const timer = setTimeout(() => {
@@ -221,19 +230,15 @@
 			}
 
 			const connection = connectionTo(to);
-			const frame = connection && encodeMessage(message);
-			if (!connection || !frame || connection.socket.writableLength + connection.queuedBytes > MAX_BUFFERED_BYTES) {
+			if (!connection || connection.socket.writableLength > MAX_BUFFERED_BYTES || connection.queue.length >= MAX_QUEUED_MESSAGES) {
 				stats.dropped += 1;
 				return;
 			}
 
-			stats.messagesSent += 1;
-			stats.bytesSent += frame.length;
 			if (connection.ready) {
-				connection.socket.write(frame);
+				write(connection, message);
 			} else {
-				connection.queue.push(frame);
-				connection.queuedBytes += frame.length;
+				connection.queue.push(message);
 			}
 		},
 
--- a/utils/measure/capacity.ts
+++ b/utils/measure/capacity.ts
@@ -135,8 +135,10 @@
 	const letterOptions = {
 		catalogue: letter, seed: SEED, startMs: START, days: 3, failuresPerDay: 22, restartsPerDay: 1100, rackFailsAtMs: 30 * 60_000, untilWave: 'week',
 	};
+	globalThis.gc?.();
 	const heapBefore = process.memoryUsage().heapUsed;
 	const atLetter = runFleet({...letterOptions, plan: createPlanner().plan});
+	globalThis.gc?.();
 	const heapMb = Math.max(0, process.memoryUsage().heapUsed - heapBefore) / 1_048_576;
 	return [
 		...compare(section, {...brief, catalogue: schaumwerk}, 'Schaumwerk'),
--- a/utils/measure/state.ts
+++ b/utils/measure/state.ts
@@ -151,6 +151,7 @@
 /** Memory and time of the state machine with the letter's object counts. */
 const measureLetterState = (): Figure[] => {
 	const declarations = letterFleet();
+	globalThis.gc?.();
 	const before = process.memoryUsage().heapUsed;
 	const state = createControlState();
 	const publish = (base: number, upserts: Declaration[]): PublishCommand => ({
@@ -164,6 +165,7 @@
 	}
 
 	const perChangeMs = (performance.now() - startedAtMs) / changes;
+	globalThis.gc?.();
 	const heapMb = (process.memoryUsage().heapUsed - before) / 1_048_576;
 	return [
 		{
