--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,6 +9,7 @@
 	checkCommand, diffCommand, historyCommand, publishCommand, showCommand,
 } from './commands/declarations.js';
 import {planCommand} from './commands/plan.js';
+import {replayCommand} from './commands/replay.js';
 import {serveCommand} from './commands/serve.js';
 import {exitCodes} from './output.js';
 
@@ -21,6 +22,7 @@
 	show: showCommand,
 	status: statusCommand,
 	plan: planCommand,
+	replay: replayCommand,
 	keys: keysCommand,
 	backup: backupCommand,
 	restore: restoreCommand,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,3 +22,5 @@
 export * from './plan/evidence.js';
 export * from './plan/planner.js';
 export * from './plan/pool-budget.js';
+export * from './replay/replayer.js';
+export * from './replay/trace.js';
--- /dev/null
+++ b/packages/core/src/replay/outcomes.ts
@@ -0,0 +1,157 @@
+/** Checks of stated outcomes against what a replay has seen so far. */
+import type {ControlOutcome, ControlState} from '../control/control-state.js';
+import type {Catalogue} from '../declarations/catalogue.js';
+import {teamOfTicket, type RefusalReason, type Ticket} from '../dispatch/requests.js';
+import type {PoolEvidence} from '../plan/evidence.js';
+import type {PlannerOutput} from '../plan/planner.js';
+import {canonicalJson} from '../utils/canonical-json.js';
+import type {StatedOutcome} from './trace.js';
+
+/** What a replay has seen. */
+export type OutcomeState = {
+	catalogue: Catalogue;
+	control(): ControlState;
+	tickets: Array<{ticket: Ticket; atMs: number}>;
+	/** Tickets whose work may still run. */
+	open: Map<string, Ticket>;
+	refusals: Map<string, RefusalReason>;
+	/** Announced slots by instance. */
+	slots: Map<string, number>;
+	/** Outcomes of commands by event number. */
+	outcomes: Map<number, ControlOutcome>;
+	versions: number[];
+	/** The planning step of the present event. */
+	plan: {output: PlannerOutput; evidence: ReadonlyMap<string, PoolEvidence>} | undefined;
+};
+
+const countBy = (tickets: Iterable<Ticket>, key: (ticket: Ticket) => string | undefined, value: string): number => [...tickets].filter(ticket => key(ticket) === value).length;
+
+const checkSlots = ({open, slots}: OutcomeState): string | undefined => {
+	const over = [...slots].find(([instance, count]) => countBy(open.values(), ticket => ticket.instance, instance) > count);
+	return over && `${over[0]} has more work than its ${over[1]} slots`;
+};
+
+const checkOneTicket = ({tickets}: OutcomeState): string | undefined => {
+	const seen = new Set<string>();
+	const twice = tickets.find(({ticket}) => {
+		const isAgain = seen.has(ticket.requestId);
+		seen.add(ticket.requestId);
+		return isAgain;
+	});
+	return twice && `request ${twice.ticket.requestId} got two tickets`;
+};
+
+const checkBudget = (state: OutcomeState, name: string): string | undefined => {
+	const pool = state.catalogue.find('pool', name);
+	if (!state.plan || !pool || !state.plan.output.starts.some(start => start.pool === name)) {
+		return undefined;
+	}
+
+	const evidence = state.plan.evidence.get(name);
+	const members = state.control().placements.list().filter(({pool: current, work}) => current === name && !(work?.plan.type === 'move' && work.step === 'joining'));
+	const out = members.filter(({instance, work}) => work !== undefined || evidence?.out.has(instance));
+	const missing = Math.min(out.length, Math.max(0, pool.capacity.instances - (members.length - out.length)));
+	return missing > pool.availability.maxOut ? `${missing} instances of ${name} are out, ${pool.availability.maxOut} may be` : undefined;
+};
+
+const checkReboots = ({plan, control}: OutcomeState): string | undefined => {
+	const early = plan?.output.orders.find(({instance}) => {
+		const pool = control().placements.find(instance)?.pool ?? '';
+		return plan.evidence.get(pool)?.drained.has(instance) === false;
+	});
+	return early && `${early.instance} is ordered although it is not drained`;
+};
+
+const checkOnePool = ({control}: OutcomeState): string | undefined => {
+	const names = control().placements.list().map(placement => placement.instance);
+	return new Set(names).size === names.length ? undefined : 'an instance is in two pools';
+};
+
+const contains = (value: unknown, part: Record<string, unknown>): boolean => Object.entries(part).every(([key, wanted]) => canonicalJson((value as Record<string, unknown>)[key]) === canonicalJson(wanted));
+
+const describeCommandOutcome = (outcome: ControlOutcome | undefined): unknown => (outcome && outcome.type !== 'applied' ? outcome.outcome : outcome);
+
+const checkCommandOutcome = ({outcomes}: OutcomeState, event: number, equals: Record<string, unknown>): string | undefined => {
+	const outcome = describeCommandOutcome(outcomes.get(event));
+	return outcome === undefined || contains(outcome, equals) ? undefined : `event ${event} gave ${JSON.stringify(outcome)}`;
+};
+
+const isWaveDone = (state: OutcomeState, name: string): boolean => {
+	const wave = state.catalogue.find('wave', name);
+	return state.control().placements.list().filter(placement => wave?.pools.includes(placement.pool)).every(placement => placement.doneWaves.includes(name));
+};
+
+/** What is wrong with an outcome; undefined while nothing is. Outcomes of the whole trace are judged at its end. */
+export const checkOutcome = (outcome: StatedOutcome, state: OutcomeState, isEnd: boolean): string | undefined => {
+	switch (outcome.type) {
+		case 'running-at-most': {
+			const running = countBy(state.open.values(), ticket => teamOfTicket(ticket.ticketId), outcome.team);
+			return running > outcome.count ? `${outcome.team} has ${running} running` : undefined;
+		}
+
+		case 'slots-not-exceeded': {
+			return checkSlots(state);
+		}
+
+		case 'ticket-for': {
+			return isEnd && !state.tickets.some(({ticket}) => ticket.requestId === outcome.requestId) ? `${outcome.requestId} got no ticket` : undefined;
+		}
+
+		case 'no-ticket-for': {
+			return state.tickets.some(({ticket}) => ticket.requestId === outcome.requestId) ? `${outcome.requestId} got a ticket` : undefined;
+		}
+
+		case 'no-ticket-to': {
+			return state.tickets.some(({ticket, atMs}) => ticket.instance === outcome.instance && atMs >= outcome.fromMs) ? `${outcome.instance} got work` : undefined;
+		}
+
+		case 'tickets-at-least': {
+			const given = state.tickets.filter(({ticket}) => teamOfTicket(ticket.ticketId) === outcome.team).length;
+			return isEnd && given < outcome.count ? `${outcome.team} got ${given} tickets` : undefined;
+		}
+
+		case 'one-ticket-a-request': {
+			return checkOneTicket(state);
+		}
+
+		case 'refused': {
+			const reason = state.refusals.get(outcome.requestId);
+			return isEnd && reason !== outcome.reason ? `${outcome.requestId} was refused as ${reason ?? 'nothing'}` : undefined;
+		}
+
+		case 'version-never-falls': {
+			const falls = state.versions.some((version, index) => index > 0 && version < state.versions[index - 1]!);
+			return falls ? `versions were ${state.versions.join(', ')}` : undefined;
+		}
+
+		case 'outcome-of': {
+			const missing = isEnd && !state.outcomes.has(outcome.event) ? `event ${outcome.event} is no command` : undefined;
+			return missing ?? checkCommandOutcome(state, outcome.event, outcome.equals);
+		}
+
+		case 'granted-at-most': {
+			const granted = state.control().grants.totalOf(outcome.team);
+			return granted > outcome.count ? `${granted} granted to ${outcome.team}` : undefined;
+		}
+
+		case 'key-withdrawn': {
+			return isEnd && !state.control().publications.isWithdrawn(outcome.sha256) ? 'the key still works' : undefined;
+		}
+
+		case 'budget-holds': {
+			return checkBudget(state, outcome.pool);
+		}
+
+		case 'reboot-only-drained': {
+			return checkReboots(state);
+		}
+
+		case 'one-pool-each': {
+			return checkOnePool(state);
+		}
+
+		case 'wave-done': {
+			return isEnd && !isWaveDone(state, outcome.wave) ? 'the wave is not done' : undefined;
+		}
+	}
+};
--- a/packages/daemon/src/dispatch/dispatch-host.ts
+++ b/packages/daemon/src/dispatch/dispatch-host.ts
@@ -22,8 +22,11 @@
 	nextPromise: number;
 };
 
-/** Called with every event of a dispatcher, for recordings. */
-export type DispatchRecorder = (pool: string, epoch: number, event: DispatchEvent, nowMs: number) => void;
+/** Takes every event of the dispatchers, for recordings. */
+export type DispatchRecorder = {
+	open(event: {atMs: number; pool: string; epoch: number; entries: string[]; rebuildUntilMs: number}): void;
+	dispatch(pool: string, epoch: number, event: DispatchEvent, nowMs: number): void;
+};
 
 /** What a host is made of. */
 export type DispatchHostOptions = {
@@ -66,15 +69,18 @@
 	const run = (host: Hosted, event: DispatchEvent): void => {
 		const {pool, epoch} = host.dispatcher;
 		const nowMs = clock.monotonicMs();
-		record?.(pool, epoch, event, nowMs);
+		record?.dispatch(pool, epoch, event, nowMs);
 		deliver(pool, epoch, host.dispatcher.handle(event, nowMs));
 	};
 
 	const open = (order: DispatchOrder): Hosted => {
 		const {pool, epoch, entries, rebuildMs} = order;
-		const dispatcher = createPoolDispatcher({
-			pool, epoch, entries, rebuildUntilMs: clock.monotonicMs() + rebuildMs,
-		});
+		const nowMs = clock.monotonicMs();
+		const start = {
+			pool, epoch, entries, rebuildUntilMs: nowMs + rebuildMs,
+		};
+		record?.open({...start, atMs: nowMs});
+		const dispatcher = createPoolDispatcher(start);
 		const host: Hosted = {
 			dispatcher, grantsVersion: '', leaseUntilMs: -Infinity, released: false, promises: new Map(), granted: new Map(), nextPromise: 0,
 		};
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -15,6 +15,7 @@
 import {readSecret, roles, type Settings} from './settings.js';
 import {createLogs, type LogFactory} from './utils/log.js';
 import {createMetrics} from './utils/metrics.js';
+import {createRecorder} from './utils/recorder.js';
 import {createTracing} from './utils/tracing.js';
 
 /** Time in which the balancer sees that this process is not ready, in milliseconds. */
@@ -121,9 +122,10 @@
 		},
 	});
 	late.agent = agent;
+	const recorder = settings.recording && createRecorder({...settings.recording, node});
 	const dispatchHost = isEntry
 		? createDispatchHost({
-			view: agent.view, clock, log: logs('dispatch'), send,
+			view: agent.view, clock, log: logs('dispatch'), send, record: recorder,
 		})
 		: undefined;
 	const clients = createBackendClients(() => clock.monotonicMs());
@@ -204,6 +206,7 @@
 		await keeper?.stop();
 		await network.close();
 		await tracing.stop();
+		await recorder?.stop();
 	};
 
 	return {
--- a/packages/daemon/src/utils/tracing.ts
+++ b/packages/daemon/src/utils/tracing.ts
@@ -28,7 +28,7 @@
 /** Passes the caller's trace context on without spans of its own. */
 const createPassThrough = (): Tracing => ({
 	startRequest(headers) {
-		const traceparent = typeof headers['traceparent'] === 'string' ? headers['traceparent'] : undefined;
+		const traceparent = typeof headers.traceparent === 'string' ? headers.traceparent : undefined;
 		const fields: Record<string, string> = traceparent === undefined ? {} : {traceparent};
 		return {
 			traceId: traceparent?.split('-')[1] ?? '',
--- a/packages/wire/src/frame-codec.ts
+++ b/packages/wire/src/frame-codec.ts
@@ -7,7 +7,6 @@
 export const MAX_FRAME_BYTES = 64 * 1024 * 1024;
 const LENGTH_BYTES = 4;
 
-
 /** The peer sent bytes that are no frame; the connection is closed. */
 export class BadFrameError extends BronzebendError {
 	override readonly name = 'BadFrameError';
--- /dev/null
+++ b/tests/core/replay.spec.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import {readdirSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import {describe, it} from 'node:test';
+import {
+	parseTrace, replayTrace, TraceError, type StatedOutcome,
+} from '@bronzebend/core';
+
+const folder = new URL('../../../traces', import.meta.url).pathname;
+const files = readdirSync(folder, {recursive: true, encoding: 'utf8'}).filter(name => name.endsWith('.jsonl')).sort();
+const read = (name: string): string => readFileSync(path.join(folder, name), 'utf8');
+
+describe('replay', () => {
+	for (const file of files) {
+		it(`should hold every stated outcome of ${file}, with the same decisions each time`, () => {
+			const trace = parseTrace(read(file));
+			const first = replayTrace(trace);
+			assert.deepEqual(first.results.filter(result => !result.passed), []);
+			assert.ok(first.results.length > 0);
+			assert.equal(replayTrace(parseTrace(read(file))).digest, first.digest);
+		});
+	}
+
+	const strengthened: Array<[string, (outcome: StatedOutcome) => StatedOutcome]> = [
+		['schaumwerk/promise-upper-limit.jsonl', outcome => (outcome.type === 'running-at-most' ? {...outcome, count: 1} : outcome)],
+		['schaumwerk/promise-grants-within-limit.jsonl', outcome => (outcome.type === 'granted-at-most' ? {...outcome, count: 50} : outcome)],
+		['schaumwerk/promise-leaving-server.jsonl', outcome => (outcome.type === 'no-ticket-to' ? {...outcome, fromMs: 0} : outcome)],
+		['udrtina/promise-at-most-once.jsonl', outcome => (outcome.type === 'outcome-of' ? {...outcome, equals: {type: 'granted'}} : outcome)],
+		['udrtina/failure-run-times-far-off.jsonl', outcome => (outcome.type === 'refused' ? {...outcome, reason: 'queue-full'} : outcome)],
+		['udrtina/failure-cancellations-in-waves.jsonl', outcome => (outcome.type === 'ticket-for' ? {...outcome, requestId: 'r6'} : outcome)],
+	];
+	for (const [file, change] of strengthened) {
+		it(`should name the first event at which a false outcome of ${file} broke`, () => {
+			const trace = parseTrace(read(file));
+			const result = replayTrace({...trace, header: {...trace.header, outcomes: trace.header.outcomes.map(outcome => change(outcome))}});
+			assert.ok(result.results.some(item => !item.passed && item.event !== undefined));
+		});
+	}
+
+	it('should miss a wave that had no time to finish', () => {
+		const trace = parseTrace(read('schaumwerk/promise-availability-budget.jsonl'));
+		const result = replayTrace({...trace, events: trace.events.slice(0, 10)});
+		assert.ok(result.results.some(item => item.outcome.type === 'wave-done' && !item.passed));
+	});
+
+	it('should notice planned work that breaks a budget', () => {
+		const trace = parseTrace(read('schaumwerk/promise-availability-budget.jsonl'));
+		const declarations = trace.header.declarations.map(item => (item.kind === 'pool' && item.name === 'diagnosis' ? {...item, availability: {maxOut: 0}} : item));
+		const loose = parseTrace(read('schaumwerk/promise-availability-budget.jsonl'));
+		assert.ok(replayTrace(loose).results.every(item => item.passed));
+		const strict = replayTrace({...trace, header: {...trace.header, declarations}});
+		assert.ok(strict.results.some(item => item.outcome.type === 'wave-done' && !item.passed), 'a budget of nothing starts nothing');
+	});
+
+	it('should name the line of a damaged or foreign trace', () => {
+		const text = read('schaumwerk/promise-at-most-once.jsonl');
+		const lines = text.split('\n');
+		lines[2] = lines[2]!.slice(0, 20);
+		assert.throws(() => parseTrace(lines.join('\n')), (error: TraceError) => error instanceof TraceError && error.line === 3);
+		assert.throws(() => parseTrace('{"type":"header","schema":99}\n'), (error: TraceError) => error.line === 1);
+	});
+});
--- a/utils/measure/state.ts
+++ b/utils/measure/state.ts
@@ -1,14 +1,15 @@
 /** The durable state with real processes and real sync: publications, fan-out, cost of a node. */
 import process from 'node:process';
 import {performance} from 'node:perf_hooks';
-import type {Declaration, PublishOutcome} from '@bronzebend/core';
+import {
+	type Declaration, type PublishOutcome, createControlState, type PublishCommand,
+} from '@bronzebend/core';
 import type {ClusterStatus} from '@bronzebend/daemon';
-import {createControlState, type PublishCommand} from '@bronzebend/core';
-import {letterFleet} from './capacity.js';
 import {readExample, waitUntil} from '../local-cluster.js';
 import {
 	clientOf, controlBytesOf, ended, root, startProcessCluster, usageOf, type ProcessCluster,
 } from '../process-cluster.js';
+import {letterFleet} from './capacity.js';
 import {mean, percentile, type Figure} from './table.js';
 
 const ENTRIES = 9;
@@ -141,7 +142,9 @@
 				section, name: `${label}: from acceptance to in force at 9 nodes, worst of 10`, unit: 'ms', ours: Math.max(...fanOut), target: 'within 9 s', met: Math.max(...fanOut) < 9000,
 			},
 			...costFigures(`${label}, publishing without pause`, busy, false),
-			{section, name: `${label}: restart of a keeper until ready`, unit: 'ms', ours: restartMs},
+			{
+				section, name: `${label}: restart of a keeper until ready`, unit: 'ms', ours: restartMs,
+			},
 		];
 	} finally {
 		cluster.kill();
