Plan limits only where demand asks, and measure portions and slopes

Change: plans twice a second, early exit where a team has what it asks for, teams' pools kept per version; dispatchers are poked when a portion moves and tell of a promise at once.

--- a/packages/core/src/limits/grant-planner.ts
+++ b/packages/core/src/limits/grant-planner.ts
@@ -32,14 +32,24 @@
 	return floors;
 };
 
+/** True where the whole limit is granted and every pool has what it asks for. */
+const isSettled = ({limit, byPool}: TeamGrants, demandOf: ReadonlyMap<string, PoolDemand>): boolean => {
+	const total = [...byPool.values()].reduce((sum, amount) => sum + amount, 0);
+	return total === limit && [...demandOf.values()].every(({pool, running, waiting}) => running + waiting <= (byPool.get(pool) ?? 0));
+};
+
 /**
-Plans one team's portions.
+Plans one team's portions, from the team's demand in each pool.
 
 Pools with demand get the max-min split of the limit. What the demand leaves over stays spread
 over all pools of the team, so that a pool whose demand returns can start at once.
 */
 export const planTeamGrants = (grants: TeamGrants, demands: readonly PoolDemand[], pools: readonly string[]): GrantPlan => {
-	const demandOf = new Map(demands.filter(demand => demand.team === grants.team).map(demand => [demand.pool, demand]));
+	const demandOf = new Map(demands.map(demand => [demand.pool, demand]));
+	if (isSettled(grants, demandOf)) {
+		return {growth: [], shrinks: []};
+	}
+
 	const names = [...new Set([...pools, ...grants.byPool.keys(), ...demandOf.keys()])].sort();
 	const needs = names.map(pool => {
 		const demand = demandOf.get(pool);
--- a/packages/daemon/src/dispatch/dispatch-host.ts
+++ b/packages/daemon/src/dispatch/dispatch-host.ts
@@ -35,6 +35,8 @@
 	log: Log;
 	send(to: string, message: PeerMessage): void;
 	record?: DispatchRecorder;
+	/** A portion was given back; the leader should hear of it at once. */
+	onPromise(): void;
 };
 
 /** The dispatchers of one node. */
@@ -54,7 +56,7 @@
 };
 
 /** Creates a host without pools. */
-export const createDispatchHost = ({view, clock, log, send, record}: DispatchHostOptions) => {
+export const createDispatchHost = ({view, clock, log, send, record, onPromise}: DispatchHostOptions) => {
 	const hosted = new Map<string, Hosted>();
 
 	const deliver = (pool: string, epoch: number, effects: readonly PoolDispatchEffect[]): void => {
@@ -121,6 +123,7 @@
 			if (amount < granted) {
 				host.nextPromise += 1;
 				host.promises.set(team, {amount, number: host.nextPromise});
+				setImmediate(onPromise);
 			}
 		}
 	};
--- a/packages/daemon/src/keeper/keeper-host.ts
+++ b/packages/daemon/src/keeper/keeper-host.ts
@@ -81,6 +81,12 @@
 		}
 	};
 
+	const sendPokes = (): void => {
+		for (const name of desk?.takePokes() ?? []) {
+			options.send(name, {type: 'poke'});
+		}
+	};
+
 	const isFelt = (command: ControlCommand): boolean => command.type !== 'claim' && command.type !== 'settle' && command.type !== 'grants';
 
 	const stateMachine = {
@@ -89,6 +95,8 @@
 			desk?.applied(command);
 			if (desk && isFelt(command)) {
 				setImmediate(pokeNodes);
+			} else if (desk) {
+				setImmediate(sendPokes);
 			}
 
 			return outcome;
@@ -307,6 +315,7 @@
 			updateDesk();
 			if (desk && replica?.hasLease()) {
 				proposeAll(desk.tick(clock.monotonicMs()));
+				sendPokes();
 			}
 		}, DESK_TICK_MS),
 		setInterval(() => {
--- a/packages/daemon/src/leader/leader-desk.ts
+++ b/packages/daemon/src/leader/leader-desk.ts
@@ -13,7 +13,9 @@
 } from '@bronzebend/wire';
 import {createDispatchLeases} from './dispatch-leases.js';
 import {createNodeDirectory} from './node-directory.js';
-import {DISPATCH_LEASE_MS, LEADER_SETTLE_MS, VIEW_LEASE_MS} from './timings.js';
+import {
+	DISPATCH_LEASE_MS, GRANTS_MS, LEADER_SETTLE_MS, VIEW_LEASE_MS,
+} from './timings.js';
 
 /** Stands for nodes that a young leader has not heard from. */
 export const UNKNOWN_NODES = '*';
@@ -38,6 +40,9 @@
 	const assigning = new Set<string>();
 	const openedAtMs = new Map<string, number>();
 	let granting = false;
+	let grantsPlannedMs = -Infinity;
+	let teamPools: {version: number; pools: ReadonlyMap<string, ReadonlySet<string>>} | undefined;
+	const pokes = new Set<string>();
 	let clusterCounter = 0;
 	let cluster: ClusterState | undefined;
 
@@ -142,7 +147,11 @@
 		.flatMap(report => report.demands.map(demand => ({pool: report.pool, ...demand}))));
 
 	/** Pools in which each team may have work, from the queues. */
-	const poolsOfTeams = (): Map<string, Set<string>> => {
+	const poolsOfTeams = (): ReadonlyMap<string, ReadonlySet<string>> => {
+		if (teamPools?.version === state.publications.version()) {
+			return teamPools.pools;
+		}
+
 		const pools = new Map<string, Set<string>>();
 		for (const queue of state.publications.catalogue().list('queue')) {
 			const teams = queue.access.type === 'open' ? [queue.access.team] : queue.access.teams;
@@ -151,14 +160,33 @@
 			}
 		}
 
+		teamPools = {version: state.publications.version(), pools};
 		return pools;
 	};
 
-	const planGrants = (): ControlCommand[] => {
+	/** Lets the dispatcher of a pool ask for its orders at once. */
+	const pokeDispatcher = (pool: string): void => {
+		const node = state.assignments.find(pool)?.node;
+		if (node !== undefined) {
+			pokes.add(node);
+		}
+	};
+
+	const planGrants = (nowMs: number): ControlCommand[] => {
+		if (granting || nowMs - grantsPlannedMs < GRANTS_MS) {
+			return [];
+		}
+
+		grantsPlannedMs = nowMs;
 		shrinks.clear();
 		const demandsByTeam = new Map<string, PoolDemand[]>();
 		for (const demand of demandsOf()) {
-			demandsByTeam.set(demand.team, [...demandsByTeam.get(demand.team) ?? [], demand]);
+			const list = demandsByTeam.get(demand.team);
+			if (list) {
+				list.push(demand);
+			} else {
+				demandsByTeam.set(demand.team, [demand]);
+			}
 		}
 
 		const changes: GrantChange[] = [];
@@ -167,10 +195,11 @@
 			changes.push(...plan.growth);
 			for (const {pool, target} of plan.shrinks) {
 				shrinks.set(pool, [...shrinks.get(pool) ?? [], {team, target}]);
+				pokeDispatcher(pool);
 			}
 		}
 
-		if (changes.length === 0 || granting) {
+		if (changes.length === 0) {
 			return [];
 		}
 
@@ -223,7 +252,14 @@
 				clusterChanged();
 			}
 
-			return [...planAssignments(nowMs), ...planGrants()];
+			return [...planAssignments(nowMs), ...planGrants(nowMs)];
+		},
+
+		/** Nodes that should beat at once, since the last call. */
+		takePokes(): string[] {
+			const nodes = [...pokes];
+			pokes.clear();
+			return nodes;
 		},
 
 		/** Takes note that a command of this desk was committed, or failed. */
@@ -249,6 +285,12 @@
 				case 'grants': {
 					for (const {pool} of command.changes) {
 						grantsCounters.set(pool, (grantsCounters.get(pool) ?? 0) + 1);
+						pokeDispatcher(pool);
+					}
+
+					// What a shrink freed can be given out at once.
+					if (command.changes.some(change => change.promise !== undefined)) {
+						grantsPlannedMs = -Infinity;
 					}
 
 					return;
--- a/packages/daemon/src/leader/timings.ts
+++ b/packages/daemon/src/leader/timings.ts
@@ -8,6 +8,8 @@
 export const DISPATCH_LEASE_MS = 1500;
 /** What the leader adds to a lease before it takes it as ended, for clocks that run apart. */
 export const LEASE_MARGIN_MS = 100;
+/** Pause between two plans of the portions of limits. */
+export const GRANTS_MS = 500;
 /** Silence after which a node gets no new pools. */
 export const NODE_SILENCE_MS = 1000;
 /** Silence after which a node leaves the directory. */
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -125,7 +125,7 @@
 	const recorder = settings.recording && createRecorder({...settings.recording, node});
 	const dispatchHost = isEntry
 		? createDispatchHost({
-			view: agent.view, clock, log: logs('dispatch'), send, record: recorder,
+			view: agent.view, clock, log: logs('dispatch'), send, record: recorder, onPromise: agent.beatNow,
 		})
 		: undefined;
 	const clients = createBackendClients(() => clock.monotonicMs());
--- a/utils/measure.ts
+++ b/utils/measure.ts
@@ -7,7 +7,9 @@
 import {fileURLToPath} from 'node:url';
 import {measureCapacity} from './measure/capacity.js';
 import {measureDispatch, measureOverload} from './measure/dispatch.js';
+import {measureLimits} from './measure/limits.js';
 import {measurePath} from './measure/path.js';
+import {measureSlopes} from './measure/slopes.js';
 import {measureState} from './measure/state.js';
 import {renderTable, type Figure} from './measure/table.js';
 
@@ -20,7 +22,9 @@
 	state: measureState,
 	dispatch: measureDispatch,
 	overload: measureOverload,
+	limits: measureLimits,
 	capacity: measureCapacity,
+	slopes: measureSlopes,
 };
 
 const wanted = process.argv.slice(2);
--- a/utils/process-cluster.ts
+++ b/utils/process-cluster.ts
@@ -63,7 +63,8 @@
 export const controlBytesOf = async (node: NodeProcess): Promise<number> => {
 	const key = readFileSync(node.settings.operatorKeyFile, 'utf8').trim();
 	const response = await fetch(`http://127.0.0.1:${node.settings.operators!.port}/metrics`, {headers: {authorization: `Bearer ${key}`}});
-	const lines = (await response.text()).split('\n').filter(line => line.startsWith('bronzebend_control_bytes{'));
+	const text = await response.text();
+	const lines = text.split('\n').filter(line => line.startsWith('bronzebend_control_bytes{'));
 	return lines.reduce((sum, line) => sum + Number(line.split(' ')[1]), 0);
 };
 
