--- a/packages/core/src/replay/outcomes.ts
+++ b/packages/core/src/replay/outcomes.ts
@@ -1,9 +1,10 @@
 /** Checks of stated outcomes against what a replay has seen so far. */
 import type {ControlOutcome, ControlState} from '../control/control-state.js';
+import type {Placement} from '../control/placements.js';
 import type {Catalogue} from '../declarations/catalogue.js';
 import {teamOfTicket, type RefusalReason, type Ticket} from '../dispatch/requests.js';
 import type {PoolEvidence} from '../plan/evidence.js';
-import type {PlannerOutput} from '../plan/planner.js';
+import type {PlannerOutput} from '../plan/planner-types.js';
 import {canonicalJson} from '../utils/canonical-json.js';
 import type {StatedOutcome} from './trace.js';
 
@@ -48,7 +49,8 @@
 	}
 
 	const evidence = state.plan.evidence.get(name);
-	const members = state.control().placements.list().filter(({pool: current, work}) => current === name && !(work?.plan.type === 'move' && work.step === 'joining'));
+	const isJoining = ({work}: Placement): boolean => work?.plan.type === 'move' && work.step === 'joining';
+	const members = state.control().placements.list().filter(placement => placement.pool === name && !isJoining(placement));
 	const out = members.filter(({instance, work}) => work !== undefined || evidence?.out.has(instance));
 	const missing = Math.min(out.length, Math.max(0, pool.capacity.instances - (members.length - out.length)));
 	return missing > pool.availability.maxOut ? `${missing} instances of ${name} are out, ${pool.availability.maxOut} may be` : undefined;
@@ -81,77 +83,47 @@
 	return state.control().placements.list().filter(placement => wave?.pools.includes(placement.pool)).every(placement => placement.doneWaves.includes(name));
 };
 
+type Check<Type extends StatedOutcome['type']> = (outcome: Extract<StatedOutcome, {type: Type}>, state: OutcomeState, isEnd: boolean) => string | undefined;
+
+const checks: {[Type in StatedOutcome['type']]: Check<Type>} = {
+	'running-at-most'(outcome, state) {
+		const running = countBy(state.open.values(), ticket => teamOfTicket(ticket.ticketId), outcome.team);
+		return running > outcome.count ? `${outcome.team} has ${running} running` : undefined;
+	},
+	'slots-not-exceeded': (_, state) => checkSlots(state),
+	'ticket-for': (outcome, state, isEnd) => isEnd && !state.tickets.some(({ticket}) => ticket.requestId === outcome.requestId) ? `${outcome.requestId} got no ticket` : undefined,
+	'no-ticket-for': (outcome, state) => state.tickets.some(({ticket}) => ticket.requestId === outcome.requestId) ? `${outcome.requestId} got a ticket` : undefined,
+	'no-ticket-to': (outcome, state) => state.tickets.some(({ticket, atMs}) => ticket.instance === outcome.instance && atMs >= outcome.fromMs) ? `${outcome.instance} got work` : undefined,
+	'tickets-at-least'(outcome, state, isEnd) {
+		const given = state.tickets.filter(({ticket}) => teamOfTicket(ticket.ticketId) === outcome.team).length;
+		return isEnd && given < outcome.count ? `${outcome.team} got ${given} tickets` : undefined;
+	},
+	'one-ticket-a-request': (_, state) => checkOneTicket(state),
+	'refused'(outcome, state, isEnd) {
+		const reason = state.refusals.get(outcome.requestId);
+		return isEnd && reason !== outcome.reason ? `${outcome.requestId} was refused as ${reason ?? 'nothing'}` : undefined;
+	},
+	'version-never-falls'(_, state) {
+		const falls = state.versions.some((version, index) => index > 0 && version < state.versions[index - 1]!);
+		return falls ? `versions were ${state.versions.join(', ')}` : undefined;
+	},
+	'outcome-of'(outcome, state, isEnd) {
+		const missing = isEnd && !state.outcomes.has(outcome.event) ? `event ${outcome.event} is no command` : undefined;
+		return missing ?? checkCommandOutcome(state, outcome.event, outcome.equals);
+	},
+	'granted-at-most'(outcome, state) {
+		const granted = state.control().grants.totalOf(outcome.team);
+		return granted > outcome.count ? `${granted} granted to ${outcome.team}` : undefined;
+	},
+	'key-withdrawn': (outcome, state, isEnd) => isEnd && !state.control().publications.isWithdrawn(outcome.sha256) ? 'the key still works' : undefined,
+	'budget-holds': (outcome, state) => checkBudget(state, outcome.pool),
+	'reboot-only-drained': (_, state) => checkReboots(state),
+	'one-pool-each': (_, state) => checkOnePool(state),
+	'wave-done': (outcome, state, isEnd) => isEnd && !isWaveDone(state, outcome.wave) ? 'the wave is not done' : undefined,
+};
+
 /** What is wrong with an outcome; undefined while nothing is. Outcomes of the whole trace are judged at its end. */
 export const checkOutcome = (outcome: StatedOutcome, state: OutcomeState, isEnd: boolean): string | undefined => {
-	switch (outcome.type) {
-		case 'running-at-most': {
-			const running = countBy(state.open.values(), ticket => teamOfTicket(ticket.ticketId), outcome.team);
-			return running > outcome.count ? `${outcome.team} has ${running} running` : undefined;
-		}
-
-		case 'slots-not-exceeded': {
-			return checkSlots(state);
-		}
-
-		case 'ticket-for': {
-			return isEnd && !state.tickets.some(({ticket}) => ticket.requestId === outcome.requestId) ? `${outcome.requestId} got no ticket` : undefined;
-		}
-
-		case 'no-ticket-for': {
-			return state.tickets.some(({ticket}) => ticket.requestId === outcome.requestId) ? `${outcome.requestId} got a ticket` : undefined;
-		}
-
-		case 'no-ticket-to': {
-			return state.tickets.some(({ticket, atMs}) => ticket.instance === outcome.instance && atMs >= outcome.fromMs) ? `${outcome.instance} got work` : undefined;
-		}
-
-		case 'tickets-at-least': {
-			const given = state.tickets.filter(({ticket}) => teamOfTicket(ticket.ticketId) === outcome.team).length;
-			return isEnd && given < outcome.count ? `${outcome.team} got ${given} tickets` : undefined;
-		}
-
-		case 'one-ticket-a-request': {
-			return checkOneTicket(state);
-		}
-
-		case 'refused': {
-			const reason = state.refusals.get(outcome.requestId);
-			return isEnd && reason !== outcome.reason ? `${outcome.requestId} was refused as ${reason ?? 'nothing'}` : undefined;
-		}
-
-		case 'version-never-falls': {
-			const falls = state.versions.some((version, index) => index > 0 && version < state.versions[index - 1]!);
-			return falls ? `versions were ${state.versions.join(', ')}` : undefined;
-		}
-
-		case 'outcome-of': {
-			const missing = isEnd && !state.outcomes.has(outcome.event) ? `event ${outcome.event} is no command` : undefined;
-			return missing ?? checkCommandOutcome(state, outcome.event, outcome.equals);
-		}
-
-		case 'granted-at-most': {
-			const granted = state.control().grants.totalOf(outcome.team);
-			return granted > outcome.count ? `${granted} granted to ${outcome.team}` : undefined;
-		}
-
-		case 'key-withdrawn': {
-			return isEnd && !state.control().publications.isWithdrawn(outcome.sha256) ? 'the key still works' : undefined;
-		}
-
-		case 'budget-holds': {
-			return checkBudget(state, outcome.pool);
-		}
-
-		case 'reboot-only-drained': {
-			return checkReboots(state);
-		}
-
-		case 'one-pool-each': {
-			return checkOnePool(state);
-		}
-
-		case 'wave-done': {
-			return isEnd && !isWaveDone(state, outcome.wave) ? 'the wave is not done' : undefined;
-		}
-	}
+	const check = checks[outcome.type] as Check<StatedOutcome['type']>;
+	return check(outcome, state, isEnd);
 };
--- a/packages/core/src/replay/replayer.ts
+++ b/packages/core/src/replay/replayer.ts
@@ -3,7 +3,8 @@
 import {createCatalogue, type Catalogue} from '../declarations/catalogue.js';
 import {createPoolDispatcher, type PoolDispatcher} from '../dispatch/pool-dispatcher.js';
 import type {Ticket} from '../dispatch/requests.js';
-import {createPlanner, type Planner, type PlannerOutput} from '../plan/planner.js';
+import {createPlanner, type Planner} from '../plan/planner.js';
+import type {PlannerOutput} from '../plan/planner-types.js';
 import type {PlatformWork, PoolEvidence} from '../plan/evidence.js';
 import {canonicalJson, sha256Hex} from '../utils/canonical-json.js';
 import {checkOutcome, type OutcomeState} from './outcomes.js';
--- a/utils/measure/dispatch.ts
+++ b/utils/measure/dispatch.ts
@@ -33,8 +33,8 @@
 
 const allWaits = (result: DispatchResult): number[] => [...result.waits.values()].flat();
 
-const demandOf = (durationMs: number, load: number, shapeOfTurns: typeof turns) => recordDemand({
-	seed: SEED, durationMs, entries: shape.entries, slots: shape.backends * shape.slots, meanRunMs: MEAN_RUN_MS, load, turns: shapeOfTurns, teams: parts,
+const demandOf = (durationMs: number, load: number, shapeOfTurns: typeof turns, pinned = false) => recordDemand({
+	seed: SEED, durationMs, entries: shape.entries, slots: shape.backends * shape.slots, meanRunMs: MEAN_RUN_MS, load, turns: shapeOfTurns, teams: parts, pinned,
 });
 
 const compare = (read: (result: DispatchResult) => number, results: ReadonlyMap<string, DispatchResult>): Record<string, number> => Object.fromEntries([...results].map(([name, result]) => [name, read(result)]));
@@ -46,6 +46,9 @@
 	const half = demandOf(60_000, 0.5, steady);
 	const ours = runPoolDispatcher(shape, full, 120_000);
 	const others = new Map(Object.entries(ways).map(([name, run]) => [name, run(shape, full, 120_000)]));
+	const pinnedDemand = demandOf(120_000, 1, turns, true);
+	const oursPinned = runPoolDispatcher(shape, pinnedDemand, 120_000);
+	const othersPinned = new Map(Object.entries(ways).map(([name, run]) => [name, run(shape, pinnedDemand, 120_000)]));
 	const oursHalf = runPoolDispatcher(shape, half, 60_000);
 	const othersHalf = new Map(Object.entries(ways).map(([name, run]) => [name, run(shape, half, 60_000)]));
 	const waitFigures = shape.teams.map(({team}): Figure => ({
@@ -61,6 +64,12 @@
 		{
 			section, name: 'utilisation while full', unit: '%', ours: ours.utilisation * 100, baselines: compare(result => result.utilisation * 100, others), target: 'at least 98 %', met: ours.utilisation >= 0.98,
 		},
+		{
+			section, name: 'worst gap with each team\'s callers on three entries', unit: '%', ours: oursPinned.worstGap * 100, baselines: compare(result => result.worstGap * 100, othersPinned),
+		},
+		{
+			section, name: 'utilisation with each team\'s callers on three entries', unit: '%', ours: oursPinned.utilisation * 100, baselines: compare(result => result.utilisation * 100, othersPinned),
+		},
 		{
 			section, name: 'wait at half load, mean', unit: 'ms', ours: mean(allWaits(oursHalf)), baselines: compare(result => mean(allWaits(result)), othersHalf), target: 'under 3 ms', met: mean(allWaits(oursHalf)) < 3,
 		},
--- a/utils/measure/slopes.ts
+++ b/utils/measure/slopes.ts
@@ -176,9 +176,8 @@
 	const writer = createFrameWriter();
 	writer.encode(heartbeatOf(0, 1, 1, [], 1));
 	const idleBytes = writer.encode(heartbeatOf(0, 2, 1, [], 1)).length;
-	const onePool = writer.encode(heartbeatOf(0, 3, 1, ['pool-1'], 1)).length;
+	writer.encode(heartbeatOf(0, 3, 1, ['pool-1'], 1));
 	const busyBytes = writer.encode(heartbeatOf(0, 4, 1, ['pool-1'], 1)).length;
-	onePool;
 	const fullView = encodeBytes(state.publications.updateSince(0)).length;
 	const startedAtMs = performance.now();
 	const snapshotBytes = encodeBytes(state.snapshot()).length;
