--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -53,6 +53,13 @@
 	return {command, parent};
 };
 
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+	// A reader such as `head` may close the pipe early.
+	if (error.code !== 'EPIPE') {
+		throw error;
+	}
+});
+
 const words = process.argv.slice(2);
 const {command, parent} = locate(words);
 const usage = async (): Promise<string> => renderUsage(command, parent);
--- a/packages/core/src/replay/outcomes.ts
+++ b/packages/core/src/replay/outcomes.ts
@@ -69,7 +69,10 @@
 	return new Set(names).size === names.length ? undefined : 'an instance is in two pools';
 };
 
-const contains = (value: unknown, part: Record<string, unknown>): boolean => Object.entries(part).every(([key, wanted]) => canonicalJson((value as Record<string, unknown>)[key]) === canonicalJson(wanted));
+const contains = (value: unknown, part: Record<string, unknown>): boolean => {
+	const found = value as Record<string, unknown>;
+	return Object.entries(part).every(([key, wanted]) => canonicalJson(found[key]) === canonicalJson(wanted));
+};
 
 const describeCommandOutcome = (outcome: ControlOutcome | undefined): unknown => (outcome && outcome.type !== 'applied' ? outcome.outcome : outcome);
 
