Count work that was reported before its server announced itself

Cause: after a take-over entries report at once, while a backend server's next announcement may be a second away; its record then began empty, so its slot could be given a second time and its connections were not counted. Change: a new record takes over tickets and open connections that entries reported earlier; two focused tests of agreement that mutations showed to be missing. Before: the new test red, the only slot of a server given twice. After: green. Ruled out: the announcement's inFlight list alone, since tickets that an entry holds are not orphans and were passed over there.

--- a/packages/core/src/dispatch/pool-dispatcher.ts
+++ b/packages/core/src/dispatch/pool-dispatcher.ts
@@ -85,6 +85,7 @@
 	const tickets = new Map<string, ActiveTicket>();
 	const ticketOfRequest = new Map<string, string>();
 	const reports = new Map<string, {seq: number; atMs: number}>();
+	const openByEntry = new Map<string, ReadonlyMap<string, number>>();
 	const unreported = new Set(entries);
 	let excluded = new Set<string>();
 	let rebuilding = entries.length > 0;
@@ -251,12 +252,29 @@
 		}
 	};
 
+	/** Entries may have reported work and connections before the server announced itself here. */
+	const takeEarlierReports = (backend: Backend): void => {
+		for (const ticket of tickets.values()) {
+			if (ticket.instance === backend.instance) {
+				backend.running.set(ticket.ticketId, {team: ticket.team, entry: ticket.entry});
+			}
+		}
+
+		for (const [entry, open] of openByEntry) {
+			table.setConnections(backend.instance, entry, open.get(backend.instance) ?? 0);
+		}
+	};
+
 	const announce = (announcement: Announcement, nowMs: number): void => {
 		const known = table.find(announcement.instance);
 		withOrphanCount(known, () => {
 			table.announce(announcement, nowMs, {excluded: excluded.has(announcement.instance), confirmed: !rebuilding});
 		});
 		const backend = table.find(announcement.instance)!;
+		if (!known) {
+			takeEarlierReports(backend);
+		}
+
 		for (const ticketId of announcement.inFlight) {
 			const [ticketPool, team, ticketEpoch] = ticketId.split(':');
 			// Tickets of this epoch are all known here; a report of one may only be late.
@@ -324,6 +342,7 @@
 		}
 
 		const open = new Map(held.connections.map(connection => [connection.instance, connection.open]));
+		openByEntry.set(held.entry, open);
 		for (const {instance} of table.list()) {
 			table.setConnections(instance, held.entry, open.get(instance) ?? 0);
 		}
@@ -346,6 +365,7 @@
 			}
 
 			reports.delete(entry);
+			openByEntry.delete(entry);
 			for (const [requestId, {slot}] of waiting) {
 				if (slot.value.entry === entry) {
 					cancelWaiting(requestId);
--- a/tests/core/pool-dispatcher.spec.ts
+++ b/tests/core/pool-dispatcher.spec.ts
@@ -268,6 +268,25 @@
 		assert.equal(bench.tickets.length, 1, 'and holds its slot');
 	});
 
+	it('should count work that entries reported before its server announced itself', () => {
+		const bench = createDispatchBench({
+			epoch: 2, entries: ['e1', 'e2'], rebuildUntilMs: 2000, backends: 0, slots: 1,
+		});
+		bench.report({
+			seq: 3, entry: 'e1', held: [{ticketId: 'p:b:1:7', instance: 'i1'}], connections: [{instance: 'i1', open: 1}],
+		});
+		bench.report({seq: 3, entry: 'e2'});
+		bench.announce('i1', {inFlight: ['p:b:1:7'], connections: 1});
+		bench.enqueue('a', {entry: 'e2'});
+		assert.equal(bench.tickets.length, 0, 'its only slot is taken');
+		bench.send({
+			type: 'release', ticketId: 'p:b:1:7', outcome: 'ok', ranMs: 5,
+		});
+		assert.equal(bench.tickets.length, 0, 'and its only connection is still open at e1');
+		bench.report({seq: 4, entry: 'e1'});
+		assert.equal(bench.tickets.length, 1);
+	});
+
 	it('should wait for a fresh announcement of each server where an entry stayed silent', () => {
 		const bench = createDispatchBench({
 			epoch: 2, entries: ['gone'], rebuildUntilMs: 2000, backends: 1, slots: 1,
--- a/tests/replica/raft.spec.ts
+++ b/tests/replica/raft.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
+import {createRaft} from '@bronzebend/replica';
 import {createRaftGroup, type RaftGroup} from '../fixtures/raft-group.js';
 
 const electLeader = (group: RaftGroup): string => {
@@ -119,6 +120,46 @@
 		assert.equal(ask('other'), false);
 	});
 
+	it('should not commit an entry of an earlier term by counting its copies', () => {
+		const members = ['r1', 'r2', 'r3'].map(replica => ({replica, node: replica, voter: true}));
+		const raft = createRaft({
+			replica: 'r1',
+			restored: {hardState: {term: 1, votedFor: 'r1'}, base: {index: 0, term: 0, members}, entries: [{index: 1, term: 1, payload: {type: 'no-op'}}]},
+			random: () => 0,
+			readSnapshot: () => undefined,
+			startedAtMs: 0,
+		});
+		raft.handle({type: 'tick'}, 2000);
+		raft.handle({type: 'receive', from: 'r2', message: {type: 'pre-vote-reply', term: 2, granted: true}}, 2001);
+		raft.handle({type: 'receive', from: 'r2', message: {type: 'vote-reply', term: 2, granted: true}}, 2002);
+		assert.equal(raft.role(), 'leader');
+		raft.handle({type: 'synced', index: 2, term: 2}, 2003);
+		const acknowledge = (index: number): number => raft.handle({
+			type: 'receive', from: 'r2', message: {
+				type: 'append-reply', term: 2, success: true, index, sentAtMs: 2002,
+			},
+		}, 2004).committed.length;
+		assert.equal(acknowledge(1), 0);
+		assert.equal(acknowledge(2), 2);
+	});
+
+	it('should vote for no other while it hears a leader, unless that leader hands over', () => {
+		const group = createRaftGroup(3, 10);
+		const leader = electLeader(group);
+		const [voter, other] = group.ids.filter(id => id !== leader);
+		const ask = (transfer: boolean): boolean => {
+			const output = group.handle(group.node(voter!), {
+				type: 'receive', from: other!, message: {
+					type: 'vote', term: group.node(leader).raft.term() + 1, lastIndex: 100, lastTerm: 100, transfer,
+				},
+			});
+			return output!.afterSync.some(({message}) => message.type === 'vote-reply' && message.granted);
+		};
+
+		assert.equal(ask(false), false);
+		assert.equal(ask(true), true);
+	});
+
 	it('should keep one leader a term, one lease and one log under crashes, cuts, loss, duplication and crossing', () => {
 		const action = fc.oneof(
 			fc.record({type: fc.constant('propose' as const)}),
