--- a/packages/core/src/replay/outcomes.ts
+++ b/packages/core/src/replay/outcomes.ts
@@ -118,6 +118,10 @@
 		const granted = state.control().grants.totalOf(outcome.team);
 		return granted > outcome.count ? `${granted} granted to ${outcome.team}` : undefined;
 	},
+	'portion-is'(outcome, state, isEnd) {
+		const amount = state.control().grants.amountOf(outcome.pool, outcome.team);
+		return isEnd && amount !== outcome.count ? `${outcome.pool} has ${amount} of ${outcome.team}` : undefined;
+	},
 	'key-withdrawn': (outcome, state, isEnd) => isEnd && !state.control().publications.isWithdrawn(outcome.sha256) ? 'the key still works' : undefined,
 	'budget-holds': (outcome, state) => checkBudget(state, outcome.pool),
 	'reboot-only-drained': (_, state) => checkReboots(state),
--- a/packages/core/src/replay/trace.ts
+++ b/packages/core/src/replay/trace.ts
@@ -35,6 +35,9 @@
 	z.strictObject({
 		type: z.literal('granted-at-most'), words, team: z.string(), count,
 	}),
+	z.strictObject({
+		type: z.literal('portion-is'), words, pool: z.string(), team: z.string(), count,
+	}),
 	z.strictObject({type: z.literal('key-withdrawn'), words, sha256: z.string()}),
 	z.strictObject({type: z.literal('budget-holds'), words, pool: z.string()}),
 	z.strictObject({type: z.literal('reboot-only-drained'), words}),
--- a/tests/core/planner.spec.ts
+++ b/tests/core/planner.spec.ts
@@ -115,7 +115,10 @@
 		bench.step();
 		const [first] = bench.working();
 		bench.undrained.add(first!);
-		assert.deepEqual(bench.step().orders, []);
+		for (let step = 0; step < 5; step += 1) {
+			assert.deepEqual(bench.step().orders, []);
+		}
+
 		bench.undrained.delete(first!);
 		bench.step();
 		assert.equal(bench.step().orders[0]!.instance, first);
--- a/tests/daemon/cluster.spec.ts
+++ b/tests/daemon/cluster.spec.ts
@@ -139,10 +139,13 @@
 	});
 
 	it('should pass a cut answer on as broken, never as a short one that looks whole', async () => {
-		backends[0]!.behaviour.cutAnswers = true;
-		const answer = await ask(url(1, '/diagnosis/cut'), {headers: auth(CAFES)});
-		backends[0]!.behaviour.cutAnswers = false;
-		assert.equal(answer.broken, true);
+		for (const chunked of [false, true]) {
+			Object.assign(backends[0]!.behaviour, {cutAnswers: true, chunked});
+			const answer = await ask(url(1, '/diagnosis/cut'), {headers: auth(CAFES)});
+			Object.assign(backends[0]!.behaviour, {cutAnswers: false, chunked: false});
+			assert.equal(answer.status, 200);
+			assert.equal(answer.broken, true);
+		}
 	});
 
 	it('should refuse ambiguous framing, oversized heads and bodies', async () => {
--- a/tests/replica/raft.spec.ts
+++ b/tests/replica/raft.spec.ts
@@ -160,6 +160,25 @@
 		assert.equal(ask(true), true);
 	});
 
+	it('should grant no pre-vote while it hears a leader', () => {
+		const group = createRaftGroup(3, 14);
+		const leader = electLeader(group);
+		const [voter, other] = group.ids.filter(id => id !== leader);
+		const ask = (): boolean => {
+			const output = group.handle(group.node(voter!), {
+				type: 'receive', from: other!, message: {
+					type: 'pre-vote', term: group.node(voter!).raft.term() + 1, lastIndex: 100, lastTerm: 100,
+				},
+			});
+			return output!.now.some(({message}) => message.type === 'pre-vote-reply' && message.granted);
+		};
+
+		assert.equal(ask(), false);
+		group.isolate(leader);
+		group.run(705);
+		assert.equal(ask(), true);
+	});
+
 	it('should keep one leader a term, one lease and one log under crashes, cuts, loss, duplication and crossing', () => {
 		const action = fc.oneof(
 			fc.record({type: fc.constant('propose' as const)}),
--- a/utils/stand-in-backend.ts
+++ b/utils/stand-in-backend.ts
@@ -17,6 +17,8 @@
 	failWith?: number;
 	/** Cuts the answer after half of its body. */
 	cutAnswers?: boolean;
+	/** Sends answers in chunks, without their length. */
+	chunked?: boolean;
 };
 
 /** What a stand-in is made of. */
@@ -78,7 +80,7 @@
 			const text = JSON.stringify({
 				instance: options.instance, method: req.method, path: req.url, bytes: body.length, requestId: req.headers['x-request-id'],
 			});
-			res.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
+			res.writeHead(200, {'content-type': 'application/json', ...(behaviour.chunked ? {} : {'content-length': Buffer.byteLength(text)})});
 			if (behaviour.cutAnswers) {
 				res.write(text.slice(0, text.length / 2), () => {
 					setTimeout(() => {
--- a/utils/write-traces.ts
+++ b/utils/write-traces.ts
@@ -203,6 +203,8 @@
 				],
 				outcomes: [{
 					type: 'granted-at-most', words: 'What is granted over the whole fleet never passes the limit, whoever claims a portion back.', team, count: 60,
+				}, {
+					type: 'portion-is', words: 'A portion shrinks only on the word of its present dispatcher.', pool, team, count: 40,
 				}],
 			};
 		},
