Give tickets a book of their own

Cause: the pool's dispatcher had grown to 540 lines and held tickets, orphans and reports beside its decisions. Change: ticket-book.ts and dispatch-events.ts; behaviour as it was.

--- a/packages/core/src/dispatch/pool-dispatcher.ts
+++ b/packages/core/src/dispatch/pool-dispatcher.ts
@@ -6,59 +6,22 @@
 import {UnreachableError} from '../utils/errors.js';
 import type {FifoSlot} from '../utils/fifo.js';
 import {createBackendTable, type Backend} from './backend-table.js';
+import type {
+	DispatchQueue, DispatchConfiguration, HeldReport, DispatchEvent, PoolDispatchEffect,
+} from './dispatch-events.js';
 import {createRunTimes} from './run-times.js';
 import {
-	refusalReasons, teamOfTicket, ticketOutcomes,
-	type Announcement, type DispatchEffect, type RefusalReason, type Ticket, type TicketOutcome, type WaitingRequest,
+	refusalReasons, ticketOutcomes,
+	type Announcement, type RefusalReason, type TicketOutcome, type WaitingRequest,
 } from './requests.js';
-import {createTeamLedger, type QueuedRequest, type QueueTraits} from './team-ledger.js';
+import {createTicketBook, REPORTS_TO_LOSE_TICKET} from './ticket-book.js';
+import {createTeamLedger, type QueuedRequest} from './team-ledger.js';
 
 /** An entry that has not reported for this long is taken as gone, in milliseconds. */
 export const ENTRY_SILENCE_MS = 3000;
-/** Reports after which a ticket that an entry does not hold counts as lost. */
-const REPORTS_TO_LOSE_TICKET = 2;
 /** Retry-After of refusals for which nothing better is known, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 1000;
 
-/** A queue as the dispatcher needs it. */
-export type DispatchQueue = QueueTraits & {name: string; maxWaiting: number; maxDeadlineMs: number};
-
-/** The part of the configuration that concerns one pool. */
-export type DispatchConfiguration = {
-	queues: DispatchQueue[];
-	weights: Array<{team: string; weight: number}>;
-	maxOut: number;
-	/** Instances that planned work or another pool keeps out. */
-	excluded: string[];
-};
-
-/** What an entry holds for a pool; sent a few times a second and on take-over. */
-export type HeldReport = {
-	entry: string;
-	seq: number;
-	/** Highest dispatcher epoch the entry knows; it takes no tickets of lower ones. */
-	epoch: number;
-	held: Array<{ticketId: string; instance: string}>;
-	waiting: string[];
-	connections: Array<{instance: string; open: number}>;
-};
-
-/** Everything that a dispatcher reacts to. */
-export type DispatchEvent =
-	| {type: 'configure'; configuration: DispatchConfiguration}
-	| {type: 'grants'; grants: Array<{team: string; amount: number}>}
-	| {type: 'enqueue'; request: WaitingRequest; reportSeq: number}
-	| {type: 'cancel'; requestId: string}
-	| {type: 'release'; ticketId: string; outcome: TicketOutcome; ranMs: number}
-	| {type: 'announce'; announcement: Announcement}
-	| {type: 'report'; report: HeldReport}
-	/** No ticket is given from `untilMs` on. */
-	| {type: 'lease'; untilMs: number}
-	| {type: 'tick'};
-
-/** What a dispatcher emits besides tickets and refusals. */
-export type PoolDispatchEffect = DispatchEffect | {type: 'resend'; entry: string; requestIds: string[]};
-
 /** How a dispatcher starts. */
 export type PoolDispatcherOptions = {
 	pool: string;
@@ -69,7 +32,6 @@
 	rebuildUntilMs: number;
 };
 
-type ActiveTicket = Ticket & {team: string; queue: string | undefined; endsAtMs: number};
 type Waiting = {slot: FifoSlot<QueuedRequest>; reportSeq: number};
 
 /** The dispatcher of one pool. */
@@ -79,17 +41,17 @@
 export const createPoolDispatcher = ({pool, epoch, entries, rebuildUntilMs}: PoolDispatcherOptions) => {
 	const ledger = createTeamLedger();
 	const table = createBackendTable({maxEjected: 1});
+	const book = createTicketBook({
+		pool, epoch, ledger, table,
+	});
 	const runTimes = createRunTimes();
 	const queues = new Map<string, DispatchQueue>();
 	const waiting = new Map<string, Waiting>();
-	const tickets = new Map<string, ActiveTicket>();
-	const ticketOfRequest = new Map<string, string>();
 	const reports = new Map<string, {seq: number; atMs: number}>();
 	const openByEntry = new Map<string, ReadonlyMap<string, number>>();
 	const unreported = new Set(entries);
 	let excluded = new Set<string>();
 	let rebuilding = entries.length > 0;
-	let ticketNumber = 0;
 	let longestDeadlineMs = 60_000;
 	let leaseUntilMs = -Infinity;
 
@@ -103,24 +65,11 @@
 	};
 
 	const giveTicket = (request: QueuedRequest, backend: Backend, nowMs: number): PoolDispatchEffect => {
-		ticketNumber += 1;
-		const ticket: Ticket = {
-			ticketId: `${pool}:${request.team}:${epoch}:${ticketNumber}`,
-			requestId: request.requestId,
-			entry: request.entry,
-			instance: backend.instance,
-			address: backend.announced.address,
-			epoch,
+		const ticket = book.give(request, backend, {
 			reportSeq: reports.get(request.entry)?.seq ?? 0,
-		};
-		const endsAtMs = nowMs + (queues.get(request.queue)?.maxDeadlineMs ?? longestDeadlineMs);
-		tickets.set(ticket.ticketId, {
-			...ticket, team: request.team, queue: request.queue, endsAtMs,
+			endsAtMs: nowMs + (queues.get(request.queue)?.maxDeadlineMs ?? longestDeadlineMs),
 		});
-		ticketOfRequest.set(request.requestId, ticket.ticketId);
-		table.occupy(backend, ticket.ticketId, request.team, request.entry);
 		waiting.delete(request.requestId);
-		ledger.start(request);
 		return {type: 'ticket', ticket};
 	};
 
@@ -170,7 +119,7 @@
 			return [refuse(request, refusalReasons.unknownQueue)];
 		}
 
-		if (waiting.has(request.requestId) || ticketOfRequest.has(request.requestId)) {
+		if (waiting.has(request.requestId) || book.hasRequest(request.requestId)) {
 			return [];
 		}
 
@@ -198,26 +147,8 @@
 		}
 	};
 
-	const forget = (ticket: ActiveTicket): void => {
-		tickets.delete(ticket.ticketId);
-		ticketOfRequest.delete(ticket.requestId);
-	};
-
-	/** Work whose entry no longer answers for it runs until the backend server's reports or its deadline say otherwise. */
-	const orphan = (ticket: ActiveTicket): void => {
-		const backend = table.find(ticket.instance);
-		forget(ticket);
-		if (!backend) {
-			ledger.finish(ticket.team, ticket.queue);
-			return;
-		}
-
-		backend.running.delete(ticket.ticketId);
-		backend.orphans.set(ticket.ticketId, {team: ticket.team, endsAtMs: ticket.endsAtMs, seenReport: false});
-	};
-
 	const release = (ticketId: string, outcome: TicketOutcome, ranMs: number, nowMs: number): void => {
-		const ticket = tickets.get(ticketId);
+		const ticket = book.find(ticketId);
 		if (!ticket) {
 			return;
 		}
@@ -228,7 +159,7 @@
 		}
 
 		if (outcome === ticketOutcomes.unknown) {
-			orphan(ticket);
+			book.orphan(ticket);
 			return;
 		}
 
@@ -236,30 +167,12 @@
 			runTimes.observe(ticket.queue, ranMs);
 		}
 
-		backend?.running.delete(ticketId);
-		forget(ticket);
-		ledger.finish(ticket.team, ticket.queue);
-	};
-
-	/** Counts in the ledger the orphans that an announcement or a deadline ended. */
-	const withOrphanCount = (backend: Backend | undefined, change: () => void): void => {
-		const before = backend ? [...backend.orphans] : [];
-		change();
-		for (const [ticketId, {team}] of before) {
-			if (!backend!.orphans.has(ticketId) && !tickets.has(ticketId)) {
-				ledger.finish(team, undefined);
-			}
-		}
+		book.close(ticket);
 	};
 
 	/** Entries may have reported work and connections before the server announced itself here. */
 	const takeEarlierReports = (backend: Backend): void => {
-		for (const ticket of tickets.values()) {
-			if (ticket.instance === backend.instance) {
-				backend.running.set(ticket.ticketId, {team: ticket.team, entry: ticket.entry});
-			}
-		}
-
+		book.placeOn(backend);
 		for (const [entry, open] of openByEntry) {
 			table.setConnections(backend.instance, entry, open.get(backend.instance) ?? 0);
 		}
@@ -267,7 +180,7 @@
 
 	const announce = (announcement: Announcement, nowMs: number): void => {
 		const known = table.find(announcement.instance);
-		withOrphanCount(known, () => {
+		book.countEndedOrphans(known, () => {
 			table.announce(announcement, nowMs, {excluded: excluded.has(announcement.instance), confirmed: !rebuilding});
 		});
 		const backend = table.find(announcement.instance)!;
@@ -275,32 +188,7 @@
 			takeEarlierReports(backend);
 		}
 
-		for (const ticketId of announcement.inFlight) {
-			const [ticketPool, team, ticketEpoch] = ticketId.split(':');
-			// Tickets of this epoch are all known here; a report of one may only be late.
-			const isEarlier = ticketPool === pool && Number(ticketEpoch) < epoch;
-			if (isEarlier && team !== undefined && !tickets.has(ticketId) && !backend.orphans.has(ticketId)) {
-				backend.orphans.set(ticketId, {team, endsAtMs: nowMs + longestDeadlineMs, seenReport: true});
-				ledger.adopt(team);
-			}
-		}
-	};
-
-	const adoptTicket = (entry: string, ticketId: string, instance: string, nowMs: number): void => {
-		const team = teamOfTicket(ticketId);
-		if (team === undefined || !ticketId.startsWith(`${pool}:`)) {
-			return;
-		}
-
-		const backend = table.find(instance);
-		if (backend?.orphans.delete(ticketId) !== true) {
-			ledger.adopt(team);
-		}
-
-		backend?.running.set(ticketId, {team, entry});
-		tickets.set(ticketId, {
-			ticketId, requestId: '', entry, instance, address: '', epoch, reportSeq: Infinity, team, queue: undefined, endsAtMs: nowMs + longestDeadlineMs,
-		});
+		book.adoptInFlight(backend, nowMs + longestDeadlineMs);
 	};
 
 	const finishRebuild = (): void => {
@@ -318,23 +206,8 @@
 		}
 
 		reports.set(held.entry, {seq: held.seq, atMs: nowMs});
-		const heldIds = new Set(held.held.map(item => item.ticketId));
 		const waitingIds = new Set(held.waiting);
-		for (const {ticketId, instance} of held.held) {
-			const known = tickets.get(ticketId);
-			if (!known) {
-				adoptTicket(held.entry, ticketId, instance, nowMs);
-			}
-		}
-
-		for (const ticket of tickets.values()) {
-			const isLost = ticket.entry === held.entry && !heldIds.has(ticket.ticketId)
-				&& (ticket.reportSeq === Infinity || ticket.reportSeq <= held.seq - REPORTS_TO_LOSE_TICKET);
-			if (isLost) {
-				orphan(ticket);
-			}
-		}
-
+		book.reconcile(held.entry, held.seq, held.held, nowMs + longestDeadlineMs);
 		for (const [requestId, {slot, reportSeq}] of waiting) {
 			if (slot.value.entry === held.entry && !waitingIds.has(requestId) && reportSeq <= held.seq - REPORTS_TO_LOSE_TICKET) {
 				cancelWaiting(requestId);
@@ -354,7 +227,7 @@
 			}
 		}
 
-		const missing = held.waiting.filter(requestId => !waiting.has(requestId) && !ticketOfRequest.has(requestId));
+		const missing = held.waiting.filter(requestId => !waiting.has(requestId) && !book.hasRequest(requestId));
 		return missing.length > 0 ? [{type: 'resend', entry: held.entry, requestIds: missing}] : [];
 	};
 
@@ -372,11 +245,7 @@
 				}
 			}
 
-			for (const ticket of tickets.values()) {
-				if (ticket.entry === entry) {
-					orphan(ticket);
-				}
-			}
+			book.orphanAllOf(entry);
 
 			for (const backend of table.list()) {
 				backend.connections.delete(entry);
@@ -386,7 +255,7 @@
 
 	const endOrphans = (nowMs: number): void => {
 		for (const backend of table.list()) {
-			withOrphanCount(backend, () => {
+			book.countEndedOrphans(backend, () => {
 				for (const [ticketId, {endsAtMs}] of backend.orphans) {
 					if (endsAtMs <= nowMs) {
 						backend.orphans.delete(ticketId);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './declarations/check-set.js';
 export * from './declarations/kinds.js';
 export * from './dispatch/backend-table.js';
+export type * from './dispatch/dispatch-events.js';
 export * from './dispatch/pool-dispatcher.js';
 export * from './dispatch/requests.js';
 export * from './dispatch/retry-budget.js';
--- a/packages/core/src/replay/trace.ts
+++ b/packages/core/src/replay/trace.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import type {ControlCommand} from '../control/control-state.js';
 import {declarationSchema} from '../declarations/kinds.js';
-import type {DispatchEvent} from '../dispatch/pool-dispatcher.js';
+import type {DispatchEvent} from '../dispatch/dispatch-events.js';
 import {BronzebendError} from '../utils/errors.js';
 
 /** Version of the trace format. */
