Take the leader's calls out of the keeper

Cause: the keeper held its replica's life and every call's answer in one file. Change: leader-calls.ts and replica-errors.ts; behaviour as it was.

--- a/packages/daemon/src/keeper/keeper-host.ts
+++ b/packages/daemon/src/keeper/keeper-host.ts
@@ -1,24 +1,23 @@
 /** A keeper: one replica of the shared state, and the leader's work while it leads. */
 import {
-	BronzebendError, createControlState, UnreachableError,
-	type Clock, type ControlCommand, type ControlOutcome, type ControlSnapshot, type ControlState, type Declaration,
+	createControlState,
+	type Clock, type ControlCommand, type ControlOutcome, type ControlSnapshot, type ControlState,
 } from '@bronzebend/core';
 import {
 	createFileDisk, createReplica, decodeBytes, encodeBytes, lockFolder, NotLeaderError, openStorage, type Replica,
 } from '@bronzebend/replica';
 import type {
-	CallResult, Heartbeat, LeaderCall, Member, PeerMessage,
+	Heartbeat, LeaderCall, Member, PeerMessage,
 } from '@bronzebend/wire';
 import {createLeaderDesk, type LeaderDesk} from '../leader/leader-desk.js';
 import type {Platform} from '../leader/platform-client.js';
 import {
-	createWorkRunner, PLAN_MS, previewPlan, type WorkRunner,
+	createWorkRunner, PLAN_MS, type WorkRunner,
 } from '../leader/work-runner.js';
 import type {Log} from '../utils/log.js';
 import {decideForming, type ProbeReply} from './bootstrap.js';
 import {createMemberChanges} from './member-changes.js';
-import {checkedCatalogue, createPublishCommand} from './publish-call.js';
-import {describeStatus} from './status.js';
+import {createLeaderCalls} from './leader-calls.js';
 
 /** Pause between two ticks of the replica, in milliseconds. */
 const REPLICA_TICK_MS = 25;
@@ -43,18 +42,6 @@
 /** A running keeper. */
 export type KeeperHost = Awaited<ReturnType<typeof createKeeperHost>>;
 
-const failureOf = (error: unknown): CallResult => {
-	if (error instanceof BronzebendError) {
-		return {
-			type: 'failure', code: error.code, message: error.message, details: {...error.details},
-		};
-	}
-
-	return {
-		type: 'failure', code: 'internal', message: String(error), details: {},
-	};
-};
-
 /** Opens the data folder and starts the keeper. */
 export const createKeeperHost = async (options: KeeperHostOptions) => {
 	const {node, clock, log, keepers} = options;
@@ -177,90 +164,23 @@
 		replicaOf: name => probeReplies.get(name)?.replica,
 	});
 
-	const confirmLeading = (): {replica: Replica<ControlOutcome>; desk: LeaderDesk} => {
-		if (replica?.hasLease() === true && desk) {
-			return {replica, desk};
-		}
-
-		throw new NotLeaderError(leaderNode());
-	};
-
-	const runCommand = async (command: ControlCommand): Promise<ControlOutcome> => {
-		const stamped = 'atMs' in command ? {...command, atMs: Math.round(clock.wallMs())} : command;
-		return confirmLeading().replica.propose(stamped);
-	};
-
-	const answer = async (call: LeaderCall): Promise<unknown> => {
-		const leading = confirmLeading();
-		switch (call.type) {
-			case 'command': {
-				return runCommand(call.command);
-			}
-
-			case 'publish': {
-				return runCommand(createPublishCommand(state, call, Math.round(clock.wallMs())));
-			}
-
-			case 'status': {
-				return describeStatus({
-					state, replica: leading.replica, desk: leading.desk, node, nowMs: clock.monotonicMs(),
-				});
-			}
-
-			case 'history': {
-				return state.publications.history().map(({version, publicationId, author, atMs, delta, withdrawn}) => ({
-					version, publicationId, author, atMs, changed: delta.upserts.length, removed: delta.removals.length, withdrawn: withdrawn.length,
-				}));
-			}
-
-			case 'read-set': {
-				return {version: state.publications.version(), declarations: [...state.publications.catalogue().objects.values()]};
-			}
-
-			case 'backup': {
-				return {version: state.publications.version(), state: state.snapshot()};
-			}
-
-			case 'plan': {
-				return describePlan(leading.desk, call.declarations);
-			}
-
-			case 'members': {
-				return leading.replica.raft.members();
-			}
-
-			case 'add-keeper': {
-				return memberChanges.add(call.node);
-			}
-
-			case 'remove-keeper': {
-				return memberChanges.remove(call.node);
-			}
-
-			default: {
-				throw new UnreachableError(call);
+	const answer = createLeaderCalls({
+		node,
+		clock,
+		memberChanges,
+		leading() {
+			if (replica?.hasLease() === true && desk && runner) {
+				return {
+					replica, desk, runner, state, sinceMs: leadingSinceMs,
+				};
 			}
-		}
-	};
-
-	const describePlan = (current: LeaderDesk, declarations: Declaration[] | undefined): unknown => {
-		if (declarations === undefined) {
-			return runner?.latest() ?? {};
-		}
 
-		return previewPlan({
-			state, directory: current.directory, clock, startedAtMs: leadingSinceMs,
-		}, checkedCatalogue(declarations));
-	};
+			throw new NotLeaderError(leaderNode());
+		},
+	});
 
 	const onCall = async (from: string, id: number, call: LeaderCall): Promise<void> => {
-		let result: CallResult;
-		try {
-			result = {type: 'value', value: await answer(call)};
-		} catch (error) {
-			result = failureOf(error);
-		}
-
+		const result = await answer(call);
 		options.send(from, {type: 'call-reply', id, result});
 	};
 
--- a/packages/daemon/src/keeper/member-changes.ts
+++ b/packages/daemon/src/keeper/member-changes.ts
@@ -25,6 +25,9 @@
 	setTimeout(resolve, POLL_MS);
 });
 
+/** The operations. */
+export type MemberChanges = ReturnType<typeof createMemberChanges>;
+
 /** Creates the operations. */
 export const createMemberChanges = ({replica, probe, replicaOf}: MemberChangesOptions) => {
 	const leading = (): Replica<ControlOutcome> => {
--- a/packages/replica/src/index.ts
+++ b/packages/replica/src/index.ts
@@ -3,4 +3,5 @@
 export * from './frames.js';
 export * from './raft.js';
 export * from './replica.js';
+export * from './replica-errors.js';
 export * from './storage.js';
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -1,11 +1,12 @@
 /** Drives one replica: agreement, disk, state machine and messages, one event after another. */
-import {BronzebendError, type Clock, type ControlCommand} from '@bronzebend/core';
+import type {BronzebendError, Clock, ControlCommand} from '@bronzebend/core';
 import type {
 	LogEntry, LogPayload, Member, RaftMessage, Snapshot,
 } from '@bronzebend/wire';
 import {
 	createRaft, type Outgoing, type Raft, type RaftEvent, type RaftOutput, type RaftTimings,
 } from './raft.js';
+import {NotLeaderError, OutcomeUnknownError} from './replica-errors.js';
 import {DiskFullError, type Storage, type StorageOperation} from './storage.js';
 
 /** Applied entries after which the log is cut by a snapshot. */
@@ -13,24 +14,6 @@
 /** Pause before a batch is tried again on a full disk, in milliseconds. */
 const DISK_FULL_PAUSE_MS = 500;
 
-/** This replica does not lead; `leader` is the node that may. */
-export class NotLeaderError extends BronzebendError {
-	override readonly name = 'NotLeaderError';
-
-	constructor(readonly leader: string | undefined) {
-		super('not-leader', 'Cannot accept the change here: this keeper does not lead. Ask the leader.', {leader});
-	}
-}
-
-/** Leadership ended before the change was known to be accepted; it may or may not be. */
-export class OutcomeUnknownError extends BronzebendError {
-	override readonly name = 'OutcomeUnknownError';
-
-	constructor() {
-		super('outcome-unknown', 'The leader changed before the change was confirmed. Send it again with the same ID.');
-	}
-}
-
 /** The state that the log drives. */
 export type StateMachine<Outcome> = {
 	apply(command: ControlCommand, index: number): Outcome;
