Show waves, waits and silent members in status

Change: status counts planned, failed and silent members as out, with waves and what waits, in text, JSON and page; a spare pool is not marked as short. Before: 0 / 2 out with 2 of 8 live.

--- a/packages/cli/src/commands/cluster.ts
+++ b/packages/cli/src/commands/cluster.ts
@@ -19,6 +19,7 @@
 import {publishSet} from './declarations.js';
 
 const SECRET_BYTES = 24;
+const MS_PER_MINUTE = 60_000;
 
 const printStatus = (status: ClusterStatus): void => {
 	print(`Version ${status.version} in force, led by ${status.leader} in term ${status.term}.\n`);
@@ -38,6 +39,17 @@
 		['NODE', 'DATA CENTRE', 'VERSION', 'LAST HEARD'],
 		...status.nodes.map(node => [node.node, node.dataCentre, `${node.version}${node.lags ? ' (lags)' : ''}`, `${node.silentMs} ms ago`]),
 	]));
+	if (status.waves.length > 0) {
+		print('');
+		print(formatTable([
+			['WAVE', 'DONE', 'IN WORK', 'ESTIMATE'],
+			...status.waves.map(wave => [wave.wave, `${wave.done}/${wave.total}`, String(wave.running), wave.estimateMs === undefined ? '-' : `${Math.ceil(wave.estimateMs / MS_PER_MINUTE)} min`]),
+		]));
+		for (const wait of status.waits) {
+			print(`${wait.instance ?? wait.pool}: ${wait.what} waits: ${wait.reason}`);
+		}
+	}
+
 	if (status.work.length > 0) {
 		print('');
 		print(formatTable([['INSTANCE', 'POOL', 'WORK', 'STEP'], ...status.work.map(work => [work.instance, work.pool, work.what, work.step])]));
--- a/packages/daemon/src/keeper/leader-calls.ts
+++ b/packages/daemon/src/keeper/leader-calls.ts
@@ -82,7 +82,7 @@
 
 			case 'status': {
 				return describeStatus({
-					state, replica, desk, node, nowMs: clock.monotonicMs(),
+					state, replica, desk, plan: current.runner.latest(), node, nowMs: clock.monotonicMs(),
 				});
 			}
 
--- a/packages/daemon/src/keeper/status.ts
+++ b/packages/daemon/src/keeper/status.ts
@@ -1,6 +1,9 @@
 /** What `status` shows: versions in force, pools, teams, keepers. */
-import {objectId, type ControlOutcome, type ControlState} from '@bronzebend/core';
+import {
+	objectId, type ControlOutcome, type ControlState, type Placement, type PlannedWait, type PlannerOutput, type WaveProgress,
+} from '@bronzebend/core';
 import type {Replica} from '@bronzebend/replica';
+import type {DispatchReport} from '@bronzebend/wire';
 import type {LeaderDesk} from '../leader/leader-desk.js';
 
 /** State of one pool. */
@@ -12,7 +15,9 @@
 	members: number;
 	live: number;
 	slots: number;
+	/** Members that are out for whatever reason: planned work, failed, silent. */
 	out: string[];
+	isSpare: boolean;
 	maxOut: number;
 	running: number;
 	waiting: number;
@@ -29,13 +34,21 @@
 	queues: Array<{queue: string; pool: string; prefix: string}>;
 	teams: Array<{team: string; limit: number | undefined; granted: number; running: number; waiting: number}>;
 	work: Array<{instance: string; pool: string; step: string; what: string}>;
+	/** Progress of maintenance waves. */
+	waves: WaveProgress[];
+	/** What planned work waits for. */
+	waits: PlannedWait[];
 };
 
 /** What the status is made from. */
-export type StatusSource = {state: ControlState; replica: Replica<ControlOutcome>; desk: LeaderDesk; node: string; nowMs: number};
+export type StatusSource = {state: ControlState; replica: Replica<ControlOutcome>; desk: LeaderDesk; plan: PlannerOutput | undefined; node: string; nowMs: number};
+
+/** Nobody calls a spare pool, so its members announce nothing there. */
+const isOut = ({instance, work}: Placement, isSpare: boolean, report: DispatchReport | undefined): boolean => work !== undefined
+	|| (!isSpare && (report === undefined || report.out.includes(instance) || !report.known.includes(instance)));
 
 /** Describes the cluster. */
-export const describeStatus = ({state, replica, desk, node, nowMs}: StatusSource): ClusterStatus => {
+export const describeStatus = ({state, replica, desk, plan, node, nowMs}: StatusSource): ClusterStatus => {
 	const catalogue = state.publications.catalogue();
 	const version = state.publications.version();
 	const placements = state.placements.list();
@@ -63,7 +76,8 @@
 				members: placements.filter(placement => placement.pool === pool.name).length,
 				live: report?.live ?? 0,
 				slots: report?.slots ?? 0,
-				out: report?.out ?? [],
+				out: placements.filter(placement => placement.pool === pool.name && isOut(placement, pool.spare, report)).map(placement => placement.instance),
+				isSpare: pool.spare,
 				maxOut: pool.availability.maxOut,
 				running: report?.demands.reduce((sum, demand) => sum + demand.running, 0) ?? 0,
 				waiting: report?.demands.reduce((sum, demand) => sum + demand.waiting, 0) ?? 0,
@@ -77,5 +91,7 @@
 			step: placement.work!.step,
 			what: placement.work!.plan.type === 'move' ? `move to ${placement.work!.plan.target}` : `reboot for ${placement.work!.plan.wave}`,
 		})),
+		waves: plan?.waves ?? [],
+		waits: plan?.waits ?? [],
 	};
 };
--- a/packages/daemon/src/operators/page.ts
+++ b/packages/daemon/src/operators/page.ts
@@ -1,6 +1,8 @@
 /** The read-only status page: server-made HTML. */
 import type {ClusterStatus} from '../keeper/status.js';
 
+const MS_PER_MINUTE = 60_000;
+
 type Cell = string | number | undefined;
 
 const escapeHtml = (value: Cell): string => String(value ?? '–').replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;').replaceAll('"', '&quot;');
@@ -26,7 +28,7 @@
 ${table('Pools', status.pools, [
 	{title: 'Pool', read: pool => pool.pool},
 	{title: 'Dispatcher', read: pool => pool.dispatcher, isBad: pool => pool.dispatcher === undefined},
-	{title: 'Live / wanted', read: pool => `${pool.live} / ${pool.wanted}`, isBad: pool => pool.live < pool.wanted - pool.maxOut},
+	{title: 'Live / wanted', read: pool => `${pool.live} / ${pool.wanted}`, isBad: pool => !pool.isSpare && pool.live < pool.wanted - pool.maxOut},
 	{title: 'Slots', read: pool => pool.slots},
 	{title: 'Out / budget', read: pool => `${pool.out.length} / ${pool.maxOut}`, isBad: pool => pool.out.length > pool.maxOut},
 	{title: 'Running', read: pool => pool.running},
@@ -39,6 +41,18 @@
 	{title: 'Granted', read: team => team.granted},
 	{title: 'Upper limit', read: team => team.limit},
 ])}
+${table('Maintenance waves', status.waves, [
+	{title: 'Wave', read: wave => wave.wave},
+	{title: 'Done', read: wave => `${wave.done} / ${wave.total}`},
+	{title: 'In work', read: wave => wave.running},
+	{title: 'Estimate', read: wave => (wave.estimateMs === undefined ? undefined : `${Math.ceil(wave.estimateMs / MS_PER_MINUTE)} min`)},
+])}
+${table('Waits', status.waits, [
+	{title: 'Pool', read: wait => wait.pool},
+	{title: 'Instance', read: wait => wait.instance},
+	{title: 'What', read: wait => wait.what},
+	{title: 'Reason', read: wait => wait.reason},
+])}
 ${table('Planned work', status.work, [
 	{title: 'Instance', read: work => work.instance},
 	{title: 'Pool', read: work => work.pool},
--- a/tests/daemon/operations.spec.ts
+++ b/tests/daemon/operations.spec.ts
@@ -143,6 +143,7 @@
 			const html = await page.text();
 			assert.match(html, /<caption>Pools<\/caption>/);
 			assert.match(html, /hotel-chain/);
+			assert.match(html, /8 \/ 2/, 'members that nobody heard of are out');
 		} finally {
 			await cluster.stop();
 		}
