Give tickets back that are read after the view lease ended

Cause: a paused entry reads, when it goes on, tickets that came before the pause; its report number stood still meanwhile, so that fence did not hold, and on open queues nothing else looked at the lease. Change: the ticket desk takes tickets only while the view is fresh; a node that starts while a pool is dispatched reports at once.

--- a/packages/daemon/src/entry/ticket-desk.ts
+++ b/packages/daemon/src/entry/ticket-desk.ts
@@ -57,7 +57,7 @@
 
 		const assignment = view.assignmentOf(pool);
 		const created: PoolState = {
-			pool, epoch: assignment?.epoch ?? 0, node: assignment?.node ?? '', seq: 1, waiting: new Map(), held: new Map(), owesReport: false,
+			pool, epoch: assignment?.epoch ?? 0, node: assignment?.node ?? '', seq: 1, waiting: new Map(), held: new Map(), owesReport: assignment !== undefined,
 		};
 		pools.set(pool, created);
 		return created;
@@ -119,8 +119,9 @@
 	};
 
 	const takeTicket = (state: PoolState, ticket: Ticket): void => {
-		// A ticket that the dispatcher may have taken back must not be used.
-		const isLate = ticket.epoch < state.epoch || ticket.reportSeq <= state.seq - REPORTS_TO_LOSE_TICKET;
+		// A ticket that the dispatcher may have taken back must not be used; neither one that was read
+		// after a pause of this process, in which another dispatcher may have taken over.
+		const isLate = !view.isFresh(nowMs()) || ticket.epoch < state.epoch || ticket.reportSeq <= state.seq - REPORTS_TO_LOSE_TICKET;
 		if (isLate || !state.waiting.has(ticket.requestId)) {
 			release(state.pool, ticket.ticketId, 'unused', 0);
 			return;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,5 @@
 export * from './entry/announcements.js';
+export * from './entry/ticket-desk.js';
 export * from './keeper/status.js';
 export * from './keeper/bootstrap.js';
 export * from './leader/leader-desk.js';
