--- a/tests/daemon/ticket-desk.spec.ts
+++ b/tests/daemon/ticket-desk.spec.ts
@@ -49,7 +49,7 @@
 		desk,
 		assign,
 		requestsOf,
-		answer: async (): Promise<TicketAnswer | undefined> => {
+		async answer(): Promise<TicketAnswer | undefined> {
 			await setImmediate();
 			return answer;
 		},
