--- a/utils/measure.ts
+++ b/utils/measure.ts
@@ -7,6 +7,7 @@
 import {fileURLToPath} from 'node:url';
 import {measureCapacity} from './measure/capacity.js';
 import {measureDispatch, measureOverload} from './measure/dispatch.js';
+import {measureFailover} from './measure/failover.js';
 import {measureLimits} from './measure/limits.js';
 import {measurePath} from './measure/path.js';
 import {measureSlopes} from './measure/slopes.js';
@@ -23,6 +24,7 @@
 	dispatch: measureDispatch,
 	overload: measureOverload,
 	limits: measureLimits,
+	failover: measureFailover,
 	capacity: measureCapacity,
 	slopes: measureSlopes,
 };
