Remove what nothing calls, and one constant that stood twice

Cause: a second read of the whole change found members that nothing calls (the ticket desk's recheck, a view's end, two problems, a request's attempt number), a re-export that hid where connections come from, and the largest kept answer declared beside its twin. Change: these are gone; MAX_RECORDED_BODY_BYTES serves both places.

--- a/packages/core/src/dispatch/pool-dispatcher.ts
+++ b/packages/core/src/dispatch/pool-dispatcher.ts
@@ -137,7 +137,7 @@
 
 		const lastSeq = reports.get(request.entry)?.seq ?? 0;
 		reports.set(request.entry, {seq: Math.max(lastSeq, reportSeq), atMs: nowMs});
-		const slot = ledger.enqueue({...request, arrivedAtMs: nowMs, attempt: request.tried.length}, queue);
+		const slot = ledger.enqueue({...request, arrivedAtMs: nowMs}, queue);
 		waiting.set(request.requestId, {slot, reportSeq});
 		return schedule(nowMs);
 	};
--- a/packages/core/src/dispatch/team-ledger.ts
+++ b/packages/core/src/dispatch/team-ledger.ts
@@ -13,7 +13,7 @@
 export const AGEING_MS = 60_000;
 
 /** A waiting request with the times that decisions need. */
-export type QueuedRequest = WaitingRequest & {arrivedAtMs: number; attempt: number};
+export type QueuedRequest = WaitingRequest & {arrivedAtMs: number};
 
 type TeamQueue = {name: string; weight: number; urgent: boolean; waiting: Fifo<QueuedRequest>; running: number};
 
--- a/packages/daemon/src/entry/entry-server.ts
+++ b/packages/daemon/src/entry/entry-server.ts
@@ -330,5 +330,3 @@
 		},
 	};
 };
-
-export {createBackendClients} from './backend-clients.js';
--- a/packages/daemon/src/entry/problem.ts
+++ b/packages/daemon/src/entry/problem.ts
@@ -30,7 +30,6 @@
 	wrongKey: problem('wrong-key', 401, 'Key refused', 'The key is unknown or was withdrawn. Ask your operator for a new one.'),
 	wrongTeam: problem('wrong-team', 403, 'Queue closed to this team', 'The key belongs to a team that this queue does not serve.'),
 	staleView: problem('stale-view', 503, 'Cannot check keys now', 'This entry has lost contact with the keepers. Try again; another entry may answer.'),
-	stopping: problem('stopping', 503, 'Entry stops', 'This entry is stopping. Try again; another entry will answer.'),
 	badFraming: problem('bad-request', 400, 'Request refused', 'The request is malformed or its framing is ambiguous.'),
 	headTooLarge: problem('head-too-large', 431, 'Head too large', 'The request head is larger than this entry accepts.'),
 	bodyTooLarge: problem('body-too-large', 413, 'Body too large', 'The body is larger than the queue accepts.'),
@@ -42,7 +41,6 @@
 	outcomeUnknown: problem('outcome-unknown', 409, 'Outcome unknown, not run again', 'An earlier send of this request started and its outcome is not known. It is not run again.', executions.unknown),
 	answerNotKept: problem('answer-not-kept', 409, 'Answered before, not run again', 'An earlier send was answered; that answer was too large to keep. It is not run again.', executions.unknown),
 	unreachable: problem('backend-unreachable', 503, 'No backend server reached', 'No backend server could be reached; none received the request.'),
-	backendRefused: problem('backend-refused', 503, 'Backend server refused', 'The backend server said that it did not run the request.'),
 	backendCut: problem('backend-cut', 502, 'Backend server lost', 'The backend server was lost before it answered. The request may have run.', executions.unknown),
 	backendTimeout: problem('deadline-exceeded', 504, 'Deadline passed', 'No answer came before the deadline. The request may have run.', executions.unknown),
 } as const;
--- a/packages/daemon/src/entry/request-run.ts
+++ b/packages/daemon/src/entry/request-run.ts
@@ -4,7 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Transform, type Readable} from 'node:stream';
 import {
-	ticketOutcomes, type Clock, type Queue, type RetryBudget, type Ticket,
+	MAX_RECORDED_BODY_BYTES, ticketOutcomes, type Clock, type Queue, type RetryBudget, type Ticket,
 } from '@bronzebend/core';
 import type {Metrics} from '../utils/metrics.js';
 import type {RequestTrace} from '../utils/tracing.js';
@@ -21,8 +21,6 @@
 const MAX_TRIES = 3;
 /** Largest request body that is kept for a retry, in bytes. */
 const MAX_KEPT_BODY_BYTES = 65_536;
-/** Largest answer body that is kept for a claim, in bytes. */
-const MAX_KEPT_ANSWER_BYTES = 2048;
 
 /** A request that passed admission. */
 export type AdmittedRequest = {
@@ -247,7 +245,7 @@
 			answerFields: {[fields.requestId]: request.requestId},
 			signal: AbortSignal.any([request.controller.signal, deadline.signal]),
 			deadlineReason: DEADLINE,
-			keepBytes: course.claim ? MAX_KEPT_ANSWER_BYTES : 0,
+			keepBytes: course.claim ? MAX_RECORDED_BODY_BYTES : 0,
 			nowMs: () => clock.monotonicMs(),
 		});
 		clearTimeout(timer);
--- a/packages/daemon/src/entry/ticket-desk.ts
+++ b/packages/daemon/src/entry/ticket-desk.ts
@@ -239,20 +239,6 @@
 			return state.epoch > 0;
 		},
 
-		/** Ends waits for which `isGood` no longer holds. */
-		recheck(isGood: (wish: TicketWish) => boolean): string[] {
-			const ended: string[] = [];
-			for (const state of pools.values()) {
-				for (const [requestId, {wish}] of state.waiting) {
-					if (!isGood(wish)) {
-						ended.push(requestId);
-					}
-				}
-			}
-
-			return ended;
-		},
-
 		held: (): number => [...pools.values()].reduce((sum, state) => sum + state.held.size, 0),
 		waiting: (): number => [...pools.values()].reduce((sum, state) => sum + state.waiting.size, 0),
 
--- a/packages/daemon/src/node/view.ts
+++ b/packages/daemon/src/node/view.ts
@@ -89,7 +89,6 @@
 		},
 
 		isFresh: (nowMs: number): boolean => confirmed && nowMs < untilMs,
-		freshUntilMs: () => untilMs,
 
 		/** The queue with the longest prefix of a path, at a segment boundary. */
 		queueOfPath: (path: string): Queue | undefined => queuesByPrefix.find(({prefix}) => path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)),
