Run jobs on the users' platform: job record, scheduler, worker tasks and the adapter

Cause: the product had no jobs and spoke none of the platform's calls. The record of jobs, runs and waves is a state machine on the existing log; the leader records each run before it orders it, so that a new leader knows every worker that may hold work. Connections between processes are pinged now: silent ones were noticed by nothing.

--- /dev/null
+++ b/packages/core/src/jobs/scheduler.ts
@@ -0,0 +1,193 @@
+/** Decides which work units start where, from the record and what is known of the workers. */
+import {groupBy} from '../utils/group-by.js';
+import type {ManifestIndex, Resources} from './fleet-manifest.js';
+import type {JobBook, RunStart} from './job-book.js';
+import {
+	isOpen, isStepReady, type Job, type Occurrence, type WorkUnit,
+} from './job.js';
+import {compareRanks, type JobRank, rankJob} from './job-order.js';
+import {chooseSeat, occupy, type Seat} from './placement.js';
+import type {RunEstimates} from './run-estimates.js';
+
+/** A worker that may take work now, with its pool. */
+export type SchedulableWorker = {life: string; id: string; pool: string; capacity: Resources; labels: string[]; slowness: number};
+
+/** What a pass decides from. */
+export type SchedulingInput = {
+	book: JobBook;
+	manifest: ManifestIndex;
+	workers: readonly SchedulableWorker[];
+	estimates: RunEstimates;
+	wallMs: number;
+	/** Lives that a work unit must not start on now. */
+	avoided: (unit: string) => ReadonlySet<string> | undefined;
+	/** Lives that a step's policy approves; undefined where the queue has no such policy. */
+	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
+	/** Runs in one pass at most. */
+	most: number;
+};
+
+/** What a pass decides. */
+export type SchedulingPass = {
+	starts: RunStart[];
+	/** Work units that found no room, by pool. */
+	waiting: Map<string, number>;
+	/** Steps that wait for advice. */
+	unadvised: Array<{job: Job; occurrence: number; step: number}>;
+};
+
+const isWithinCap = (used: Resources, added: Resources, cap: Resources): boolean => (cap.cpu === 0 || used.cpu + added.cpu <= cap.cpu)
+	&& (cap.memoryMb === 0 || used.memoryMb + added.memoryMb <= cap.memoryMb)
+	&& (cap.gpu === 0 || used.gpu + added.gpu <= cap.gpu);
+
+/** Work units of a step that could start now. */
+const idleUnits = (units: readonly WorkUnit[]): WorkUnit[] => units.filter(unit => unit.state === 'idle');
+
+/** Creates the workspace accounting of one pass. */
+const createTill = ({book, manifest}: SchedulingInput) => {
+	const planned = new Map<string, Resources>();
+	const usedBy = (name: string): Resources => {
+		const used = planned.get(name) ?? {...book.usageOfWorkspace(name)};
+		planned.set(name, used);
+		return used;
+	};
+
+	return {
+		/** True where one more work unit stays within the workspace's limit. */
+		allows(name: string | undefined, amount: Resources): boolean {
+			const workspace = name === undefined ? undefined : manifest.workspace(name);
+			return !workspace || isWithinCap(usedBy(workspace.name), amount, workspace.cap);
+		},
+
+		take(name: string | undefined, amount: Resources, factor = 1): void {
+			if (name !== undefined) {
+				const used = usedBy(name);
+				used.cpu += amount.cpu * factor;
+				used.memoryMb += amount.memoryMb * factor;
+				used.gpu += amount.gpu * factor;
+			}
+		},
+
+		/** Cores in use against the workspace's weight. */
+		shareOf(name: string | undefined): number {
+			const workspace = name === undefined ? undefined : manifest.workspace(name);
+			return workspace ? usedBy(workspace.name).cpu / workspace.weight : 0;
+		},
+	};
+};
+
+const seatsOf = ({book, workers}: SchedulingInput): Map<string, Seat[]> => {
+	const seats = workers.map(worker => {
+		const used = book.usageOfLife(worker.life);
+		const steps = [...book.runsOf(worker.life).values()].map(run => run.job.order.steps[run.step]!);
+		return {
+			pool: worker.pool,
+			seat: {
+				life: worker.life,
+				id: worker.id,
+				capacity: worker.capacity,
+				free: {cpu: worker.capacity.cpu - used.cpu, memoryMb: worker.capacity.memoryMb - used.memoryMb, gpu: worker.capacity.gpu - used.gpu},
+				labels: new Set(worker.labels),
+				serves: steps.some(step => step.targetMs !== undefined),
+				fills: steps.some(step => step.fillsSpare),
+				slowness: worker.slowness,
+			},
+		};
+	});
+	return new Map([...groupBy(seats, entry => entry.pool)].map(([pool, entries]) => [pool, entries.map(entry => entry.seat)]));
+};
+
+/** Decides the starts of one pass. */
+export const planStarts = (input: SchedulingInput): SchedulingPass => {
+	const {book, manifest, estimates, wallMs} = input;
+	const seats = seatsOf(input);
+	const till = createTill(input);
+	const pass: SchedulingPass = {starts: [], waiting: new Map(), unadvised: []};
+
+	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => unit.state === 'running' && unit.worker === life).length + (started.get(life) ?? 0);
+
+	/** Starts what fits of one step; returns how many work units are left. */
+	const startStep = (job: Job, occurrence: Occurrence, number: number, pool: readonly Seat[]): number => {
+		const step = job.order.steps[number]!;
+		const units = occurrence.steps[number]!;
+		const idle = idleUnits(units);
+		if (idle.length === 0) {
+			return 0;
+		}
+
+		const approved = input.approved(job, occurrence.number, number);
+		if (approved === undefined && manifest.queue(job.order.queue)?.recommendation) {
+			pass.unadvised.push({job, occurrence: occurrence.number, step: number});
+			return idle.length;
+		}
+
+		if (step.gang && idle.length < units.length) {
+			return idle.length;
+		}
+
+		const started = new Map<string, number>();
+		const chosen: Array<{unit: WorkUnit; seat: Seat}> = [];
+		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
+		for (const unit of idle) {
+			const avoided = input.avoided(unit.name);
+			const seat = pass.starts.length + chosen.length < input.most && till.allows(job.order.workspace, step.resources)
+				? chooseSeat(step, pool, candidate => avoided?.has(candidate.life) !== true
+					&& approved?.has(candidate.life) !== false
+					&& (step.perWorker === undefined || countOn(units, started, candidate.life) < step.perWorker))
+				: undefined;
+			if (!seat) {
+				// Units of a step are alike, so the others have no room either, unless this one avoids a worker.
+				if (step.gang || avoided === undefined) {
+					break;
+				}
+
+				continue;
+			}
+
+			occupy(step, seat);
+			till.take(job.order.workspace, step.resources);
+			started.set(seat.life, (started.get(seat.life) ?? 0) + 1);
+			chosen.push({unit, seat});
+		}
+
+		if (step.gang && chosen.length < idle.length) {
+			for (const {seat} of chosen) {
+				occupy(step, seat, -1);
+				till.take(job.order.workspace, step.resources, -1);
+			}
+
+			return idle.length;
+		}
+
+		pass.starts.push(...chosen.map(({unit, seat}) => ({unit: unit.name, attempt: attempt ?? unit.attempt + 1, life: seat.life})));
+		return idle.length - chosen.length;
+	};
+
+	const startJob = (job: Job, poolName: string): void => {
+		const pool = seats.get(poolName) ?? [];
+		let left = 0;
+		for (const occurrence of job.occurrences) {
+			if (occurrence.dueMs > wallMs) {
+				continue;
+			}
+
+			for (const [number, step] of job.order.steps.entries()) {
+				if (occurrence.doneInStep[number]! < step.count && isStepReady(job, occurrence, number)) {
+					left += startStep(job, occurrence, number, pool);
+				}
+			}
+		}
+
+		if (left > 0) {
+			pass.waiting.set(poolName, (pass.waiting.get(poolName) ?? 0) + left);
+		}
+	};
+
+	const ranks: JobRank[] = [...book.openJobs()].filter(job => isOpen(job)).map(job => rankJob(job, wallMs, estimates, till.shareOf, manifest));
+	ranks.sort(compareRanks);
+	for (const {job} of ranks) {
+		startJob(job, (manifest.queue(job.order.queue) ?? job.queue).pool);
+	}
+
+	return pass;
+};
--- /dev/null
+++ b/packages/core/src/jobs/upkeep.ts
@@ -0,0 +1,115 @@
+/** Which machines of a wave begin their upkeep next, within the wave's cap and availability budgets. */
+import type {JobBook, UpkeepWave} from './job-book.js';
+import type {WorkerTrack} from './worker-track.js';
+
+/** States of a machine. */
+export const MachineStates = {up: 'up', moving: 'moving', upkeep: 'upkeep', down: 'down'} as const;
+export type MachineState = (typeof MachineStates)[keyof typeof MachineStates];
+
+/** A machine as the platform lists it. */
+export type Machine = {name: string; pool: string; state: MachineState; zone: string; labels: string[]; workerId?: string};
+
+/** What upkeep is decided from. */
+export type UpkeepInput = {
+	book: JobBook;
+	machines: ReadonlyMap<string, Machine>;
+	/** Life of the worker on a machine. */
+	lifeOf: (machine: Machine) => string | undefined;
+	trackOf: (life: string) => WorkerTrack | undefined;
+	/** Machines that were given an order that is not known to be over. */
+	ordered: ReadonlySet<string>;
+	nowMs: number;
+};
+
+/** A machine that may begin, or that should take no more work until it may. */
+export type UpkeepChoice = {wave: UpkeepWave; machine: Machine; mayBegin: boolean};
+
+/** Time for which a machine that is next takes no new work before its upkeep, in milliseconds. */
+const EMPTYING_MS = 1500;
+
+/** Percent at which a lasting work unit is at work. */
+const AT_WORK = 100;
+
+/** Work units of a step that are away, beside those on one life. */
+const awayElsewhere = (input: UpkeepInput, units: ReadonlyArray<{name: string; state: string; worker?: string; attempt: number}>, life: string): number => units.filter(unit => {
+	if (unit.state !== 'running' || unit.worker === undefined) {
+		return true;
+	}
+
+	const progress = input.trackOf(unit.worker)?.runs.get(unit.name);
+	return unit.worker !== life && (progress?.attempt !== unit.attempt || progress.percent < AT_WORK);
+}).length;
+
+/** True where ending everything on a life keeps every availability budget. */
+export const keepsBudgets = (input: UpkeepInput, life: string): boolean => [...input.book.runsOf(life).values()].every(({job, step, unit}) => {
+	const {mayMiss} = job.order.steps[step]!;
+	if (mayMiss === undefined) {
+		return true;
+	}
+
+	const occurrence = job.occurrences.find(each => each.steps[step]!.includes(unit))!;
+	const onLife = occurrence.steps[step]!.filter(other => other.worker === life).length;
+	return awayElsewhere(input, occurrence.steps[step]!, life) + onLife <= mayMiss;
+});
+
+/** Work that upkeep of a machine would throw away, in core-milliseconds. */
+const lossOn = (input: UpkeepInput, life: string | undefined): number => (life === undefined ? 0 : [...input.book.runsOf(life).values()].reduce((sum, {job, step}) => sum + job.order.steps[step]!.resources.cpu, 0));
+
+/** Machines of a wave that are down for their upkeep, or may be. */
+const downOf = (input: UpkeepInput, wave: UpkeepWave): number => wave.machines.filter(name => {
+	const machine = input.machines.get(name);
+	return machine !== undefined && (input.ordered.has(name) || machine.state !== MachineStates.up);
+}).length;
+
+/** Creates the choice, which remembers since when machines have been emptied. */
+export const createUpkeepPlan = () => {
+	const emptyingSince = new Map<string, number>();
+
+	return {
+		/** Machines that take no new work now. */
+		emptying: (): ReadonlySet<string> => new Set(emptyingSince.keys()),
+
+		/** Chooses for all waves that are under way. */
+		choose(input: UpkeepInput): UpkeepChoice[] {
+			const waves = input.book.waves().filter(wave => !wave.completed);
+			waves.sort((left, right) => left.deadlineMs - right.deadlineMs);
+			const choices = waves.flatMap(wave => {
+				const left = wave.machines.filter(name => !wave.begun.includes(name));
+				const room = Math.max(0, wave.cap - downOf(input, wave));
+				const candidates = left.flatMap(name => {
+					const machine = input.machines.get(name);
+					return machine?.state === MachineStates.up && !input.ordered.has(name) ? [machine] : [];
+				});
+				const byLoss = candidates.map(machine => ({machine, loss: lossOn(input, input.lifeOf(machine)), since: emptyingSince.get(machine.name)}));
+				// Machines that are being emptied stay first, or none would ever be empty.
+				byLoss.sort((one, other) => (one.since ?? Infinity) - (other.since ?? Infinity) || one.loss - other.loss);
+				const next = byLoss.slice(0, wave.cap);
+				return next.map(({machine, loss, since}, position) => {
+					const life = input.lifeOf(machine);
+					const isEmptied = loss === 0 || input.nowMs - (since ?? input.nowMs) >= EMPTYING_MS;
+					return {wave, machine, mayBegin: position < room && isEmptied && (life === undefined || keepsBudgets(input, life))};
+				});
+			});
+			const names = new Set(choices.map(choice => choice.machine.name));
+			for (const name of emptyingSince.keys()) {
+				if (!names.has(name)) {
+					emptyingSince.delete(name);
+				}
+			}
+
+			for (const name of names) {
+				emptyingSince.set(name, emptyingSince.get(name) ?? input.nowMs);
+			}
+
+			return choices;
+		},
+
+		/** Asked again right before an order, since the one before may have changed the answer. */
+		mayBegin(input: UpkeepInput, wave: UpkeepWave, life: string | undefined): boolean {
+			return downOf(input, wave) < wave.cap && (life === undefined || keepsBudgets(input, life));
+		},
+
+		/** True where every machine that stays has begun. */
+		isComplete: (wave: UpkeepWave, machines: ReadonlyMap<string, Machine>): boolean => wave.machines.every(name => wave.begun.includes(name) || !machines.has(name)),
+	};
+};
--- /dev/null
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -0,0 +1,132 @@
+/** Workers by what they say of themselves; late and foreign announcements change nothing. */
+import type {Resources} from './fleet-manifest.js';
+import {lifeOf, type WorkerLife} from './job-book.js';
+
+/** A worker's liveness report. */
+export type WorkerAnnouncement = {
+	id: string;
+	/** Start of this life, in Unix milliseconds. */
+	bornMs: number;
+	/** Counts up within a life. */
+	seq: number;
+	pool: string;
+	address: string;
+	zone: string;
+	machine?: string;
+	draining: boolean;
+	/** Least time that a draining worker still has, in milliseconds. */
+	remainingMs?: number;
+	/** Time for which it stays slow after its start, in milliseconds. */
+	coldLeftMs: number;
+	capacity: Resources;
+	labels: string[];
+	/** The worker's steady clock, in milliseconds. */
+	clockMs?: number;
+};
+
+/** What the directory knows of one worker. */
+export type WorkerEntry = WorkerLife & {
+	seq: number;
+	machine?: string;
+	draining: boolean;
+	heardMs: number;
+	clockMs?: number;
+	/** It said that it leaves, or another life took its place. */
+	left: boolean;
+};
+
+/** What an announcement changed. */
+export type AnnounceEffect = 'new-life' | 'updated' | 'draining' | 'stale';
+
+/** The directory. */
+export type WorkerDirectory = ReturnType<typeof createWorkerDirectory>;
+
+/** Creates an empty directory. */
+export const createWorkerDirectory = () => {
+	const byId = new Map<string, WorkerEntry>();
+	const byAddress = new Map<string, WorkerEntry>();
+
+	return {
+		/** Takes an announcement that arrived now. */
+		announce(announcement: WorkerAnnouncement, nowMs: number): AnnounceEffect {
+			const {id, bornMs, address} = announcement;
+			const known = byId.get(id);
+			const isOlder = known && (bornMs < known.bornMs || (bornMs === known.bornMs && announcement.seq <= known.seq));
+			const occupant = byAddress.get(address);
+			const isEvicted = occupant && occupant.id !== id && occupant.bornMs > bornMs;
+			if (isOlder === true || isEvicted === true) {
+				return 'stale';
+			}
+
+			const isSameLife = known?.bornMs === bornMs;
+			const entry: WorkerEntry = {
+				life: lifeOf(id, bornMs),
+				id,
+				bornMs,
+				address,
+				pool: announcement.pool,
+				zone: announcement.zone,
+				capacity: announcement.capacity,
+				labels: announcement.labels,
+				machine: announcement.machine,
+				seq: announcement.seq,
+				// A draining worker does not come back in the same life.
+				draining: announcement.draining || (isSameLife && known.draining),
+				heardMs: nowMs,
+				clockMs: announcement.clockMs,
+				left: isSameLife && known.left,
+			};
+			if (occupant && occupant.id !== id) {
+				occupant.left = true;
+			}
+
+			if (known && known.address !== address && byAddress.get(known.address) === known) {
+				byAddress.delete(known.address);
+			}
+
+			byId.set(id, entry);
+			byAddress.set(address, entry);
+			if (!isSameLife) {
+				return 'new-life';
+			}
+
+			return entry.draining && !known.draining ? 'draining' : 'updated';
+		},
+
+		/** A worker said that it leaves. */
+		leave(id: string, bornMs: number | undefined): WorkerEntry | undefined {
+			const entry = byId.get(id);
+			if (entry && (bornMs === undefined || bornMs === entry.bornMs)) {
+				entry.left = true;
+				return entry;
+			}
+
+			return undefined;
+		},
+
+		/** A life is proven over. */
+		ended(life: string): void {
+			for (const entry of byId.values()) {
+				if (entry.life === life) {
+					entry.left = true;
+				}
+			}
+		},
+
+		/** Drops workers that have been silent for a span. */
+		forgetSilent(beforeMs: number): void {
+			for (const entry of byId.values()) {
+				if (entry.heardMs < beforeMs) {
+					byId.delete(entry.id);
+					if (byAddress.get(entry.address) === entry) {
+						byAddress.delete(entry.address);
+					}
+				}
+			}
+		},
+
+		find: (id: string): WorkerEntry | undefined => byId.get(id),
+		ofMachine: (machine: string): WorkerEntry | undefined => [...byId.values()].find(entry => entry.machine === machine && !entry.left),
+		list: (): WorkerEntry[] => [...byId.values()],
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -0,0 +1,48 @@
+/** Metrics of the jobs' part of a process. */
+import {
+	Counter, Gauge, Histogram, type Registry,
+} from 'prom-client';
+
+/** Seconds at which latencies are counted. */
+const LATENCY_BUCKETS = [0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30];
+
+/** Metrics of jobs. */
+export type JobMetrics = ReturnType<typeof createJobMetrics>;
+
+/** Creates the metrics in a registry. */
+export const createJobMetrics = (registry: Registry) => {
+	const registers = [registry];
+	return {
+		registry,
+		calls: new Counter({
+			name: 'bronzebend_calls_total', help: 'Calls answered, by call and answer', labelNames: ['call', 'answer'], registers,
+		}),
+		callSeconds: new Histogram({
+			name: 'bronzebend_call_seconds', help: 'Time from a call to its answer', labelNames: ['call'], buckets: LATENCY_BUCKETS, registers,
+		}),
+		jobs: new Counter({
+			name: 'bronzebend_jobs_total', help: 'Jobs by queue and outcome', labelNames: ['queue', 'outcome'], registers,
+		}),
+		acceptSeconds: new Histogram({
+			name: 'bronzebend_job_accept_seconds', help: 'Time to commit a job', buckets: LATENCY_BUCKETS, registers,
+		}),
+		startSeconds: new Histogram({
+			name: 'bronzebend_job_start_seconds', help: 'Time from acceptance to the first order of a job', labelNames: ['queue'], buckets: LATENCY_BUCKETS, registers,
+		}),
+		orders: new Counter({
+			name: 'bronzebend_worker_orders_total', help: 'Orders to workers, by order and result', labelNames: ['order', 'result'], registers,
+		}),
+		orderSeconds: new Histogram({
+			name: 'bronzebend_worker_order_seconds', help: 'Time of an order to a worker', labelNames: ['order'], buckets: LATENCY_BUCKETS, registers,
+		}),
+		ends: new Counter({
+			name: 'bronzebend_runs_over_total', help: 'Runs that ended, by how', labelNames: ['how'], registers,
+		}),
+		openJobs: new Gauge({name: 'bronzebend_jobs_open', help: 'Jobs that are not over, at the leader', registers}),
+		workers: new Gauge({
+			name: 'bronzebend_workers', help: 'Workers by state, at the leader', labelNames: ['state'], registers,
+		}),
+		manifestVersion: new Gauge({name: 'bronzebend_manifest_version', help: 'Version of the manifest in force, at the leader', registers}),
+		term: new Gauge({name: 'bronzebend_term', help: 'Term of the leader, at the leader', registers}),
+	};
+};
--- a/packages/daemon/src/keeper/bootstrap.ts
+++ b/packages/daemon/src/keeper/bootstrap.ts
@@ -15,7 +15,7 @@
 	/** Start with these members; they may or may not hold this replica. */
 	| {type: 'join'; members: Member[]};
 
-/** Decides from what all keepers said; `keepers` lists every keeper's node, this one included. */
+/** Decides from what all keepers said; `keepers` lists every keeper's node, this one included where it may form a group. */
 export const decideForming = (self: {node: string; replica: string}, keepers: readonly string[], replies: ReadonlyMap<string, ProbeReply>): FormDecision => {
 	const formed = [...replies.values()].find(reply => reply.members !== undefined);
 	if (formed?.members) {
@@ -23,7 +23,7 @@
 	}
 
 	const others = keepers.filter(node => node !== self.node);
-	const isFirst = others.every(node => self.node < node);
+	const isFirst = others.length < keepers.length && others.every(node => self.node < node);
 	if (!isFirst || others.some(node => !replies.has(node))) {
 		return {type: 'wait'};
 	}
--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -596,6 +596,9 @@
 		entriesAfter: (index: number): LogEntry[] => log.slice(index + 1),
 		matchOf: (id: string): number => (id === replica ? syncedIndex : progress.get(id)?.match ?? 0),
 
+		/** Latest time of sending that a replica has answered to this leader, in its milliseconds. */
+		heardMs: (id: string): number => progress.get(id)?.heardMs() ?? -Infinity,
+
 		/** True while no other replica can have become leader and all earlier terms are applied here. */
 		hasLease(nowMs: number): boolean {
 			const span = timings.minElectionMs * (1 - timings.maxDriftRatio);
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -15,16 +15,16 @@
 const DISK_FULL_PAUSE_MS = 500;
 
 /** The state that the log drives. */
-export type StateMachine<Outcome> = {
-	apply(command: ControlCommand, index: number): Outcome;
+export type StateMachine<Outcome, Command = ControlCommand> = {
+	apply(command: Command, index: number): Outcome;
 	snapshot(): Uint8Array<ArrayBuffer>;
 	restore(data: Uint8Array): void;
 };
 
 /** What a replica is made of. */
-export type ReplicaOptions<Outcome> = {
+export type ReplicaOptions<Outcome, Command = ControlCommand> = {
 	storage: Storage;
-	stateMachine: StateMachine<Outcome>;
+	stateMachine: StateMachine<Outcome, Command>;
 	clock: Clock;
 	random: () => number;
 	timings?: RaftTimings;
@@ -42,10 +42,10 @@
 type Proposal<Outcome> = {payload: LogPayload; resolve(outcome: Outcome): void; reject(error: BronzebendError): void};
 
 /** A running replica. */
-export type Replica<Outcome> = ReturnType<typeof createReplica<Outcome>>;
+export type Replica<Outcome, Command = ControlCommand> = ReturnType<typeof createReplica<Outcome, Command>>;
 
 /** Creates a replica on opened storage that belongs to a group. */
-export const createReplica = <Outcome>(options: ReplicaOptions<Outcome>) => {
+export const createReplica = <Outcome, Command = ControlCommand>(options: ReplicaOptions<Outcome, Command>) => {
 	const {storage, stateMachine, clock, onProgress} = options;
 	const snapshotInterval = options.snapshotInterval ?? SNAPSHOT_INTERVAL;
 	const raft: Raft = createRaft({
@@ -83,7 +83,7 @@
 		appliedIndex = entry.index;
 		const waiter = pending.get(entry.index);
 		pending.delete(entry.index);
-		const outcome = entry.payload.type === 'command' ? stateMachine.apply(entry.payload.command, entry.index) : undefined;
+		const outcome = entry.payload.type === 'command' ? stateMachine.apply(entry.payload.command as Command, entry.index) : undefined;
 		if (waiter?.term === entry.term) {
 			waiter.resolve(outcome as Outcome);
 		} else {
@@ -331,7 +331,7 @@
 		@throws {OutcomeUnknownError} Leadership ended first.
 		@throws {DiskFullError} There is no room for it.
 		*/
-		propose: async (command: ControlCommand): Promise<Outcome> => proposePayload({type: 'command', command}),
+		propose: async (command: Command): Promise<Outcome> => proposePayload({type: 'command', command}),
 
 		/** Proposes new members; see {@link propose} for errors. */
 		async changeMembers(members: Member[]): Promise<void> {
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import {
 	refusalReasons, ticketOutcomes,
-	type ControlCommand, type ControlOutcome, type Declaration, type Placement, type ViewUpdate,
+	type ControlCommand, type ControlOutcome, type Declaration, type GroupView, type JobAnswer, type JobCall, type Placement, type ViewUpdate,
 } from '@bronzebend/core';
 import {memberSchema, raftMessageSchema} from './raft-messages.js';
 
@@ -199,6 +199,9 @@
 /** Answer to a call: a value, or a typed failure. */
 export type CallResult = z.infer<typeof callResultSchema>;
 
+/** Answer of a keeper that cannot speak for the group now. */
+export type NotLeading = {type: 'not-leading'; leader?: string};
+
 /** One message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('type', [
 	z.strictObject({
@@ -212,6 +215,11 @@
 	z.strictObject({type: z.literal('poke')}),
 	z.strictObject({type: z.literal('call'), id: count, call: leaderCallSchema}),
 	z.strictObject({type: z.literal('call-reply'), id: count, result: callResultSchema}),
+	z.strictObject({type: z.literal('job-call'), id: count, call: z.custom<JobCall>()}),
+	z.strictObject({type: z.literal('job-answer'), id: count, answer: z.custom<JobAnswer | NotLeading>()}),
+	z.strictObject({type: z.literal('view-query')}),
+	z.strictObject({type: z.literal('view'), view: z.custom<GroupView>()}),
+	z.strictObject({type: z.literal('join'), replica: z.string()}),
 	z.strictObject({
 		type: z.literal('dispatch'), pool: name, epoch: count, request: dispatchRequestSchema,
 	}),
--- a/packages/wire/src/peer-network.ts
+++ b/packages/wire/src/peer-network.ts
@@ -22,6 +22,12 @@
 const RECONNECT_PAUSE_MS = 100;
 /** Time in which a connection must be open and proven, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000;
+/** Pause between two pings on an open connection, in milliseconds. */
+const PING_MS = 500;
+/** Time without a pong after which a connection is taken for silent, in milliseconds; three pings. */
+const SILENCE_MS = 1500;
+/** Time without messages after which a connection is closed, in milliseconds. */
+const IDLE_MS = 15_000;
 
 /** Certificate of the between-process ports, in PEM. */
 export type PeerTls = {key: Buffer; cert: Buffer; ca: Buffer};
@@ -43,7 +49,22 @@
 /** Counts of what went over the wire. */
 export type NetworkStats = {bytesSent: number; bytesReceived: number; messagesSent: number; dropped: number; rejected: number};
 
-type Outbound = {socket: net.Socket; writer: FrameWriter; ready: boolean; queue: PeerMessage[]; host: string; port: number};
+type Outbound = {
+	socket: net.Socket;
+	writer: FrameWriter;
+	ready: boolean;
+	queue: PeerMessage[];
+	host: string;
+	port: number;
+	/** When the peer last showed that it reads this connection. */
+	heardMs: number;
+	usedMs: number;
+};
+
+/** Frames that only keep a connection under watch. */
+const PING = {type: 'ping'};
+const PONG = {type: 'pong'};
+const isWatchFrame = (value: unknown, type: string): boolean => (value as {type?: unknown} | null)?.type === type;
 
 /** The messages of one process. */
 export type PeerNetwork = Awaited<ReturnType<typeof createPeerNetwork>>;
@@ -109,6 +130,11 @@
 		timer.unref();
 		readFrames(socket, value => {
 			if (peer !== undefined) {
+				if (isWatchFrame(value, PING.type)) {
+					socket.write(writer.encode(PONG));
+					return;
+				}
+
 				deliver(peer, value);
 				return;
 			}
@@ -143,7 +169,9 @@
 		}
 	};
 
-	const write = ({socket, writer}: Outbound, message: PeerMessage): void => {
+	const write = (connection: Outbound, message: PeerMessage): void => {
+		const {socket, writer} = connection;
+		connection.usedMs = clock.monotonicMs();
 		const frame = writer.encode(message);
 		stats.messagesSent += 1;
 		stats.bytesSent += frame.length;
@@ -154,6 +182,11 @@
 		const clientNonce = createNonce();
 		let serverNonce = '';
 		readFrames(connection.socket, value => {
+			if (connection.ready && isWatchFrame(value, PONG.type)) {
+				connection.heardMs = clock.monotonicMs();
+				return;
+			}
+
 			const parsed = handshakeSchema.safeParse(value);
 			if (parsed.success && parsed.data.type === 'challenge' && serverNonce === '') {
 				serverNonce = parsed.data.nonce;
@@ -170,6 +203,7 @@
 			}
 
 			connection.ready = true;
+			connection.heardMs = clock.monotonicMs();
 			for (const message of connection.queue) {
 				write(connection, message);
 			}
@@ -187,7 +221,7 @@
 		const socket = options.tls ? tls.connect({...options.tls, ...address, checkServerIdentity: () => undefined}) : net.connect(address);
 		socket.setNoDelay(true);
 		const connection: Outbound = {
-			socket, writer: createFrameWriter(), ready: false, queue: [], ...address,
+			socket, writer: createFrameWriter(), ready: false, queue: [], heardMs: 0, usedMs: clock.monotonicMs(), ...address,
 		};
 		outbound.set(to, connection);
 		const timer = setTimeout(() => {
@@ -215,6 +249,27 @@
 		return existing ?? connect(to);
 	};
 
+	/** Pings open connections; drops the silent ones, which nothing else would show. */
+	const watch = (): void => {
+		const nowMs = clock.monotonicMs();
+		for (const [to, connection] of outbound) {
+			const isIdle = nowMs - connection.usedMs > IDLE_MS;
+			if (isIdle || (connection.ready && nowMs - connection.heardMs > SILENCE_MS)) {
+				if (!isIdle) {
+					options.onFault?.('silent connection', to);
+				}
+
+				drop(to, connection);
+				retryAtMs.delete(to);
+			} else if (connection.ready) {
+				connection.socket.write(connection.writer.encode(PING));
+			}
+		}
+	};
+
+	const watchTimer = setInterval(watch, PING_MS);
+	watchTimer.unref();
+
 	return {
 		stats,
 
@@ -246,6 +301,7 @@
 
 		async close(): Promise<void> {
 			closed = true;
+			clearInterval(watchTimer);
 			for (const connection of outbound.values()) {
 				connection.socket.destroy();
 			}
--- a/packages/wire/src/raft-messages.ts
+++ b/packages/wire/src/raft-messages.ts
@@ -1,6 +1,5 @@
 /** Messages between keeper replicas. */
 import {z} from 'zod';
-import type {ControlCommand} from '@bronzebend/core';
 
 const count = z.number().int().min(0);
 
@@ -17,7 +16,8 @@
 const payloadSchema = z.discriminatedUnion('type', [
 	z.strictObject({type: z.literal('no-op')}),
 	z.strictObject({type: z.literal('members'), members: z.array(memberSchema)}),
-	z.strictObject({type: z.literal('command'), command: z.custom<ControlCommand>()}),
+	// The group's state machine knows the commands; the log carries them unread.
+	z.strictObject({type: z.literal('command'), command: z.unknown()}),
 ]);
 /** What a log entry carries. */
 export type LogPayload = z.infer<typeof payloadSchema>;
