Let the lease of a silent worker run out

Ruled out: a missed announcement (no later life of it came). The pools' usage is logged once a second.

--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -11,6 +11,8 @@
 const SLOWEST_CLOCK = 0.98;
 /** Added to each computed end of a lease, in milliseconds; covers late timers on the worker. */
 const LEASE_MARGIN_MS = 150;
+/** Silence of a worker from which its lease is not renewed any more, in milliseconds; each try might still reach it. */
+const RENEW_SILENCE_MS = 1300;
 
 /** One entry of a worker's list of running work units. */
 export type ActiveRun = {
@@ -239,6 +241,11 @@
 			unit: unit.name, attempt: unit.attempt, how: RunEnds.lost, checkpoint: runs.get(unit.name)?.checkpoint ?? '',
 		})),
 
+		/** Expiry to renew the lease with; undefined where its clock is unknown or it has been silent, so that the lease can run out. */
+		renewal(nowMs: number): number | undefined {
+			return nowMs - contactMs > RENEW_SILENCE_MS ? undefined : this.leaseExpiry(nowMs);
+		},
+
 		/** Time on the worker's clock up to which a lease given now lasts; undefined before its clock is known. */
 		leaseExpiry(nowMs: number): number | undefined {
 			if (!clock) {
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -1,6 +1,6 @@
 /** The leader's work during one term: answers calls, starts and stops work, and keeps waves going. */
 import {
-	createPaceKeeper, isOpen, planStarts,
+	createPaceKeeper, groupBy, isOpen, planStarts,
 	type Clock, type JobAnswer, type JobCall, type RunOver, type RunStart, type SchedulableWorker, type WorkerDirectory, type WorkerLife, type WorkerTrack,
 } from '@bronzebend/core';
 import type {LogFactory} from '../utils/log.js';
@@ -21,6 +21,8 @@
 const MISSED_REPORTS = 3;
 /** Time without contact after which a worker that runs work gets no more, in milliseconds. */
 const CONTACT_MS = 2200;
+/** Pause between two lines on the usage of a pool, in milliseconds. */
+const USAGE_MS = 1000;
 /** Pause before ends that could not be recorded are recorded again, in milliseconds. */
 const RECORD_RETRY_MS = 200;
 
@@ -54,6 +56,8 @@
 	let isStopped = false;
 	let isDirty = true;
 	let isPassing = false;
+	let toldMs = -Infinity;
+	let waitingUnits: ReadonlyMap<string, number> = new Map();
 	metrics.term.set(term);
 
 	const leads = (): boolean => !isStopped && isLeading();
@@ -232,7 +236,7 @@
 
 		const list = workers();
 		const lifeById = new Map(list.map(worker => [worker.id, worker.life]));
-		const {starts, unadvised} = planStarts({
+		const {starts, unadvised, waiting} = planStarts({
 			book,
 			manifest,
 			workers: list,
@@ -245,6 +249,7 @@
 			},
 			most: MAX_STARTS,
 		});
+		waitingUnits = waiting;
 		for (const {job, occurrence, step} of unadvised) {
 			const {pool} = manifest.queue(job.order.queue)!;
 			advice.request(job, occurrence, step, list.filter(worker => worker.pool === pool).map(worker => worker.id));
@@ -335,7 +340,34 @@
 		runnerOf(life, true);
 	}
 
+	/** One line a second and pool: what it has, what runs, what waits. */
+	const tellUsage = (): void => {
+		const nowMs = clock.monotonicMs();
+		if (nowMs - toldMs < USAGE_MS) {
+			return;
+		}
+
+		toldMs = nowMs;
+		for (const [pool, entries] of groupBy(directory.list().filter(entry => !entry.left), entry => entry.pool)) {
+			const used = entries.map(entry => book.usageOfLife(entry.life));
+			const runs = entries.flatMap(entry => [...book.runsOf(entry.life).values()]);
+			log.info('Pool usage.', {
+				pool,
+				workers: entries.length,
+				cpu: entries.reduce((sum, entry) => sum + entry.capacity.cpu, 0),
+				cpuUsed: used.reduce((sum, each) => sum + each.cpu, 0),
+				memoryMb: entries.reduce((sum, entry) => sum + entry.capacity.memoryMb, 0),
+				memoryUsedMb: used.reduce((sum, each) => sum + each.memoryMb, 0),
+				runs: runs.length,
+				lasting: runs.filter(run => run.job.order.steps[run.step]!.lasting).length,
+				fillers: runs.filter(run => run.job.order.steps[run.step]!.fillsSpare).length,
+				waiting: waitingUnits.get(pool) ?? 0,
+			});
+		}
+	};
+
 	const timer = setInterval(() => {
+		tellUsage();
 		metrics.openJobs.set(book.openCount());
 		metrics.manifestVersion.set(book.manifest()?.manifest.version ?? 0);
 		metrics.workers.set({state: 'known'}, directory.list().length);
--- a/packages/daemon/src/jobs/worker-runner.ts
+++ b/packages/daemon/src/jobs/worker-runner.ts
@@ -8,7 +8,7 @@
 import type {HoldResult, OrderResult, WorkerPort} from './ports.js';
 
 /** Longest wait of a look at the lists, in milliseconds; well below the lease, which each look renews. */
-const WAIT_MS = 1200;
+const WAIT_MS = 1000;
 /** Pause after a look that failed, in milliseconds. */
 const RETRY_MS = 200;
 /** Pause between two tries of a stop, in milliseconds. */
@@ -129,7 +129,7 @@
 		const ackSeq = track.ackSeq();
 		const isIdle = track.runs.size === 0;
 		const result: HoldResult = await timed('hold', port.hold({
-			expiresMs: isIdle ? undefined : track.leaseExpiry(sentMs), fence, ackSeq, waitMs: isIdle || !isFenced ? 0 : WAIT_MS,
+			expiresMs: isIdle ? undefined : track.renewal(sentMs), fence, ackSeq, waitMs: isIdle || !isFenced ? 0 : WAIT_MS,
 		}));
 		if (!options.isLeading() || isOver) {
 			return;
--- /dev/null
+++ b/tests/core/jobs/worker-track.spec.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createWorkerTrack, type WorkerLists} from '@bronzebend/core';
+import {bookWith, lifeNamed, orderOf} from '../../fixtures/job-fixtures.js';
+
+const leaseMs = 4000;
+const life = lifeNamed('w1');
+const unit = `${'a'.padEnd(16, '0')}.0.0.0`;
+const noLists: WorkerLists = {clockMs: 50_000, active: [], finished: []};
+const active = {
+	unit, attempt: 1, checkpoint: '', percent: 10, load: 0,
+};
+
+const started = (options: {inherited?: boolean} = {}) => {
+	const book = bookWith([orderOf('a')]);
+	book.apply({type: 'runs-start', lives: [life], runs: [{unit, attempt: 1, life: life.life}]});
+	const track = createWorkerTrack({
+		life: life.life, book, leaseMs, inherited: options.inherited ?? false, nowMs: 0, clock: options.inherited ? undefined : {clockMs: 50_000, heardMs: 0},
+	});
+	if (!options.inherited) {
+		track.ordered(unit, 1, 0);
+	}
+
+	return {book, track};
+};
+
+describe('a leader\'s view of a worker', () => {
+	it('should not renew the lease of a silent worker, so that it runs out', () => {
+		const {track} = started();
+		track.reconcile({...noLists, active: [active]}, 90, 100);
+		assert.equal(typeof track.renewal(200), 'number');
+		const overMs = track.leaseOverMs();
+		for (let nowMs = 2000; nowMs < 20_000; nowMs += 500) {
+			assert.equal(track.renewal(nowMs), undefined);
+		}
+
+		assert.equal(track.leaseOverMs(), overMs);
+		assert.ok(overMs < 100 + leaseMs + 1000);
+	});
+
+	it('should count on a worker clock that is two percent slow', () => {
+		const {track} = started();
+		track.reconcile({...noLists, active: [active]}, 90, 100);
+		track.renewal(100);
+		assert.ok(track.leaseOverMs() >= 90 + (leaseMs / 0.98));
+	});
+
+	it('should take a run with an unclear order for lost only after its stop went through', () => {
+		const {track} = started();
+		track.doubtful(unit, 1);
+		assert.deepEqual(track.reconcile(noLists, 100, 110), {over: [], stops: [{unit, attempt: 1}], ackSeq: 0});
+		track.stopped(unit, 1, 200);
+		assert.deepEqual(track.reconcile(noLists, 190, 210).over, []);
+		assert.deepEqual(track.reconcile(noLists, 210, 220).over.map(run => run.how), ['lost']);
+	});
+
+	it('should not take a run for lost while its order is under way', () => {
+		const {track} = started();
+		assert.deepEqual(track.reconcile(noLists, 10, 20), {over: [], stops: [], ackSeq: 0});
+	});
+
+	it('should take inherited runs that the first list does not show for lost', () => {
+		const {track} = started({inherited: true});
+		assert.deepEqual(track.reconcile(noLists, 10, 20).over.map(run => run.how), ['lost']);
+	});
+
+	it('should keep inherited runs that the first list shows', () => {
+		const {track} = started({inherited: true});
+		assert.deepEqual(track.reconcile({...noLists, active: [active]}, 10, 20), {over: [], stops: [], ackSeq: 0});
+		assert.equal(track.runs.get(unit)!.phase.type, 'confirmed');
+	});
+
+	it('should wait for the lease that an earlier leader may have given', () => {
+		const {track} = started({inherited: true});
+		assert.ok(track.leaseOverMs() >= leaseMs / 0.98);
+	});
+
+	it('should stop runs that are not recorded', () => {
+		const {track} = started();
+		const stray = {...active, unit: `${'b'.padEnd(16, '0')}.0.0.0`};
+		assert.deepEqual(track.reconcile({...noLists, active: [active, stray]}, 10, 20).stops, [{unit: stray.unit, attempt: 1}]);
+	});
+
+	it('should acknowledge ends only once they are recorded', () => {
+		const {track} = started();
+		const end = {
+			seq: 7, unit, attempt: 1, how: 'done' as const, checkpoint: '',
+		};
+		const reconciled = track.reconcile({...noLists, finished: [end]}, 10, 20);
+		assert.equal(track.ackSeq(), 0);
+		track.recorded(reconciled.over, reconciled.ackSeq);
+		assert.equal(track.ackSeq(), 7);
+		assert.equal(track.runs.size, 0);
+	});
+
+	it('should not end a run by an end of an earlier attempt', () => {
+		const {track} = started();
+		const end = {
+			seq: 7, unit, attempt: 0, how: 'failed' as const, checkpoint: '',
+		};
+		assert.deepEqual(track.reconcile({...noLists, active: [active], finished: [end]}, 10, 20).over, []);
+	});
+});
