--- /dev/null
+++ b/packages/core/src/jobs/fleet-balance.ts
@@ -0,0 +1,150 @@
+/**
+Which machines change their pool.
+
+Answers the load in which queues take turns: the pool whose queue is asking gets machines from
+standby and from pools that have more than they need, and idle ones go back to standby. Only
+machines that run nothing are moved, so a move never costs work or availability.
+*/
+import type {JobPool, Resources} from './fleet-manifest.js';
+import type {MachineDemand} from './machine-demand.js';
+
+/** Workers that a pool keeps without any demand; the first jobs of a turn start on them. */
+const MIN_WORKERS = 2;
+/** Room beyond the demand, as a factor; units do not fill machines exactly. */
+const HEADROOM = 1.12;
+/** Time for which a pool must have had too many workers before one goes to standby, in milliseconds. */
+const SURPLUS_MS = 1200;
+/** Time after which a move that brought no worker is forgotten, in milliseconds; several moves long. */
+const ARRIVAL_LIMIT_MS = 6000;
+/** Moves decided in one step at most. */
+const MAX_MOVES = 8;
+
+/** A machine that may be moved. */
+export type MovableMachine = {name: string; pool: string; capacity: Resources; kind: string; isIdle: boolean};
+
+/** What a step is decided from. */
+export type BalanceInput = {
+	pools: readonly JobPool[];
+	demands: ReadonlyMap<string, MachineDemand>;
+	/** Workers that take work now, by pool. */
+	workers: ReadonlyMap<string, number>;
+	/** Machines that are up and that nothing else was ordered for. */
+	machines: readonly MovableMachine[];
+	/** Machines seen as a worker of a pool. */
+	poolOfMachine: ReadonlyMap<string, string>;
+	nowMs: number;
+};
+
+/** One move. */
+export type MachineMove = {machine: string; from: string; to: string};
+
+/** Workers that a demand asks for. */
+export const workersFor = (demand: MachineDemand, capacity: Resources): number => {
+	const cpu = Math.max(demand.wanted.cpu, demand.lasting.cpu + demand.arrivingCpu);
+	const memoryMb = Math.max(demand.wanted.memoryMb, demand.lasting.memoryMb + demand.arrivingMemoryMb);
+	const machines = Math.max(cpu / Math.max(1, capacity.cpu), memoryMb / Math.max(1, capacity.memoryMb));
+	return Math.max(MIN_WORKERS, demand.spread, Math.ceil(machines * HEADROOM));
+};
+
+/** Creates the balance, which remembers moves under way and since when pools have had too many workers. */
+export const createFleetBalance = () => {
+	const underWay = new Map<string, {to: string; atMs: number}>();
+	const surplusSince = new Map<string, number>();
+	const refused = new Set<string>();
+
+	const forgetArrived = ({poolOfMachine, nowMs}: BalanceInput): void => {
+		for (const [machine, move] of underWay) {
+			if (poolOfMachine.get(machine) === move.to || nowMs - move.atMs > ARRIVAL_LIMIT_MS) {
+				underWay.delete(machine);
+			}
+		}
+	};
+
+	const coming = (pool: string): number => [...underWay.values()].filter(move => move.to === pool).length;
+
+	return {
+		/** A move was ordered. */
+		ordered(move: MachineMove, nowMs: number): void {
+			underWay.set(move.machine, {to: move.to, atMs: nowMs});
+		},
+
+		/** A move did not take place. */
+		failed(move: MachineMove): void {
+			underWay.delete(move.machine);
+		},
+
+		/** Machines of this kind do not fit into the pool. */
+		impossible(kind: string, pool: string): void {
+			refused.add(`${kind} ${pool}`);
+		},
+
+		/** Decides the next moves. */
+		step(input: BalanceInput): MachineMove[] {
+			forgetArrived(input);
+			const standby = new Set(input.pools.filter(pool => pool.standby).map(pool => pool.name));
+			const usual = input.machines[0]?.capacity;
+			if (standby.size === 0 || !usual) {
+				return [];
+			}
+
+			const balances = input.pools.filter(pool => !pool.standby).map(({name}) => {
+				const need = workersFor(input.demands.get(name)!, usual);
+				const have = (input.workers.get(name) ?? 0) + coming(name);
+				if (have <= need) {
+					surplusSince.delete(name);
+				} else {
+					surplusSince.set(name, surplusSince.get(name) ?? input.nowMs);
+				}
+
+				return {name, lack: need - have};
+			});
+			const free = input.machines.filter(machine => machine.isIdle && !underWay.has(machine.name));
+			const surplus = new Map(balances.map(({name, lack}) => [name, Math.max(0, -lack)]));
+			const reserve = free.filter(machine => standby.has(machine.pool));
+			const moves: MachineMove[] = [];
+
+			/** A machine for a pool: first from standby, then from the pool with the most to spare. */
+			const take = (to: string): MovableMachine | undefined => {
+				const fitting = (machine: MovableMachine): boolean => machine.pool !== to && !refused.has(`${machine.kind} ${to}`) && moves.every(move => move.machine !== machine.name);
+				const spare = reserve.find(machine => fitting(machine));
+				if (spare) {
+					return spare;
+				}
+
+				const donors = free.filter(machine => (surplus.get(machine.pool) ?? 0) > 0 && fitting(machine));
+				donors.sort((left, right) => surplus.get(right.pool)! - surplus.get(left.pool)!);
+				return donors[0];
+			};
+
+			const needy = balances.filter(({lack}) => lack > 0);
+			needy.sort((left, right) => right.lack - left.lack);
+			for (const {name, lack} of needy) {
+				for (let missing = lack; missing > 0 && moves.length < MAX_MOVES; missing -= 1) {
+					const machine = take(name);
+					if (!machine) {
+						break;
+					}
+
+					surplus.set(machine.pool, (surplus.get(machine.pool) ?? 0) - 1);
+					moves.push({machine: machine.name, from: machine.pool, to: name});
+				}
+			}
+
+			if (needy.length > 0) {
+				return moves;
+			}
+
+			const [home] = standby;
+			for (const {name} of balances) {
+				const isLong = input.nowMs - (surplusSince.get(name) ?? input.nowMs) >= SURPLUS_MS;
+				const idle = isLong ? free.filter(machine => machine.pool === name && !refused.has(`${machine.kind} ${home}`)) : [];
+				moves.push(...idle.slice(0, surplus.get(name)).map(machine => ({machine: machine.name, from: name, to: home!})));
+			}
+
+			return moves.slice(0, MAX_MOVES);
+		},
+	};
+};
+
+/** The balance of a fleet. */
+export type FleetBalance = ReturnType<typeof createFleetBalance>;
--- /dev/null
+++ b/packages/core/src/jobs/machine-demand.ts
@@ -0,0 +1,97 @@
+/** What each pool is asked for: work that runs, work that waits, and work that is arriving. */
+import {type Resources} from './fleet-manifest.js';
+import type {JobBook} from './job-book.js';
+import {isOpen, isStepReady, type Job} from './job.js';
+import type {RunEstimates} from './run-estimates.js';
+
+/** Span over which arriving work is counted, in milliseconds; a turn of a queue lasts a few seconds. */
+const ARRIVAL_WINDOW_MS = 800;
+
+/** Demand on one pool. */
+export type MachineDemand = {
+	/** Resources of what runs and of what could run now if there were room. */
+	wanted: Resources;
+	/** Part of `wanted` that lasts. */
+	lasting: Resources;
+	/** Cores that keep up with the work that arrives, in thousandths. */
+	arrivingCpu: number;
+	/** Memory that goes with them, in MB. */
+	arrivingMemoryMb: number;
+	/** Workers that the widest lasting step needs, since it spreads over them. */
+	spread: number;
+};
+
+/** Counts arriving work by pool. */
+export type ArrivalMeter = ReturnType<typeof createArrivalMeter>;
+
+/** Creates a meter. */
+export const createArrivalMeter = () => {
+	const arrivals = new Map<string, Array<{atMs: number; cpuMs: number; memoryMs: number}>>();
+
+	return {
+		/** A job was accepted. */
+		add(job: Job, pool: string, estimates: RunEstimates, nowMs: number): void {
+			const steps = job.order.steps.filter(step => !step.lasting);
+			const total = (amount: (resources: Resources) => number): number => steps.reduce((sum, step) => sum + (step.count * amount(step.resources) * estimates.expectedMs(job.order.queue, step.estimateMs)), 0);
+			const list = arrivals.get(pool) ?? [];
+			list.push({atMs: nowMs, cpuMs: total(resources => resources.cpu), memoryMs: total(resources => resources.memoryMb)});
+			arrivals.set(pool, list);
+		},
+
+		/** Resources that keep up with what arrived lately. */
+		rate(pool: string, nowMs: number): {cpu: number; memoryMb: number} {
+			const list = (arrivals.get(pool) ?? []).filter(arrival => nowMs - arrival.atMs < ARRIVAL_WINDOW_MS);
+			arrivals.set(pool, list);
+			return {
+				cpu: list.reduce((sum, arrival) => sum + arrival.cpuMs, 0) / ARRIVAL_WINDOW_MS,
+				memoryMb: list.reduce((sum, arrival) => sum + arrival.memoryMs, 0) / ARRIVAL_WINDOW_MS,
+			};
+		},
+	};
+};
+
+const emptyDemand = (): MachineDemand => ({
+	wanted: {cpu: 0, memoryMb: 0, gpu: 0}, lasting: {cpu: 0, memoryMb: 0, gpu: 0}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0,
+});
+
+/** Adds a job's part to its pool's demand. */
+const addJob = (demand: MachineDemand, job: Job, book: JobBook, wallMs: number): void => {
+	for (const occurrence of job.occurrences.filter(each => each.dueMs <= wallMs)) {
+		for (const [number, step] of job.order.steps.entries()) {
+			if (!isStepReady(job, occurrence, number)) {
+				continue;
+			}
+
+			const units = occurrence.steps[number]!.filter(unit => unit.state !== 'done').length;
+			const amount = book.reserved(job, number);
+			for (const target of step.lasting ? [demand.wanted, demand.lasting] : [demand.wanted]) {
+				target.cpu += amount.cpu * units;
+				target.memoryMb += amount.memoryMb * units;
+				target.gpu += amount.gpu * units;
+			}
+
+			if (step.lasting && step.perWorker !== undefined) {
+				demand.spread = Math.max(demand.spread, Math.ceil(step.count / step.perWorker));
+			}
+		}
+	}
+};
+
+/** Measures all pools. */
+export const measureDemand = (book: JobBook, arrivals: ArrivalMeter, wallMs: number, nowMs: number): Map<string, MachineDemand> => {
+	const demands = new Map((book.manifest()?.manifest.pools ?? []).map(pool => [pool.name, emptyDemand()]));
+	for (const job of book.openJobs()) {
+		const demand = demands.get((book.manifest()?.queue(job.order.queue) ?? job.queue).pool);
+		if (demand && isOpen(job)) {
+			addJob(demand, job, book, wallMs);
+		}
+	}
+
+	for (const [pool, demand] of demands) {
+		const rate = arrivals.rate(pool, nowMs);
+		demand.arrivingCpu = rate.cpu;
+		demand.arrivingMemoryMb = rate.memoryMb;
+	}
+
+	return demands;
+};
--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -1,4 +1,5 @@
 /** Which machines of a wave begin their upkeep next, within the wave's cap and availability budgets. */
+import type {Resources} from './fleet-manifest.js';
 import type {JobBook, UpkeepWave} from './job-book.js';
 import type {WorkerTrack} from './worker-track.js';
 
@@ -7,7 +8,7 @@
 export type MachineState = (typeof MachineStates)[keyof typeof MachineStates];
 
 /** A machine as the platform lists it. */
-export type Machine = {name: string; pool: string; state: MachineState; zone: string; labels: string[]; workerId?: string};
+export type Machine = {name: string; pool: string; state: MachineState; zone: string; labels: string[]; capacity: Resources; workerId?: string};
 
 /** What upkeep is decided from. */
 export type UpkeepInput = {
--- a/packages/daemon/src/jobs/job-desk.ts
+++ b/packages/daemon/src/jobs/job-desk.ts
@@ -2,7 +2,7 @@
 import {
 	checkOrder, JobOrderError, measureBacklogs, retryAfterMs, UnreachableError,
 	type Backlog, type CallTarget, type Clock, type JobAnswer, type JobBook, type JobCall, type JobCommand, type JobDescription,
-	type JobOutcome, type JobQueue, type RunEstimates,
+	type Job, type JobOutcome, type JobQueue, type RunEstimates,
 } from '@bronzebend/core';
 import {DiskFullError, NotLeaderError} from '@bronzebend/replica';
 import type {Log} from '../utils/log.js';
@@ -30,7 +30,9 @@
 	capacityOf(pool: string): number;
 	announce(call: JobCall & {type: 'announce'}): void;
 	leave(call: JobCall & {type: 'leave'}): void;
-	/** Work may be there to start or to stop. */
+	/** A job is new in the record. */
+	onAccepted(job: Job, pool: string): void;
+	/** Work may be there to stop. */
 	wake(): void;
 };
 
@@ -163,7 +165,11 @@
 		log.info('Job accepted.', {
 			job: rest, queue: queue.name, workspace, version: book.manifest()?.manifest.version, units: order.steps.reduce((sum, step) => sum + step.count, 0),
 		});
-		options.wake();
+		const accepted = book.job(rest);
+		if (accepted && outcome.isNew) {
+			options.onAccepted(accepted, queue.pool);
+		}
+
 		return {type: 'accepted'};
 	};
 
@@ -213,7 +219,6 @@
 		}
 
 		log.info('Manifest in force.', {version: outcome.version, sent: manifest.version, queues: manifest.queues.length});
-		options.wake();
 		return {type: 'published'};
 	};
 
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -1,6 +1,6 @@
 /** The leader's work during one term: answers calls, starts and stops work, and keeps waves going. */
 import {
-	createPaceKeeper, groupBy, isOpen, planStarts,
+	createArrivalMeter, createPaceKeeper, groupBy, isOpen, planStarts,
 	type Clock, type JobAnswer, type JobCall, type RunOver, type RunStart, type SchedulableWorker, type WorkerDirectory, type WorkerLife, type WorkerTrack,
 } from '@bronzebend/core';
 import type {LogFactory} from '../utils/log.js';
@@ -8,9 +8,9 @@
 import {createJobDesk} from './job-desk.js';
 import type {LeaderContext, LeaderWork} from './job-keeper.js';
 import type {JobMetrics} from './job-metrics.js';
+import {createMachineKeeper} from './machine-keeper.js';
 import type {AdvicePort, MachinePort, WorkerConnector} from './ports.js';
 import {createRunWatch} from './run-watch.js';
-import {createWaveKeeper} from './wave-keeper.js';
 import {createWorkerRunner, type WorkerRunner} from './worker-runner.js';
 
 /** Pause between two passes that nothing asked for, in milliseconds; due times pass meanwhile. */
@@ -53,6 +53,9 @@
 	const runners = new Map<string, WorkerRunner>();
 	const watch = createRunWatch({book, clock, log, metrics});
 	const pace = createPaceKeeper(book);
+	const arrivals = createArrivalMeter();
+	/** Lives on which work is being recorded now. */
+	let proposedLives: ReadonlySet<string> = new Set();
 	let isStopped = false;
 	let isDirty = true;
 	let isPassing = false;
@@ -164,35 +167,37 @@
 		},
 	});
 
-	const waves = options.machines && createWaveKeeper({
+	const machines = options.machines && createMachineKeeper({
 		book,
+		directory,
+		arrivals,
 		port: options.machines,
 		holder: options.node,
 		fence: term,
 		holderLeaseMs: options.holderLeaseMs,
 		clock,
-		log: options.logs('waves'),
+		log: options.logs('machines'),
 		propose,
-		lifeOf: machine => (machine.workerId === undefined ? undefined : directory.find(machine.workerId)?.life),
 		trackOf: life => runners.get(life)?.track,
+		isBeingUsed: life => proposedLives.has(life),
+		isUsable: life => workers().some(worker => worker.life === life),
 		onEnded(life) {
 			directory.ended(life);
-			runners.get(life)?.declareOver('upkeep');
+			runners.get(life)?.declareOver('an order to its machine');
 		},
 		isLeading: leads,
 	});
 
 	const workers = (): SchedulableWorker[] => {
 		const nowMs = clock.monotonicMs();
-		const emptying = waves?.emptying() ?? new Set<string>();
 		return directory.list().filter(entry => {
 			const runner = runners.get(entry.life);
 			const isReachable = !runner || (!runner.isOver() && (runner.track.runs.size === 0 || nowMs - runner.track.contactMs() < CONTACT_MS));
-			const machine = entry.machine ?? (emptying.size > 0 ? waves?.machineOfWorker(entry.id) : undefined);
+			const machine = entry.machine ?? machines?.machineOfWorker(entry.id);
 			return !entry.draining && !entry.left && isReachable
 				&& nowMs - entry.heardMs < MISSED_REPORTS * options.reportMs
 				&& watch.mayStart(entry.life, nowMs)
-				&& (machine === undefined || !emptying.has(machine));
+				&& (machine === undefined || machines?.isLeaving(machine) !== true);
 		}).map(entry => ({
 			life: entry.life, id: entry.id, pool: entry.pool, capacity: entry.capacity, labels: entry.labels, slowness: watch.slowness(entry.life),
 		}));
@@ -260,6 +265,7 @@
 		}
 
 		const lives = new Set(starts.map(start => start.life));
+		proposedLives = lives;
 		const outcome = await propose({
 			type: 'runs-start',
 			lives: directory.list().filter(entry => lives.has(entry.life)).map(({life, id, bornMs, address, pool, zone, capacity, labels}) => ({
@@ -279,6 +285,7 @@
 		try {
 			while (isDirty && leads()) {
 				isDirty = false;
+				proposedLives = new Set();
 				// The next pass decides from what this one recorded.
 				// eslint-disable-next-line no-await-in-loop
 				await pass();
@@ -287,6 +294,7 @@
 			log.warn('A scheduling pass failed.', {cause: String(error)});
 		} finally {
 			isPassing = false;
+			proposedLives = new Set();
 		}
 	};
 
@@ -333,6 +341,10 @@
 			const entry = directory.leave(call.id, call.bornMs);
 			log.info('Worker leaves.', {worker: call.id, known: entry !== undefined});
 		},
+		onAccepted(job, pool) {
+			arrivals.add(job, pool, watch.estimates, clock.monotonicMs());
+			wake();
+		},
 		wake,
 	});
 
@@ -388,7 +400,7 @@
 			isStopped = true;
 			clearInterval(timer);
 			advice.close();
-			waves?.stop();
+			machines?.stop();
 			for (const runner of runners.values()) {
 				runner.close();
 			}
--- /dev/null
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -0,0 +1,216 @@
+/** Gives orders to machines for one term: upkeep for waves, and moves between pools. One order at a time for each. */
+import {
+	createFleetBalance, createUpkeepPlan, groupBy, MachineStates, measureDemand,
+	type ArrivalMeter, type Clock, type JobBook, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MovableMachine,
+	type UpkeepInput, type WorkerDirectory, type WorkerTrack,
+} from '@bronzebend/core';
+import type {Log} from '../utils/log.js';
+import type {MachinePort, MachineResult} from './ports.js';
+
+/** Pause between two steps, in milliseconds. */
+const STEP_MS = 200;
+/** Age from which the list of machines is read again while a wave is under way, in milliseconds. */
+const WAVE_LIST_MS = 400;
+/** The same at other times, in milliseconds; each reading has a price. */
+const CALM_LIST_MS = 1500;
+/** Pause before an order without a clear answer is repeated, in milliseconds. */
+const REPEAT_MS = 800;
+/** Added to the span for which another holder's orders may still be under way, in milliseconds. */
+const HOLDER_MARGIN_MS = 500;
+
+/** What a machine keeper is made of. */
+export type MachineKeeperOptions = {
+	book: JobBook;
+	directory: WorkerDirectory;
+	arrivals: ArrivalMeter;
+	port: MachinePort;
+	holder: string;
+	fence: number;
+	/** Span after another holder's last order in which this one must not give any, in milliseconds. */
+	holderLeaseMs: number;
+	clock: Clock;
+	log: Log;
+	propose(command: JobCommand): Promise<JobOutcome>;
+	trackOf(life: string): WorkerTrack | undefined;
+	/** Work was placed on this life and is not recorded yet. */
+	isBeingUsed(life: string): boolean;
+	/** Workers that may take work, by life. */
+	isUsable(life: string): boolean;
+	/** Everything on this life was ended by an order. */
+	onEnded(life: string): void;
+	isLeading(): boolean;
+};
+
+type Ordered = {atMs: number; isDone: boolean};
+
+/** Starts the care of machines for one term. */
+export const createMachineKeeper = (options: MachineKeeperOptions) => {
+	const {book, directory, port, clock, log} = options;
+	const plan = createUpkeepPlan();
+	const balance = createFleetBalance();
+	const ordered = new Map<string, Ordered>();
+	const startedMs = clock.monotonicMs();
+	const by = {holder: options.holder, fence: options.fence};
+	let machines = new Map<string, Machine>();
+	let listedMs = -Infinity;
+	let isBusy = false;
+
+	const lifeOf = (machine: Machine): string | undefined => {
+		const entry = directory.ofMachine(machine.name) ?? (machine.workerId === undefined ? undefined : directory.find(machine.workerId));
+		return entry?.left === false ? entry.life : undefined;
+	};
+
+	const input = (): UpkeepInput => ({
+		book, machines, lifeOf, trackOf: options.trackOf, ordered: new Set(ordered.keys()), nowMs: clock.monotonicMs(),
+	});
+
+	const hasWaves = (): boolean => book.waves().some(wave => !wave.completed);
+
+	const read = async (): Promise<boolean> => {
+		const askedMs = clock.monotonicMs();
+		if (askedMs - listedMs < (hasWaves() ? WAVE_LIST_MS : CALM_LIST_MS)) {
+			return listedMs > startedMs;
+		}
+
+		const list = await port.list();
+		if (!list) {
+			log.warn('No list of machines.', {ageMs: Math.round(askedMs - listedMs)});
+			return false;
+		}
+
+		listedMs = askedMs;
+		machines = new Map(list.map(machine => [machine.name, machine]));
+		for (const [name, order] of ordered) {
+			const isUpAgain = order.isDone && order.atMs < askedMs && machines.get(name)?.state === MachineStates.up;
+			if (isUpAgain || (!order.isDone && askedMs - order.atMs > REPEAT_MS)) {
+				ordered.delete(name);
+			}
+		}
+
+		return true;
+	};
+
+	/** Gives one order; true where it was carried out. */
+	const give = async (machine: string, life: string | undefined, call: Promise<MachineResult>, fields: Record<string, string | number>): Promise<MachineResult> => {
+		ordered.set(machine, {atMs: clock.monotonicMs(), isDone: false});
+		const result = await call;
+		log.info('Machine ordered.', {
+			machine, ...fields, result: result.type, reason: 'reason' in result ? result.reason : undefined, worker: life, listMsAgo: Math.round(clock.monotonicMs() - listedMs),
+		});
+		if (result.type === 'done') {
+			ordered.set(machine, {atMs: clock.monotonicMs(), isDone: true});
+			if (life !== undefined) {
+				options.onEnded(life);
+			}
+		} else if (result.type !== 'unknown') {
+			ordered.delete(machine);
+		}
+
+		return result;
+	};
+
+	const complete = async (): Promise<void> => {
+		const over = book.waves().filter(wave => !wave.completed && plan.isComplete(wave, machines));
+		await Promise.all(over.map(async wave => {
+			await options.propose({type: 'wave-completed', number: wave.number});
+			log.info('Wave completed.', {wave: wave.number});
+		}));
+	};
+
+	const stepWaves = async (): Promise<void> => {
+		await complete();
+		for (const {wave, machine} of plan.choose(input()).filter(choice => choice.mayBegin)) {
+			const life = lifeOf(machine);
+			// Each order changes which others keep the budgets.
+			if (!options.isLeading() || !plan.mayBegin(input(), wave, life)) {
+				continue;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			const result = await give(machine.name, life, port.upkeep(machine.name, wave.number, by), {order: 'upkeep', wave: wave.number});
+			if (result.type === 'done') {
+				// eslint-disable-next-line no-await-in-loop
+				await options.propose({type: 'wave-begun', number: wave.number, machine: machine.name});
+			}
+		}
+	};
+
+	const isIdle = (life: string | undefined): boolean => life === undefined || (book.runsOf(life).size === 0 && !options.isBeingUsed(life));
+
+	const movable = (): MovableMachine[] => [...machines.values()].filter(machine => machine.state === MachineStates.up && !ordered.has(machine.name)).map(machine => ({
+		name: machine.name, pool: machine.pool, capacity: machine.capacity, kind: machine.labels[0] ?? '', isIdle: isIdle(lifeOf(machine)),
+	}));
+
+	const move = async (chosen: MachineMove): Promise<void> => {
+		const machine = machines.get(chosen.machine)!;
+		const life = lifeOf(machine);
+		if (!options.isLeading() || !isIdle(life)) {
+			return;
+		}
+
+		balance.ordered(chosen, clock.monotonicMs());
+		const result = await give(machine.name, life, port.move(machine.name, chosen.to, by), {order: 'move', from: chosen.from, to: chosen.to});
+		if (result.type === 'done') {
+			machines.set(machine.name, {...machine, pool: chosen.to, state: MachineStates.moving});
+		} else if (result.type !== 'unknown') {
+			balance.failed(chosen);
+			if (result.type === 'rejected' && result.reason === 'impossible') {
+				balance.impossible(machine.labels[0] ?? '', chosen.to);
+			}
+		}
+	};
+
+	const stepBalance = async (): Promise<void> => {
+		const pools = book.manifest()?.manifest.pools ?? [];
+		const usable = directory.list().filter(entry => !entry.left && options.isUsable(entry.life));
+		const moves = balance.step({
+			pools,
+			demands: measureDemand(book, options.arrivals, clock.wallMs(), clock.monotonicMs()),
+			workers: new Map([...groupBy(usable, entry => entry.pool)].map(([pool, entries]) => [pool, entries.length])),
+			machines: movable(),
+			poolOfMachine: new Map(directory.list().flatMap(entry => (entry.left || entry.machine === undefined ? [] : [[entry.machine, entry.pool] as const]))),
+			nowMs: clock.monotonicMs(),
+		});
+		await Promise.all(moves.map(async chosen => move(chosen)));
+	};
+
+	const step = async (): Promise<void> => {
+		const mayOrder = clock.monotonicMs() - startedMs > options.holderLeaseMs + HOLDER_MARGIN_MS;
+		if (isBusy || !options.isLeading() || !mayOrder || !book.manifest()) {
+			return;
+		}
+
+		isBusy = true;
+		try {
+			if (!await read()) {
+				return;
+			}
+
+			if (hasWaves()) {
+				await stepWaves();
+			}
+
+			await stepBalance();
+		} catch (error) {
+			log.warn('A step on the machines failed.', {cause: String(error)});
+		} finally {
+			isBusy = false;
+		}
+	};
+
+	const timer = setInterval(() => {
+		void step();
+	}, STEP_MS);
+
+	return {
+		/** True where a machine takes no new work: it is about to go down or to move. */
+		isLeaving: (machine: string): boolean => ordered.has(machine) || plan.emptying().has(machine),
+		machineOfWorker: (id: string): string | undefined => [...machines.values()].find(machine => machine.workerId === id)?.name,
+		stop(): void {
+			clearInterval(timer);
+		},
+	};
+};
+
+/** The care of machines for one term. */
+export type MachineKeeper = ReturnType<typeof createMachineKeeper>;
