--- a/packages/core/src/jobs/interference.ts
+++ b/packages/core/src/jobs/interference.ts
@@ -64,7 +64,9 @@
 			const orders = fillers.map(({name, progress}) => {
 				const cut = progress.share * CUT;
 				const share = isCut ? Math.round(cut < LEAST_SHARE ? 0 : cut) : Math.min(100, progress.share + RAISE);
-				return {unit: name, attempt: progress.attempt, share, from: progress.share};
+				return {
+					unit: name, attempt: progress.attempt, share, from: progress.share,
+				};
 			}).filter(order => order.share !== order.from);
 			if (orders.length > 0) {
 				state.changedMs = nowMs;
--- a/packages/core/src/jobs/job-book.ts
+++ b/packages/core/src/jobs/job-book.ts
@@ -5,7 +5,9 @@
 before its worker is told to start it, so that a new leader knows every worker that may hold work.
 */
 import {UnreachableError} from '../utils/errors.js';
-import {createManifestIndex, type FleetManifest, type ManifestIndex, NO_RESOURCES, type Resources} from './fleet-manifest.js';
+import {
+	createManifestIndex, type FleetManifest, type ManifestIndex, NO_RESOURCES, type Resources,
+} from './fleet-manifest.js';
 import {
 	createJob, isOpen, isStepReady, type Job, type JobOrder, JobStates, parseUnitName, type RunEnd, RunEnds, type WorkUnit,
 } from './job.js';
@@ -93,7 +95,7 @@
 		const job = place && jobs.get(place.job);
 		const unit = job?.occurrences[place!.occurrence]?.steps[place!.step]?.[place!.index];
 		return unit && {
-			unit, job: job!, step: place!.step, occurrence: place!.occurrence,
+			unit, job, step: place!.step, occurrence: place!.occurrence,
 		};
 	};
 
--- a/packages/core/src/jobs/job-order.ts
+++ b/packages/core/src/jobs/job-order.ts
@@ -5,13 +5,15 @@
 meet its objective goes before one that cannot, so that a backlog does not make everyone late.
 */
 import type {ManifestIndex} from './fleet-manifest.js';
-import {chainMs, type Job} from './job.js';
+import {chainMs, type Job, JobStates} from './job.js';
 import type {RunEstimates} from './run-estimates.js';
 
 /** A job this many times past its objective earns nothing more for being early. */
 export const LATE_FACTOR = 3;
-/** Share of a job's remaining chain by which it may miss and still count as in time; estimates are off. */
+/** Share of its remaining chain by which a job that has begun may miss and still count as in time; estimates are off. */
 const OPTIMISM = 0.25;
+/** Share of its chain that a job which has not begun must have in hand; without it a backlog makes everyone just late. */
+const PESSIMISM = 0.15;
 
 /** How urgent a job is; lower goes first. */
 export const Tiers = {
@@ -38,27 +40,33 @@
 /** Time from acceptance in which a job meets its objective, in milliseconds. */
 export const objectiveOf = (job: Job): number => (job.queue.objectiveFactor * chainMs(job.order)) + job.queue.objectiveMs;
 
+/** How urgent a job is now. */
+export const tierOf = (job: Job, nowMs: number, left: number): Tier => {
+	const objectiveMs = objectiveOf(job);
+	const waited = nowMs - job.acceptedAtMs;
+	if (job.order.steps.some(step => step.lasting)) {
+		return Tiers.lasting;
+	}
+
+	const hasBegun = job.state !== JobStates.queued;
+	if (waited + (left * (hasBegun ? 1 - OPTIMISM : 1 + PESSIMISM)) <= objectiveMs) {
+		return Tiers.inTime;
+	}
+
+	return waited + left <= objectiveMs * LATE_FACTOR ? Tiers.late : Tiers.patient;
+};
+
 /** Ranks one job. */
 export const rankJob = (job: Job, nowMs: number, estimates: RunEstimates, shareOf: (workspace: string | undefined) => number, manifest: ManifestIndex): JobRank => {
-	const objectiveMs = objectiveOf(job);
 	const left = remainingMs(job, estimates);
-	const waited = nowMs - job.acceptedAtMs;
-	const rank = {
+	return {
 		job,
+		tier: tierOf(job, nowMs, left),
 		priority: manifest.queue(job.order.queue)?.priority ?? job.queue.priority,
 		share: shareOf(job.order.workspace),
-		dueMs: job.acceptedAtMs + objectiveMs - left,
+		dueMs: job.acceptedAtMs + objectiveOf(job) - left,
 		remainingMs: left,
 	};
-	if (job.order.steps.some(step => step.lasting)) {
-		return {...rank, tier: Tiers.lasting};
-	}
-
-	if (waited + (left * (1 - OPTIMISM)) <= objectiveMs) {
-		return {...rank, tier: Tiers.inTime};
-	}
-
-	return {...rank, tier: waited + left <= objectiveMs * LATE_FACTOR ? Tiers.late : Tiers.patient};
 };
 
 /** Compares two ranks; negative where the left one goes first. */
--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -107,9 +107,11 @@
 	const [job, ...numbers] = name.split('.');
 	const [occurrence, step, index] = numbers.map(Number);
 	const isWhole = numbers.length === 3 && numbers.every(number => /^\d+$/u.test(number));
-	return isWhole && job ? {
-		job, occurrence: occurrence!, step: step!, index: index!,
-	} : undefined;
+	return isWhole && job
+		? {
+			job, occurrence: occurrence!, step: step!, index: index!,
+		}
+		: undefined;
 };
 
 /** Largest number of work units in one job. */
--- a/packages/core/src/jobs/machine-demand.ts
+++ b/packages/core/src/jobs/machine-demand.ts
@@ -2,10 +2,16 @@
 import {type Resources} from './fleet-manifest.js';
 import type {JobBook} from './job-book.js';
 import {isOpen, isStepReady, type Job} from './job.js';
+import {remainingMs, tierOf, Tiers} from './job-order.js';
 import type {RunEstimates} from './run-estimates.js';
 
-/** Span over which arriving work is counted, in milliseconds; a turn of a queue lasts a few seconds. */
-const ARRIVAL_WINDOW_MS = 800;
+/** Spans over which arriving work is counted, in milliseconds; a turn of a queue lasts a few seconds. */
+const ARRIVAL_WINDOW_MS = 900;
+const SHORT_WINDOW_MS = 350;
+/** Jobs in the short span from which it counts; fewer say little. */
+const SHORT_WINDOW_JOBS = 4;
+/** Part of the waiting work of late jobs that asks for machines; it earns little more for being early. */
+const LATE_WEIGHT = 0.25;
 
 /** Demand on one pool. */
 export type MachineDemand = {
@@ -42,10 +48,18 @@
 		rate(pool: string, nowMs: number): {cpu: number; memoryMb: number} {
 			const list = (arrivals.get(pool) ?? []).filter(arrival => nowMs - arrival.atMs < ARRIVAL_WINDOW_MS);
 			arrivals.set(pool, list);
-			return {
-				cpu: list.reduce((sum, arrival) => sum + arrival.cpuMs, 0) / ARRIVAL_WINDOW_MS,
-				memoryMb: list.reduce((sum, arrival) => sum + arrival.memoryMs, 0) / ARRIVAL_WINDOW_MS,
+			const over = (spanMs: number): {cpu: number; memoryMb: number} => {
+				const recent = list.filter(arrival => nowMs - arrival.atMs < spanMs);
+				return {
+					cpu: recent.reduce((sum, arrival) => sum + arrival.cpuMs, 0) / spanMs,
+					memoryMb: recent.reduce((sum, arrival) => sum + arrival.memoryMs, 0) / spanMs,
+				};
 			};
+
+			const long = over(ARRIVAL_WINDOW_MS);
+			const isShortTelling = list.filter(arrival => nowMs - arrival.atMs < SHORT_WINDOW_MS).length >= SHORT_WINDOW_JOBS;
+			const short = isShortTelling ? over(SHORT_WINDOW_MS) : long;
+			return {cpu: Math.max(long.cpu, short.cpu), memoryMb: Math.max(long.memoryMb, short.memoryMb)};
 		},
 	};
 };
@@ -54,15 +68,15 @@
 	wanted: {cpu: 0, memoryMb: 0, gpu: 0}, lasting: {cpu: 0, memoryMb: 0, gpu: 0}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0,
 });
 
-/** Adds a job's part to its pool's demand. */
-const addJob = (demand: MachineDemand, job: Job, book: JobBook, wallMs: number): void => {
+/** Adds a job's part to its pool's demand; waiting work counts by its weight. */
+const addJob = (demand: MachineDemand, job: Job, weight: number, book: JobBook, wallMs: number): void => {
 	for (const occurrence of job.occurrences.filter(each => each.dueMs <= wallMs)) {
 		for (const [number, step] of job.order.steps.entries()) {
 			if (!isStepReady(job, occurrence, number)) {
 				continue;
 			}
 
-			const units = occurrence.steps[number]!.filter(unit => unit.state !== 'done').length;
+			const units = occurrence.steps[number]!.reduce((sum, unit) => sum + (unit.state === 'running' ? 1 : (unit.state === 'idle' ? weight : 0)), 0);
 			const amount = book.reserved(job, number);
 			for (const target of step.lasting ? [demand.wanted, demand.lasting] : [demand.wanted]) {
 				target.cpu += amount.cpu * units;
@@ -78,12 +92,13 @@
 };
 
 /** Measures all pools. */
-export const measureDemand = (book: JobBook, arrivals: ArrivalMeter, wallMs: number, nowMs: number): Map<string, MachineDemand> => {
+export const measureDemand = (book: JobBook, arrivals: ArrivalMeter, estimates: RunEstimates, {wallMs, nowMs}: {wallMs: number; nowMs: number}): Map<string, MachineDemand> => {
 	const demands = new Map((book.manifest()?.manifest.pools ?? []).map(pool => [pool.name, emptyDemand()]));
 	for (const job of book.openJobs()) {
 		const demand = demands.get((book.manifest()?.queue(job.order.queue) ?? job.queue).pool);
 		if (demand && isOpen(job)) {
-			addJob(demand, job, book, wallMs);
+			const isLate = tierOf(job, wallMs, remainingMs(job, estimates)) > Tiers.inTime;
+			addJob(demand, job, isLate ? LATE_WEIGHT : 1, book, wallMs);
 		}
 	}
 
--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -4,7 +4,9 @@
 import type {WorkerTrack} from './worker-track.js';
 
 /** States of a machine. */
-export const MachineStates = {up: 'up', moving: 'moving', upkeep: 'upkeep', down: 'down'} as const;
+export const MachineStates = {
+	up: 'up', moving: 'moving', upkeep: 'upkeep', down: 'down',
+} as const;
 export type MachineState = (typeof MachineStates)[keyof typeof MachineStates];
 
 /** A machine as the platform lists it. */
--- a/packages/daemon/src/jobs/advice-desk.ts
+++ b/packages/daemon/src/jobs/advice-desk.ts
@@ -24,6 +24,7 @@
 	const waiting = new Map<string, string[]>();
 	let isBusy = false;
 	let isClosed = false;
+	const isOpen = (): boolean => !isClosed;
 
 	const key = (job: Job, occurrence: number, step: number): string => `${job.order.id}.${occurrence}.${step}`;
 
@@ -47,7 +48,7 @@
 	const pump = async (): Promise<void> => {
 		isBusy = true;
 		try {
-			while (waiting.size > 0 && !isClosed) {
+			while (waiting.size > 0 && isOpen()) {
 				const [step, workers] = [...waiting][0]!;
 				waiting.delete(step);
 				// The service handles one call at a time.
--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -80,7 +80,7 @@
 			work = undefined;
 		}
 
-		if (!leads || work || !isLeading() || stopped) {
+		if (!leads || work !== undefined || !isLeading() || stopped) {
 			return;
 		}
 
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -51,7 +51,9 @@
 	const {book, term, propose, isLeading} = context;
 	const log = options.logs('scheduler');
 	const runners = new Map<string, WorkerRunner>();
-	const watch = createRunWatch({book, clock, log, metrics});
+	const watch = createRunWatch({
+		book, clock, log, metrics,
+	});
 	const pace = createPaceKeeper(book);
 	const arrivals = createArrivalMeter();
 	/** Lives on which work is being recorded now. */
@@ -89,6 +91,8 @@
 
 	/** Records that all runs of a life are lost; it is tried until it holds or this term ends. */
 	const recordLost = async (life: string, over: RunOver[]): Promise<void> => {
+		// Each try waits for the one before.
+		// eslint-disable-next-line no-await-in-loop
 		while (leads() && over.length > 0 && !await record(life, over)) {
 			// eslint-disable-next-line no-await-in-loop
 			await new Promise(resolve => {
@@ -171,6 +175,7 @@
 		book,
 		directory,
 		arrivals,
+		estimates: watch.estimates,
 		port: options.machines,
 		holder: options.node,
 		fence: term,
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -2,7 +2,7 @@
 import {
 	createFleetBalance, createUpkeepPlan, groupBy, MachineStates, measureDemand,
 	type ArrivalMeter, type Clock, type JobBook, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MovableMachine,
-	type UpkeepInput, type WorkerDirectory, type WorkerTrack,
+	type RunEstimates, type UpkeepInput, type WorkerDirectory, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
 import type {MachinePort, MachineResult} from './ports.js';
@@ -23,6 +23,7 @@
 	book: JobBook;
 	directory: WorkerDirectory;
 	arrivals: ArrivalMeter;
+	estimates: RunEstimates;
 	port: MachinePort;
 	holder: string;
 	fence: number;
@@ -165,7 +166,7 @@
 		const usable = directory.list().filter(entry => !entry.left && options.isUsable(entry.life));
 		const moves = balance.step({
 			pools,
-			demands: measureDemand(book, options.arrivals, clock.wallMs(), clock.monotonicMs()),
+			demands: measureDemand(book, options.arrivals, options.estimates, {wallMs: clock.wallMs(), nowMs: clock.monotonicMs()}),
 			workers: new Map([...groupBy(usable, entry => entry.pool)].map(([pool, entries]) => [pool, entries.length])),
 			machines: movable(),
 			poolOfMachine: new Map(directory.list().flatMap(entry => (entry.left || entry.machine === undefined ? [] : [[entry.machine, entry.pool] as const]))),
--- a/packages/daemon/src/jobs/run-watch.ts
+++ b/packages/daemon/src/jobs/run-watch.ts
@@ -107,7 +107,9 @@
 				}
 
 				if (run.stopAskedMs === undefined) {
-					log.warn('Run stands still.', {unit, worker: track.life, percent: run.percent, forMs: Math.round(nowMs - run.percentMs)});
+					log.warn('Run stands still.', {
+						unit, worker: track.life, percent: run.percent, forMs: Math.round(nowMs - run.percentMs),
+					});
 					avoid(unit, track.life);
 					blame(track.life, 'stalled');
 				}
--- a/packages/daemon/src/jobs/worker-runner.ts
+++ b/packages/daemon/src/jobs/worker-runner.ts
@@ -59,6 +59,8 @@
 	/** No start goes out before this leader's token is known to the worker. */
 	let isFenced = !options.inherited;
 
+	const isActive = (): boolean => !isOver && options.isLeading();
+
 	const end = (cause: string): void => {
 		if (isOver) {
 			return;
@@ -86,7 +88,7 @@
 
 		stopping.add(key);
 		/* eslint-disable no-await-in-loop */
-		while (!isOver && options.isLeading()) {
+		while (isActive()) {
 			const result = await timed('stop', port.stop({unit, attempt, fence}));
 			if (result.type === 'done') {
 				track.stopped(unit, attempt, clock.monotonicMs());
@@ -131,7 +133,7 @@
 		const result: HoldResult = await timed('hold', port.hold({
 			expiresMs: isIdle ? undefined : track.renewal(sentMs), fence, ackSeq, waitMs: isIdle || !isFenced ? 0 : WAIT_MS,
 		}));
-		if (!options.isLeading() || isOver) {
+		if (!isActive()) {
 			return;
 		}
 
@@ -168,7 +170,7 @@
 	const lookWhileNeeded = async (): Promise<void> => {
 		isLooking = true;
 		try {
-			while (!isOver && options.isLeading() && (track.runs.size > 0 || acknowledged < track.ackSeq())) {
+			while (isActive() && (track.runs.size > 0 || acknowledged < track.ackSeq())) {
 				// Looks follow one another, so that lists are never read out of order.
 				// eslint-disable-next-line no-await-in-loop
 				await lookOnce();
@@ -233,7 +235,7 @@
 	const sendStart = async (start: RunStart, ticket: string | undefined): Promise<void> => {
 		const found = book.find(start.unit);
 		const expiresMs = track.leaseExpiry(clock.monotonicMs());
-		if (!found || isOver || !options.isLeading()) {
+		if (!found || !isActive()) {
 			return;
 		}
 
--- a/packages/daemon/src/utils/bounded-log.ts
+++ b/packages/daemon/src/utils/bounded-log.ts
@@ -46,7 +46,9 @@
 		waiting = [];
 		waitingBytes = 0;
 		if (dropped > 0) {
-			lines.push(`${JSON.stringify({level: 'warn', part: 'log', message: 'Dropped lines for a slow reader.', dropped})}\n`);
+			lines.push(`${JSON.stringify({
+				level: 'warn', part: 'log', message: 'Dropped lines for a slow reader.', dropped,
+			})}\n`);
 			dropped = 0;
 		}
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,5 +1,7 @@
 /** Which packages and folders may import which, beside XO's own rules. */
-const forbid = (...patterns) => ({'no-restricted-imports': ['error', {patterns: patterns.map(group => ({group: [group], message: 'See docs/ARCHITECTURE.md for which part may import which.'}))}]});
+/** The adapter of the users' platform puts the parts together; no part knows it. */
+const adapter = ['@bronzebend/platform', '**/platform/**'];
+const forbid = (...patterns) => ({'no-restricted-imports': ['error', {patterns: [...adapter, ...patterns].map(group => ({group: [group], message: 'See docs/ARCHITECTURE.md for which part may import which.'}))}]});
 
 export default [
 	{
@@ -30,7 +32,9 @@
 	{files: ['packages/daemon/src/leader/**/*.ts'], rules: forbid('@bronzebend/cli', '@bronzebend/replica', 'node:*', '**/keeper/*', '**/entry/*', '**/dispatch/*', '**/operators/*')},
 	{files: ['packages/daemon/src/entry/**/*.ts'], rules: forbid('@bronzebend/cli', '@bronzebend/replica', '**/keeper/*', '**/dispatch/*', '**/operators/*')},
 	{files: ['packages/daemon/src/dispatch/**/*.ts'], rules: forbid('@bronzebend/cli', '@bronzebend/replica', '**/keeper/*', '**/entry/*', '**/operators/*')},
+	{files: ['packages/daemon/src/jobs/**/*.ts'], rules: forbid('@bronzebend/cli', '**/entry/*', '**/dispatch/*', '**/operators/*')},
 	{files: ['packages/daemon/src/node/**/*.ts'], rules: forbid('@bronzebend/cli', '@bronzebend/replica', '**/keeper/*', '**/entry/*', '**/dispatch/*', '**/operators/*')},
+	{files: ['packages/cli/src/**/*.ts', 'utils/**/*.ts'], rules: forbid()},
 	// The test runner collects what describe and it return; steps of tests and scripts follow one another.
 	{files: ['tests/**/*.ts'], rules: {'@typescript-eslint/no-floating-promises': 'off', 'no-await-in-loop': 'off', '@stylistic/max-len': 'off'}},
 	{files: ['utils/**/*.ts'], rules: {'no-await-in-loop': 'off', '@stylistic/max-len': 'off'}},
