--- /dev/null
+++ b/tests/core/jobs/fleet.spec.ts
@@ -0,0 +1,138 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+	createFleetBalance, createUpkeepPlan, createWorkerTrack, keepsBudgets, MachineStates,
+	type BalanceInput, type JobBook, type Machine, type MachineDemand, type MovableMachine, type UpkeepInput, type UpkeepWave,
+} from '@bronzebend/core';
+import {
+	bookWith, lifeNamed, manifestOf, orderOf, stepOf,
+} from '../../fixtures/job-fixtures.js';
+
+const capacity = {cpu: 4000, memoryMb: 4000, gpu: 0};
+const demandOf = (changes: Partial<MachineDemand> = {}): MachineDemand => ({
+	wanted: {cpu: 0, memoryMb: 0, gpu: 0}, lasting: {cpu: 0, memoryMb: 0, gpu: 0}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0, ...changes,
+});
+const pools = [{name: 'bench', guardsCapacity: true, standby: false}, {name: 'desk', guardsCapacity: true, standby: false}, {name: 'spare', guardsCapacity: true, standby: true}];
+const machinesOf = (pool: string, count: number, isIdle = true): MovableMachine[] => Array.from({length: count}, (_, index) => ({
+	name: `${pool}-${index}`, pool, capacity, kind: 'a', isIdle,
+}));
+
+const inputOf = (machines: MovableMachine[], demands: Record<string, MachineDemand>, nowMs: number): BalanceInput => ({
+	pools,
+	demands: new Map([['bench', demandOf()], ['desk', demandOf()], ['spare', demandOf()], ...Object.entries(demands)]),
+	workers: new Map(['bench', 'desk'].map(pool => [pool, machines.filter(machine => machine.pool === pool).length])),
+	machines,
+	poolOfMachine: new Map(machines.filter(machine => machine.pool !== 'spare').map(machine => [machine.name, machine.pool])),
+	nowMs,
+});
+
+describe('the balance of a fleet', () => {
+	it('should bring machines from standby to the pool whose queue asks', () => {
+		const balance = createFleetBalance();
+		const machines = [...machinesOf('bench', 2, false), ...machinesOf('desk', 2), ...machinesOf('spare', 3)];
+		const moves = balance.step(inputOf(machines, {bench: demandOf({arrivingCpu: 13_000})}, 0));
+		assert.deepEqual(moves.map(move => [move.from, move.to]), [['spare', 'bench'], ['spare', 'bench']]);
+	});
+
+	it('should take idle machines of pools with more than they need once standby is empty', () => {
+		const balance = createFleetBalance();
+		const machines = [...machinesOf('bench', 2, false), ...machinesOf('desk', 5)];
+		const moves = balance.step(inputOf(machines, {bench: demandOf({arrivingCpu: 60_000})}, 0));
+		assert.equal(moves.length, 3);
+	});
+
+	it('should never move a machine that runs something', () => {
+		const balance = createFleetBalance();
+		const machines = [...machinesOf('bench', 2, false), ...machinesOf('desk', 5, false)];
+		assert.deepEqual(balance.step(inputOf(machines, {bench: demandOf({arrivingCpu: 60_000})}, 0)), []);
+		assert.deepEqual(balance.step(inputOf(machines, {}, 10_000)), []);
+	});
+
+	it('should count machines under way', () => {
+		const balance = createFleetBalance();
+		const machines = [...machinesOf('bench', 2, false), ...machinesOf('desk', 2, false), ...machinesOf('spare', 3)];
+		const input = inputOf(machines, {bench: demandOf({arrivingCpu: 10_000})}, 0);
+		const moves = balance.step(input);
+		assert.equal(moves.length, 1);
+		balance.ordered(moves[0]!, 0);
+		assert.deepEqual(balance.step({...input, nowMs: 200}), []);
+	});
+
+	it('should send machines to standby only after a while without need', () => {
+		const balance = createFleetBalance();
+		const machines = [...machinesOf('bench', 5), ...machinesOf('desk', 2, false)];
+		assert.deepEqual(balance.step(inputOf(machines, {}, 0)), []);
+		assert.deepEqual(balance.step(inputOf(machines, {}, 1000)), []);
+		assert.deepEqual(balance.step(inputOf(machines, {}, 1300)).map(move => move.to), ['spare', 'spare', 'spare']);
+	});
+
+	it('should keep the workers that the widest lasting step spreads over', () => {
+		const balance = createFleetBalance();
+		const machines = [...machinesOf('bench', 5), ...machinesOf('desk', 2, false)];
+		balance.step(inputOf(machines, {bench: demandOf({spread: 4})}, 0));
+		assert.equal(balance.step(inputOf(machines, {bench: demandOf({spread: 4})}, 2000)).length, 1);
+	});
+});
+
+const machineOf = (name: string, workerId?: string): Machine => ({
+	name, pool: 'bench', state: MachineStates.up, zone: 'a', labels: ['a'], capacity, workerId,
+});
+const wave: UpkeepWave = {
+	number: 1, machines: ['m1', 'm2', 'm3'], deadlineMs: 10_000, cap: 1, begun: [], completed: false,
+};
+
+const lastingOn = (ids: string[], percent: number): {book: JobBook; input: UpkeepInput} => {
+	const book = bookWith([orderOf('a', [stepOf({count: ids.length, lasting: true, mayMiss: 1})])], manifestOf());
+	const runs = ids.map((id, index) => ({unit: `${'a'.padEnd(16, '0')}.0.0.${index}`, attempt: 1, life: lifeNamed(id).life}));
+	book.apply({type: 'runs-start', lives: ids.map(id => lifeNamed(id)), runs});
+	const tracks = new Map(runs.map(run => {
+		const track = createWorkerTrack({
+			life: run.life, book, leaseMs: 4000, inherited: true, nowMs: 0,
+		});
+		track.reconcile({
+			clockMs: 1, finished: [], active: [{
+				unit: run.unit, attempt: 1, checkpoint: '', percent, load: 0,
+			}],
+		}, 1, 2);
+		return [run.life, track] as const;
+	}));
+	book.apply({type: 'wave', wave});
+	return {
+		book,
+		input: {
+			book, machines: new Map(['m1', 'm2', 'm3'].map((name, index) => [name, machineOf(name, ids[index])])), lifeOf: machine => machine.workerId && lifeNamed(machine.workerId).life, trackOf: life => tracks.get(life), ordered: new Set(), nowMs: 5000,
+		},
+	};
+};
+
+describe('the plan of upkeep', () => {
+	it('should keep the cap of a wave', () => {
+		const {input} = lastingOn([], 100);
+		const plan = createUpkeepPlan();
+		assert.equal(plan.choose(input).filter(choice => choice.mayBegin).length, 1);
+		assert.equal(plan.choose({...input, ordered: new Set(['m2'])}).filter(choice => choice.mayBegin).length, 0);
+	});
+
+	it('should count machines that are down for any reason', () => {
+		const {input} = lastingOn([], 100);
+		const machines = new Map(input.machines);
+		machines.set('m2', {...machineOf('m2'), state: MachineStates.down});
+		assert.equal(createUpkeepPlan().choose({...input, machines}).filter(choice => choice.mayBegin).length, 0);
+	});
+
+	it('should keep availability budgets', () => {
+		const atWork = lastingOn(['w1', 'w22', 'w333'], 100);
+		assert.equal(keepsBudgets(atWork.input, lifeNamed('w1').life), true);
+		const starting = lastingOn(['w1', 'w22', 'w333'], 60);
+		assert.equal(keepsBudgets(starting.input, lifeNamed('w1').life), false);
+	});
+
+	it('should be complete only when every machine that stays has begun', () => {
+		const {input} = lastingOn([], 100);
+		const plan = createUpkeepPlan();
+		assert.equal(plan.isComplete({...wave, begun: ['m1', 'm2']}, input.machines), false);
+		const left = new Map(input.machines);
+		left.delete('m3');
+		assert.equal(plan.isComplete({...wave, begun: ['m1', 'm2']}, left), true);
+	});
+});
