--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -25,6 +25,8 @@
 	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
 	/** Runs in one pass at most. */
 	most: number;
+	/** Order of jobs, where it is not the product's own. */
+	compare?: (left: JobRank, right: JobRank) => number;
 };
 
 /** What a pass decides. */
@@ -184,7 +186,7 @@
 	};
 
 	const ranks: JobRank[] = [...book.openJobs()].filter(job => isOpen(job)).map(job => rankJob(job, wallMs, estimates, till.shareOf, manifest));
-	ranks.sort(compareRanks);
+	ranks.sort(input.compare ?? compareRanks);
 	for (const {job} of ranks) {
 		startJob(job, (manifest.queue(job.order.queue) ?? job.queue).pool);
 	}
