--- a/packages/core/src/jobs/fleet-balance.ts
+++ b/packages/core/src/jobs/fleet-balance.ts
@@ -9,9 +9,9 @@
 import type {MachineDemand} from './machine-demand.js';
 
 /** Workers that a pool keeps without any demand; the first jobs of a turn start on them. */
-const MIN_WORKERS = 2;
+const MIN_WORKERS = 4;
 /** Room beyond the demand, as a factor; units do not fill machines exactly. */
-const HEADROOM = 1.12;
+const HEADROOM = 1.05;
 /** Time for which a pool must have had too many workers before one goes to standby, in milliseconds. */
 const SURPLUS_MS = 1200;
 /** Time after which a move that brought no worker is forgotten, in milliseconds; several moves long. */
--- a/packages/core/src/jobs/job-order.ts
+++ b/packages/core/src/jobs/job-order.ts
@@ -13,7 +13,7 @@
 /** Share of its remaining chain by which a job that has begun may miss and still count as in time; estimates are off. */
 const OPTIMISM = 0.25;
 /** Share of its chain that a job which has not begun must have in hand; without it a backlog makes everyone just late. */
-const PESSIMISM = 0.15;
+const PESSIMISM = 0.3;
 
 /** How urgent a job is; lower goes first. */
 export const Tiers = {
--- a/packages/core/src/jobs/machine-demand.ts
+++ b/packages/core/src/jobs/machine-demand.ts
@@ -6,7 +6,7 @@
 import type {RunEstimates} from './run-estimates.js';
 
 /** Spans over which arriving work is counted, in milliseconds; a turn of a queue lasts a few seconds. */
-const ARRIVAL_WINDOW_MS = 900;
+const ARRIVAL_WINDOW_MS = 600;
 const SHORT_WINDOW_MS = 350;
 /** Jobs in the short span from which it counts; fewer say little. */
 const SHORT_WINDOW_JOBS = 4;
