--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -29,14 +29,14 @@
 describe('the balance of a fleet', () => {
 	it('should bring machines from standby to the pool whose queue asks', () => {
 		const balance = createFleetBalance();
-		const machines = [...machinesOf('bench', 2, false), ...machinesOf('desk', 2), ...machinesOf('spare', 3)];
+		const machines = [...machinesOf('bench', 2, false), ...machinesOf('desk', 4), ...machinesOf('spare', 3)];
 		const moves = balance.step(inputOf(machines, {bench: demandOf({arrivingCpu: 13_000})}, 0));
 		assert.deepEqual(moves.map(move => [move.from, move.to]), [['spare', 'bench'], ['spare', 'bench']]);
 	});
 
 	it('should take idle machines of pools with more than they need once standby is empty', () => {
 		const balance = createFleetBalance();
-		const machines = [...machinesOf('bench', 2, false), ...machinesOf('desk', 5)];
+		const machines = [...machinesOf('bench', 2, false), ...machinesOf('desk', 7)];
 		const moves = balance.step(inputOf(machines, {bench: demandOf({arrivingCpu: 60_000})}, 0));
 		assert.equal(moves.length, 3);
 	});
@@ -50,8 +50,8 @@
 
 	it('should count machines under way', () => {
 		const balance = createFleetBalance();
-		const machines = [...machinesOf('bench', 2, false), ...machinesOf('desk', 2, false), ...machinesOf('spare', 3)];
-		const input = inputOf(machines, {bench: demandOf({arrivingCpu: 10_000})}, 0);
+		const machines = [...machinesOf('bench', 4, false), ...machinesOf('desk', 4, false), ...machinesOf('spare', 3)];
+		const input = inputOf(machines, {bench: demandOf({arrivingCpu: 17_000})}, 0);
 		const moves = balance.step(input);
 		assert.equal(moves.length, 1);
 		balance.ordered(moves[0]!, 0);
@@ -60,7 +60,7 @@
 
 	it('should send machines to standby only after a while without need', () => {
 		const balance = createFleetBalance();
-		const machines = [...machinesOf('bench', 5), ...machinesOf('desk', 2, false)];
+		const machines = [...machinesOf('bench', 7), ...machinesOf('desk', 4, false)];
 		assert.deepEqual(balance.step(inputOf(machines, {}, 0)), []);
 		assert.deepEqual(balance.step(inputOf(machines, {}, 1000)), []);
 		assert.deepEqual(balance.step(inputOf(machines, {}, 1300)).map(move => move.to), ['spare', 'spare', 'spare']);
@@ -68,9 +68,9 @@
 
 	it('should keep the workers that the widest lasting step spreads over', () => {
 		const balance = createFleetBalance();
-		const machines = [...machinesOf('bench', 5), ...machinesOf('desk', 2, false)];
-		balance.step(inputOf(machines, {bench: demandOf({spread: 4})}, 0));
-		assert.equal(balance.step(inputOf(machines, {bench: demandOf({spread: 4})}, 2000)).length, 1);
+		const machines = [...machinesOf('bench', 7), ...machinesOf('desk', 4, false)];
+		balance.step(inputOf(machines, {bench: demandOf({spread: 6})}, 0));
+		assert.equal(balance.step(inputOf(machines, {bench: demandOf({spread: 6})}, 2000)).length, 1);
 	});
 });
 
