Let a unit that failed on every worker of its pool run again

Ruled out: capacity (the workers were free) and the workspace's limit. Avoidance holds while the pool has other workers.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,6 +8,7 @@
 import {
 	checkCommand, diffCommand, historyCommand, publishCommand, showCommand,
 } from './commands/declarations.js';
+import {explainCommand} from './commands/explain.js';
 import {planCommand} from './commands/plan.js';
 import {replayCommand} from './commands/replay.js';
 import {serveCommand} from './commands/serve.js';
@@ -23,6 +24,7 @@
 	status: statusCommand,
 	plan: planCommand,
 	replay: replayCommand,
+	explain: explainCommand,
 	keys: keysCommand,
 	backup: backupCommand,
 	restore: restoreCommand,
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -42,6 +42,9 @@
 	&& (cap.memoryMb === 0 || used.memoryMb + added.memoryMb <= cap.memoryMb)
 	&& (cap.gpu === 0 || used.gpu + added.gpu <= cap.gpu);
 
+/** Workers to avoid, unless the pool has no others: a unit that failed on all of them must still run. */
+const avoidable = (avoided: ReadonlySet<string> | undefined, pool: readonly Seat[]): ReadonlySet<string> | undefined => (avoided && pool.some(seat => !avoided.has(seat.life)) ? avoided : undefined);
+
 /** Work units of a step that could start now. */
 const idleUnits = (units: readonly WorkUnit[]): WorkUnit[] => units.filter(unit => unit.state === 'idle');
 
@@ -131,7 +134,7 @@
 		const chosen: Array<{unit: WorkUnit; seat: Seat}> = [];
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
 		for (const unit of idle) {
-			const avoided = input.avoided(unit.name);
+			const avoided = avoidable(input.avoided(unit.name), pool);
 			const seat = pass.starts.length + chosen.length < input.most && till.allows(job.order.workspace, step.resources)
 				? chooseSeat(step, pool, candidate => avoided?.has(candidate.life) !== true
 					&& approved?.has(candidate.life) !== false
--- a/tests/core/jobs/scheduler.spec.ts
+++ b/tests/core/jobs/scheduler.spec.ts
@@ -79,6 +79,13 @@
 		assert.deepEqual(Object.fromEntries(starts.map(start => [start.unit[0], start.life])), {a: near.life, b: lifeNamed('w1').life});
 	});
 
+	it('should try a unit again that failed on every worker of its pool', () => {
+		const book = bookWith([orderOf('a')]);
+		const workers = [workerOf('w1'), workerOf('w2')];
+		const {starts} = plan(book, workers, {avoided: () => new Set(workers.map(worker => worker.life))});
+		assert.equal(starts.length, 1);
+	});
+
 	it('should keep work that fills spare capacity away from work that serves', () => {
 		const serving = stepOf({lasting: true, image: 'front', targetMs: 50});
 		const filling = stepOf({lasting: true, image: 'batch', fillsSpare: true});
