--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -18,6 +18,7 @@
 	machines: ReadonlyMap<string, Machine>;
 	/** Life of the worker on a machine. */
 	lifeOf: (machine: Machine) => string | undefined;
+	/** Undefined once a life is over, also before the record says so. */
 	trackOf: (life: string) => WorkerTrack | undefined;
 	/** Machines that were given an order that is not known to be over. */
 	ordered: ReadonlySet<string>;
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -183,7 +183,10 @@
 		clock,
 		log: options.logs('machines'),
 		propose,
-		trackOf: life => runners.get(life)?.track,
+		trackOf(life) {
+			const runner = runners.get(life);
+			return runner?.isOver() === false ? runner.track : undefined;
+		},
 		isBeingUsed: life => proposedLives.has(life),
 		isUsable: life => workers().some(worker => worker.life === life),
 		onEnded(life) {
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -127,6 +127,13 @@
 		assert.equal(keepsBudgets(starting.input, lifeNamed('w1').life), false);
 	});
 
+	it('should count work whose life was just ended as away, before the record says so', () => {
+		const {input} = lastingOn(['w1', 'w22', 'w333'], 100);
+		const ended = lifeNamed('w22').life;
+		const next = {...input, trackOf: (life: string) => (life === ended ? undefined : input.trackOf(life))};
+		assert.equal(keepsBudgets(next, lifeNamed('w1').life), false);
+	});
+
 	it('should be complete only when every machine that stays has begun', () => {
 		const {input} = lastingOn([], 100);
 		const plan = createUpkeepPlan();
