Record orders to machines and tell keepers of workers, so that a new leader acts at once

Each order's holder is recorded first, so only machines with a recent order of another holder wait; reports are passed on to the other keepers twice a second. The record names the machine of each life that runs something now.

--- a/packages/core/src/jobs/job-book.ts
+++ b/packages/core/src/jobs/job-book.ts
@@ -27,6 +27,8 @@
 	address: string;
 	pool: string;
 	zone: string;
+	/** Machine that it lives on, where it tells. */
+	machine?: string;
 	capacity: Resources;
 	labels: string[];
 };
@@ -52,6 +54,8 @@
 	| {type: 'wave'; wave: UpkeepWave}
 	| {type: 'wave-begun'; number: number; machine: string}
 	| {type: 'wave-completed'; number: number}
+	/** An order to a machine is about to go out; a later holder must not follow too closely. */
+	| {type: 'machine-order'; machine: string; holder: string; atMs: number}
 	| {type: 'group-whole'};
 
 /** What applying a command gave. */
@@ -64,8 +68,11 @@
 	| {type: 'runs-started'; accepted: RunStart[]}
 	| {type: 'applied'};
 
+/** The last order to a machine. */
+export type MachineOrder = {holder: string; atMs: number};
+
 /** Serializable content. */
-export type JobBookSnapshot = {manifest?: FleetManifest; jobs: Job[]; lives: WorkerLife[]; waves: UpkeepWave[]; groupWhole: boolean; accepted: number};
+export type JobBookSnapshot = {manifest?: FleetManifest; jobs: Job[]; lives: WorkerLife[]; waves: UpkeepWave[]; groupWhole: boolean; accepted: number; machineOrders: Array<[string, MachineOrder]>};
 
 /** The record. */
 export type JobBook = ReturnType<typeof createJobBook>;
@@ -83,6 +90,7 @@
 	const open = new Map([...jobs].filter(([, job]) => isOpen(job) || job.running > 0));
 	const lives = new Map(snapshot?.lives.map(life => [life.life, life]));
 	const waves = new Map(snapshot?.waves.map(wave => [wave.number, wave]));
+	const machineOrders = new Map(snapshot?.machineOrders);
 	let groupWhole = snapshot?.groupWhole ?? false;
 	let accepted = snapshot?.accepted ?? 0;
 	/** Names of the work units that run, by life. */
@@ -308,6 +316,11 @@
 				return {type: 'applied'};
 			}
 
+			case 'machine-order': {
+				machineOrders.set(command.machine, {holder: command.holder, atMs: command.atMs});
+				return {type: 'applied'};
+			}
+
 			case 'group-whole': {
 				groupWhole = true;
 				return {type: 'applied'};
@@ -336,13 +349,14 @@
 		usageOfLife: (life: string): Resources => usageOfLife.get(life) ?? NO_RESOURCES,
 		usageOfWorkspace: (workspace: string): Resources => usageOfWorkspace.get(workspace) ?? NO_RESOURCES,
 		waves: (): UpkeepWave[] => [...waves.values()],
+		machineOrder: (machine: string): MachineOrder | undefined => machineOrders.get(machine),
 		/** True once the group of keepers has had its full size. */
 		isGroupWhole: () => groupWhole,
 		/** Accepted jobs of a queue with no work unit started. */
 		pending: (queue: string): number => [...open.values()].filter(job => job.order.queue === queue && job.state === JobStates.queued).length,
 
 		snapshot: (): JobBookSnapshot => ({
-			manifest: index?.manifest, jobs: [...jobs.values()], lives: [...lives.values()], waves: [...waves.values()], groupWhole, accepted,
+			manifest: index?.manifest, jobs: [...jobs.values()], lives: [...lives.values()], waves: [...waves.values()], groupWhole, accepted, machineOrders: [...machineOrders],
 		}),
 	};
 };
--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -1,8 +1,20 @@
 /** Which machines of a wave begin their upkeep next, within the wave's cap and availability budgets. */
 import type {Resources} from './fleet-manifest.js';
 import type {JobBook, UpkeepWave} from './job-book.js';
+import type {WorkerDirectory} from './worker-directory.js';
 import type {WorkerTrack} from './worker-track.js';
 
+/** Life of the worker on a machine: the one that announced itself, or one that the record has work on. */
+export const lifeOnMachine = (machine: Machine, book: JobBook, directory: WorkerDirectory): string | undefined => {
+	const announced = directory.ofMachine(machine.name) ?? (machine.workerId === undefined ? undefined : directory.find(machine.workerId));
+	if (announced?.left === false) {
+		return announced.life;
+	}
+
+	// A leader that has heard of no worker yet must not take their machines for empty.
+	return book.busyLives().find(life => life.machine === machine.name || (machine.workerId !== undefined && life.id === machine.workerId))?.life;
+};
+
 /** States of a machine. */
 export const MachineStates = {
 	up: 'up', moving: 'moving', upkeep: 'upkeep', down: 'down',
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -24,10 +24,12 @@
 	clockMs?: number;
 };
 
+/** A report with the time that has passed since it was heard, in milliseconds. */
+export type WorkerHeard = {announcement: WorkerAnnouncement; ageMs: number};
+
 /** What the directory knows of one worker. */
 export type WorkerEntry = WorkerLife & {
 	seq: number;
-	machine?: string;
 	draining: boolean;
 	heardMs: number;
 	clockMs?: number;
@@ -45,6 +47,7 @@
 export const createWorkerDirectory = () => {
 	const byId = new Map<string, WorkerEntry>();
 	const byAddress = new Map<string, WorkerEntry>();
+	let fresh = new Map<string, {announcement: WorkerAnnouncement; atMs: number}>();
 
 	return {
 		/** Takes an announcement that arrived now. */
@@ -85,6 +88,7 @@
 			}
 
 			byId.set(id, entry);
+			fresh.set(id, {announcement, atMs: nowMs});
 			byAddress.set(address, entry);
 			if (!isSameLife) {
 				return 'new-life';
@@ -125,6 +129,13 @@
 			}
 		},
 
+		/** Reports since the last call, for keepers that may have to lead next. */
+		takeHeard(nowMs: number): WorkerHeard[] {
+			const heard = [...fresh.values()].map(({announcement, atMs}) => ({announcement, ageMs: nowMs - atMs}));
+			fresh = new Map();
+			return heard;
+		},
+
 		find: (id: string): WorkerEntry | undefined => byId.get(id),
 		ofMachine: (machine: string): WorkerEntry | undefined => [...byId.values()].find(entry => entry.machine === machine && !entry.left),
 		list: (): WorkerEntry[] => [...byId.values()],
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -1,7 +1,7 @@
 /** The leader's work during one term: answers calls, starts and stops work, and keeps waves going. */
 import {
 	createArrivalMeter, createPaceKeeper, groupBy, isOpen, planStarts,
-	type Clock, type JobAnswer, type JobCall, type RunOver, type RunStart, type SchedulableWorker, type WorkerDirectory, type WorkerLife, type WorkerTrack,
+	type Clock, type JobAnswer, type JobCall, type RunOver, type RunStart, type SchedulableWorker, type WorkerDirectory, type WorkerHeard, type WorkerLife, type WorkerTrack,
 } from '@bronzebend/core';
 import type {LogFactory} from '../utils/log.js';
 import {createAdviceDesk} from './advice-desk.js';
@@ -21,6 +21,8 @@
 const MISSED_REPORTS = 3;
 /** Time without contact after which a worker that runs work gets no more, in milliseconds. */
 const CONTACT_MS = 2200;
+/** Pause between two messages to the other keepers on workers, in milliseconds; a third of a worker's pause. */
+const TELL_MS = 500;
 /** Pause between two lines on the usage of a pool, in milliseconds. */
 const USAGE_MS = 1000;
 /** Pause before ends that could not be recorded are recorded again, in milliseconds. */
@@ -43,6 +45,8 @@
 	holderLeaseMs: number;
 	/** Pause between two liveness reports of a worker, in milliseconds. */
 	reportMs: number;
+	/** Tells the other keepers what was heard of workers. */
+	tell(heard: WorkerHeard[]): void;
 };
 
 /** Starts the work of one term. */
@@ -62,6 +66,7 @@
 	let isDirty = true;
 	let isPassing = false;
 	let toldMs = -Infinity;
+	let heardToldMs = -Infinity;
 	let waitingUnits: ReadonlyMap<string, number> = new Map();
 	metrics.term.set(term);
 
@@ -276,8 +281,8 @@
 		proposedLives = lives;
 		const outcome = await propose({
 			type: 'runs-start',
-			lives: directory.list().filter(entry => lives.has(entry.life)).map(({life, id, bornMs, address, pool, zone, capacity, labels}) => ({
-				life, id, bornMs, address, pool, zone, capacity, labels,
+			lives: directory.list().filter(entry => lives.has(entry.life)).map(({life, id, bornMs, address, pool, zone, machine, capacity, labels}) => ({
+				life, id, bornMs, address, pool, zone, machine, capacity, labels,
 			})),
 			runs: starts,
 		});
@@ -343,7 +348,7 @@
 		metrics,
 		propose,
 		isLeading: leads,
-		capacityOf: pool => directory.list().filter(entry => entry.pool === pool && !entry.left && !entry.draining).reduce((sum, entry) => sum + entry.capacity.cpu, 0),
+		capacityOf: pool => directory.list().filter(entry => entry.pool === pool && !entry.left && !entry.draining).reduce((sum, entry) => sum + entry.capacity.cpu, machines?.standbyCpu() ?? 0),
 		announce: onAnnounce,
 		leave(call) {
 			const entry = directory.leave(call.id, call.bornMs);
@@ -386,8 +391,22 @@
 		}
 	};
 
+	const tellHeard = (): void => {
+		const nowMs = clock.monotonicMs();
+		if (nowMs - heardToldMs < TELL_MS) {
+			return;
+		}
+
+		heardToldMs = nowMs;
+		const heard = directory.takeHeard(nowMs);
+		if (heard.length > 0) {
+			options.tell(heard);
+		}
+	};
+
 	const timer = setInterval(() => {
 		tellUsage();
+		tellHeard();
 		metrics.openJobs.set(book.openCount());
 		metrics.manifestVersion.set(book.manifest()?.manifest.version ?? 0);
 		metrics.workers.set({state: 'known'}, directory.list().length);
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -1,6 +1,6 @@
 /** Gives orders to machines for one term: upkeep for waves, and moves between pools. One order at a time for each. */
 import {
-	createFleetBalance, createUpkeepPlan, groupBy, MachineStates, measureDemand,
+	createFleetBalance, createUpkeepPlan, groupBy, lifeOnMachine, MachineStates, measureDemand,
 	type ArrivalMeter, type Clock, type JobBook, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MovableMachine,
 	type RunEstimates, type UpkeepInput, type WorkerDirectory, type WorkerTrack,
 } from '@bronzebend/core';
@@ -15,8 +15,10 @@
 const CALM_LIST_MS = 1500;
 /** Pause before an order without a clear answer is repeated, in milliseconds. */
 const REPEAT_MS = 800;
-/** Added to the span for which another holder's orders may still be under way, in milliseconds. */
+/** Added to the span after another holder's order in which none may be given, in milliseconds. */
 const HOLDER_MARGIN_MS = 500;
+/** Wall clocks of two nodes may differ by this much, in milliseconds; they may be set by seconds. */
+const CLOCK_MARGIN_MS = 4000;
 
 /** What a machine keeper is made of. */
 export type MachineKeeperOptions = {
@@ -56,10 +58,7 @@
 	let listedMs = -Infinity;
 	let isBusy = false;
 
-	const lifeOf = (machine: Machine): string | undefined => {
-		const entry = directory.ofMachine(machine.name) ?? (machine.workerId === undefined ? undefined : directory.find(machine.workerId));
-		return entry?.left === false ? entry.life : undefined;
-	};
+	const lifeOf = (machine: Machine): string | undefined => lifeOnMachine(machine, book, directory);
 
 	const input = (): UpkeepInput => ({
 		book, machines, lifeOf, trackOf: options.trackOf, ordered: new Set(ordered.keys()), nowMs: clock.monotonicMs(),
@@ -91,10 +90,33 @@
 		return true;
 	};
 
-	/** Gives one order; true where it was carried out. */
-	const give = async (machine: string, life: string | undefined, call: Promise<MachineResult>, fields: Record<string, string | number>): Promise<MachineResult> => {
+	/** True where no other holder can have given this machine an order lately. */
+	const isOurs = (machine: string): boolean => {
+		const last = book.machineOrder(machine);
+		if (!last || last.holder === options.holder) {
+			return true;
+		}
+
+		const spanMs = options.holderLeaseMs + HOLDER_MARGIN_MS;
+		return clock.monotonicMs() - startedMs > spanMs || Math.abs(clock.wallMs() - last.atMs) > spanMs + CLOCK_MARGIN_MS;
+	};
+
+	const isIdle = (life: string | undefined): boolean => life === undefined || (book.runsOf(life).size === 0 && !options.isBeingUsed(life));
+
+	/** Gives one order, which is recorded first. */
+	const give = async (machine: string, life: string | undefined, call: () => Promise<MachineResult>, fields: Record<string, string | number>): Promise<MachineResult> => {
 		ordered.set(machine, {atMs: clock.monotonicMs(), isDone: false});
-		const result = await call;
+		await options.propose({
+			type: 'machine-order', machine, holder: options.holder, atMs: clock.wallMs(),
+		});
+
+		const isStillIdle = fields.order !== 'move' || isIdle(life);
+		if (!options.isLeading() || !isStillIdle) {
+			ordered.delete(machine);
+			return {type: 'rejected', reason: 'busy'};
+		}
+
+		const result = await call();
 		log.info('Machine ordered.', {
 			machine, ...fields, result: result.type, reason: 'reason' in result ? result.reason : undefined, worker: life, listMsAgo: Math.round(clock.monotonicMs() - listedMs),
 		});
@@ -123,12 +145,12 @@
 		for (const {wave, machine} of plan.choose(input()).filter(choice => choice.mayBegin)) {
 			const life = lifeOf(machine);
 			// Each order changes which others keep the budgets.
-			if (!options.isLeading() || !plan.mayBegin(input(), wave, life)) {
+			if (!options.isLeading() || !isOurs(machine.name) || !plan.mayBegin(input(), wave, life)) {
 				continue;
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			const result = await give(machine.name, life, port.upkeep(machine.name, wave.number, by), {order: 'upkeep', wave: wave.number});
+			const result = await give(machine.name, life, async () => port.upkeep(machine.name, wave.number, by), {order: 'upkeep', wave: wave.number});
 			if (result.type === 'done') {
 				// eslint-disable-next-line no-await-in-loop
 				await options.propose({type: 'wave-begun', number: wave.number, machine: machine.name});
@@ -136,9 +158,7 @@
 		}
 	};
 
-	const isIdle = (life: string | undefined): boolean => life === undefined || (book.runsOf(life).size === 0 && !options.isBeingUsed(life));
-
-	const movable = (): MovableMachine[] => [...machines.values()].filter(machine => machine.state === MachineStates.up && !ordered.has(machine.name)).map(machine => ({
+	const movable = (): MovableMachine[] => [...machines.values()].filter(machine => machine.state === MachineStates.up && !ordered.has(machine.name) && isOurs(machine.name)).map(machine => ({
 		name: machine.name, pool: machine.pool, capacity: machine.capacity, kind: machine.labels[0] ?? '', isIdle: isIdle(lifeOf(machine)),
 	}));
 
@@ -150,7 +170,7 @@
 		}
 
 		balance.ordered(chosen, clock.monotonicMs());
-		const result = await give(machine.name, life, port.move(machine.name, chosen.to, by), {order: 'move', from: chosen.from, to: chosen.to});
+		const result = await give(machine.name, life, async () => port.move(machine.name, chosen.to, by), {order: 'move', from: chosen.from, to: chosen.to});
 		if (result.type === 'done') {
 			machines.set(machine.name, {...machine, pool: chosen.to, state: MachineStates.moving});
 		} else if (result.type !== 'unknown') {
@@ -176,8 +196,7 @@
 	};
 
 	const step = async (): Promise<void> => {
-		const mayOrder = clock.monotonicMs() - startedMs > options.holderLeaseMs + HOLDER_MARGIN_MS;
-		if (isBusy || !options.isLeading() || !mayOrder || !book.manifest()) {
+		if (isBusy || !options.isLeading() || !book.manifest()) {
 			return;
 		}
 
@@ -207,6 +226,11 @@
 		/** True where a machine takes no new work: it is about to go down or to move. */
 		isLeaving: (machine: string): boolean => ordered.has(machine) || plan.emptying().has(machine),
 		machineOfWorker: (id: string): string | undefined => [...machines.values()].find(machine => machine.workerId === id)?.name,
+		/** Cores of machines in standby, in thousandths; a pool that needs them gets them within seconds. */
+		standbyCpu(): number {
+			const manifest = book.manifest();
+			return [...machines.values()].filter(machine => manifest?.pool(machine.pool)?.standby === true && machine.state === MachineStates.up).reduce((sum, machine) => sum + machine.capacity.cpu, 0);
+		},
 		stop(): void {
 			clearInterval(timer);
 		},
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createFleetBalance, createUpkeepPlan, createWorkerTrack, keepsBudgets, MachineStates,
+	createFleetBalance, createUpkeepPlan, createWorkerDirectory, createWorkerTrack, keepsBudgets, lifeOnMachine, MachineStates,
 	type BalanceInput, type JobBook, type Machine, type MachineDemand, type MovableMachine, type UpkeepInput, type UpkeepWave,
 } from '@bronzebend/core';
 import {
@@ -134,6 +134,15 @@
 		assert.equal(keepsBudgets(next, lifeNamed('w1').life), false);
 	});
 
+	it('should find the work on a machine before its worker has announced itself to a new leader', () => {
+		const book = bookWith([orderOf('a')]);
+		book.apply({type: 'runs-start', lives: [lifeNamed('w1', {machine: 'm1'})], runs: [{unit: `${'a'.padEnd(16, '0')}.0.0.0`, attempt: 1, life: lifeNamed('w1').life}]});
+		const directory = createWorkerDirectory();
+		assert.equal(lifeOnMachine(machineOf('m1'), book, directory), lifeNamed('w1').life);
+		assert.equal(lifeOnMachine(machineOf('m7', 'w1'), book, directory), lifeNamed('w1').life);
+		assert.equal(lifeOnMachine(machineOf('m2'), book, directory), undefined);
+	});
+
 	it('should be complete only when every machine that stays has begun', () => {
 		const {input} = lastingOn([], 100);
 		const plan = createUpkeepPlan();
--- a/tests/core/jobs/workers.spec.ts
+++ b/tests/core/jobs/workers.spec.ts
@@ -118,3 +118,13 @@
 		assert.equal(clock.monotonicMs(), 4015);
 	});
 });
+
+describe('what keepers tell each other of workers', () => {
+	it('should name each worker once, with the age of its latest report', () => {
+		const directory = createWorkerDirectory();
+		directory.announce(announcementOf({seq: 1}), 100);
+		directory.announce(announcementOf({seq: 2}), 200);
+		assert.deepEqual(directory.takeHeard(250), [{announcement: announcementOf({seq: 2}), ageMs: 50}]);
+		assert.deepEqual(directory.takeHeard(300), []);
+	});
+});
