Look before stopping a start without an answer; move units away before upkeep

Now a list that was asked for after the doubt decides. Machines that run more of a step than may be away could never begin their upkeep; one unit is moved first.

--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -38,7 +38,13 @@
 };
 
 /** A machine that may begin, or that should take no more work until it may. */
-export type UpkeepChoice = {wave: UpkeepWave; machine: Machine; mayBegin: boolean};
+export type UpkeepChoice = {
+	wave: UpkeepWave;
+	machine: Machine;
+	mayBegin: boolean;
+	/** A work unit to move away first, where the machine runs more of a step than may be away. */
+	evacuated?: string;
+};
 
 /** Time for which a machine that is next takes no new work before its upkeep, in milliseconds. */
 const EMPTYING_MS = 1500;
@@ -53,7 +59,7 @@
 	}
 
 	const progress = input.trackOf(unit.worker)?.runs.get(unit.name);
-	return unit.worker !== life && (progress?.attempt !== unit.attempt || progress.percent < AT_WORK);
+	return unit.worker !== life && (progress?.attempt !== unit.attempt || progress.percent < AT_WORK || progress.stopAskedMs !== undefined);
 }).length;
 
 /** True where ending everything on a life keeps every availability budget. */
@@ -68,6 +74,21 @@
 	return awayElsewhere(input, occurrence.steps[step]!, life) + onLife <= mayMiss;
 });
 
+/** A work unit whose stop alone keeps its step's budget, where ending all on the life would not. */
+export const unitToEvacuate = (input: UpkeepInput, life: string): string | undefined => {
+	const crowded = [...input.book.runsOf(life).values()].find(({job, step, unit}) => {
+		const {mayMiss} = job.order.steps[step]!;
+		const units = job.occurrences.find(each => each.steps[step]!.includes(unit))!.steps[step]!;
+		const here = units.filter(other => other.worker === life);
+		const atWork = here.filter(other => {
+			const progress = input.trackOf(life)?.runs.get(other.name);
+			return progress !== undefined && progress.percent >= AT_WORK && progress.stopAskedMs === undefined;
+		});
+		return mayMiss !== undefined && here.length > mayMiss && atWork.length === here.length && awayElsewhere(input, units, life) + 1 <= mayMiss;
+	});
+	return crowded?.unit.name;
+};
+
 /** Work that upkeep of a machine would throw away, in core-milliseconds. */
 const lossOn = (input: UpkeepInput, life: string | undefined): number => (life === undefined ? 0 : [...input.book.runsOf(life).values()].reduce((sum, {job, step}) => sum + job.order.steps[step]!.resources.cpu, 0));
 
@@ -103,7 +124,11 @@
 				return next.map(({machine, loss, since}, position) => {
 					const life = input.lifeOf(machine);
 					const isEmptied = loss === 0 || input.nowMs - (since ?? input.nowMs) >= EMPTYING_MS;
-					return {wave, machine, mayBegin: position < room && isEmptied && (life === undefined || keepsBudgets(input, life))};
+					const mayBegin = position < room && isEmptied && (life === undefined || keepsBudgets(input, life));
+					const evacuated = !mayBegin && position < room && life !== undefined ? unitToEvacuate(input, life) : undefined;
+					return {
+						wave, machine, mayBegin, evacuated,
+					};
 				});
 			});
 			const names = new Set(choices.map(choice => choice.machine.name));
--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -35,7 +35,7 @@
 	| {type: 'ordered'}
 	| {type: 'confirmed'; atMs: number}
 	/** The order got no clear answer. */
-	| {type: 'doubtful'}
+	| {type: 'doubtful'; atMs: number}
 	/** No start of this run can take effect any more. */
 	| {type: 'fenced'; atMs: number};
 
@@ -102,7 +102,7 @@
 
 			case 'confirmed': {
 				if (run.phase.atMs <= sentMs) {
-					run.phase = {type: 'doubtful'};
+					run.phase = {type: 'doubtful', atMs: run.phase.atMs};
 					result.stops.push({unit, attempt: run.attempt});
 				}
 
@@ -110,7 +110,11 @@
 			}
 
 			case 'doubtful': {
-				result.stops.push({unit, attempt: run.attempt});
+				// It may run well by now, so only a list that was asked for after the doubt can tell.
+				if (run.phase.atMs <= sentMs) {
+					result.stops.push({unit, attempt: run.attempt});
+				}
+
 				return;
 			}
 
@@ -166,10 +170,10 @@
 		},
 
 		/** The order got no clear answer. */
-		doubtful(unit: string, attempt: number): void {
+		doubtful(unit: string, attempt: number, nowMs: number): void {
 			const run = progressOf(unit, attempt);
 			if (run?.phase.type === 'ordered') {
-				run.phase = {type: 'doubtful'};
+				run.phase = {type: 'doubtful', atMs: nowMs};
 			}
 		},
 
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -194,6 +194,13 @@
 		},
 		isBeingUsed: life => proposedLives.has(life),
 		isUsable: life => workers().some(worker => worker.life === life),
+		evacuate(life, unit) {
+			const runner = runners.get(life);
+			const attempt = runner?.track.runs.get(unit)?.attempt;
+			if (attempt !== undefined) {
+				runner!.stop(unit, attempt);
+			}
+		},
 		onEnded(life) {
 			directory.ended(life);
 			runners.get(life)?.declareOver('an order to its machine');
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -1,6 +1,6 @@
 /** Gives orders to machines for one term: upkeep for waves, and moves between pools. One order at a time for each. */
 import {
-	createFleetBalance, createUpkeepPlan, groupBy, lifeOnMachine, MachineStates, measureDemand,
+	createFleetBalance, createUpkeepPlan, groupBy, lifeOnMachine, MachineStates, measureDemand, unitToEvacuate,
 	type ArrivalMeter, type Clock, type JobBook, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MovableMachine,
 	type RunEstimates, type UpkeepInput, type WorkerDirectory, type WorkerTrack,
 } from '@bronzebend/core';
@@ -39,6 +39,8 @@
 	isBeingUsed(life: string): boolean;
 	/** Workers that may take work, by life. */
 	isUsable(life: string): boolean;
+	/** Moves a work unit away from a life. */
+	evacuate(life: string, unit: string): void;
 	/** Everything on this life was ended by an order. */
 	onEnded(life: string): void;
 	isLeading(): boolean;
@@ -142,8 +144,17 @@
 
 	const stepWaves = async (): Promise<void> => {
 		await complete();
-		for (const {wave, machine} of plan.choose(input()).filter(choice => choice.mayBegin)) {
+		for (const {wave, machine, mayBegin, evacuated} of plan.choose(input())) {
 			const life = lifeOf(machine);
+			if (evacuated !== undefined && life !== undefined && unitToEvacuate(input(), life) === evacuated) {
+				log.info('Work moved away before upkeep.', {machine: machine.name, worker: life, unit: evacuated, wave: wave.number});
+				options.evacuate(life, evacuated);
+			}
+
+			if (!mayBegin) {
+				continue;
+			}
+
 			// Each order changes which others keep the budgets.
 			if (!options.isLeading() || !isOurs(machine.name) || !plan.mayBegin(input(), wave, life)) {
 				continue;
--- a/packages/daemon/src/jobs/worker-runner.ts
+++ b/packages/daemon/src/jobs/worker-runner.ts
@@ -200,7 +200,7 @@
 		if (await options.record(life.life, over)) {
 			track.recorded(over, track.ackSeq());
 		} else {
-			track.doubtful(start.unit, start.attempt);
+			track.doubtful(start.unit, start.attempt, clock.monotonicMs());
 		}
 	};
 
@@ -225,9 +225,9 @@
 				log.warn('No clear answer to a start.', {
 					unit: start.unit, attempt: start.attempt, worker: life.id, cause: result.cause,
 				});
-				track.doubtful(start.unit, start.attempt);
+				track.doubtful(start.unit, start.attempt, clock.monotonicMs());
 				options.onStartFailed(start, 'no-answer');
-				void stop(start.unit, start.attempt);
+				look();
 			}
 		}
 	};
@@ -264,7 +264,7 @@
 			track.ordered(start.unit, start.attempt, clock.monotonicMs());
 			sendStart(start, ticket).catch((error: unknown) => {
 				log.error('Could not order a start.', {unit: start.unit, worker: life.id, cause: String(error)});
-				track.doubtful(start.unit, start.attempt);
+				track.doubtful(start.unit, start.attempt, clock.monotonicMs());
 			});
 			look();
 		},
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createFleetBalance, createUpkeepPlan, createWorkerDirectory, createWorkerTrack, keepsBudgets, lifeOnMachine, MachineStates,
+	createFleetBalance, createUpkeepPlan, createWorkerDirectory, createWorkerTrack, keepsBudgets, lifeOnMachine, unitToEvacuate, MachineStates,
 	type BalanceInput, type JobBook, type Machine, type MachineDemand, type MovableMachine, type UpkeepInput, type UpkeepWave,
 } from '@bronzebend/core';
 import {
@@ -90,9 +90,11 @@
 			life: run.life, book, leaseMs: 4000, inherited: true, nowMs: 0,
 		});
 		track.reconcile({
-			clockMs: 1, finished: [], active: [{
-				unit: run.unit, attempt: 1, checkpoint: '', percent, load: 0,
-			}],
+			clockMs: 1,
+			finished: [],
+			active: runs.filter(other => other.life === run.life).map(other => ({
+				unit: other.unit, attempt: 1, checkpoint: '', percent, load: 0,
+			})),
 		}, 1, 2);
 		return [run.life, track] as const;
 	}));
@@ -134,6 +136,17 @@
 		assert.equal(keepsBudgets(next, lifeNamed('w1').life), false);
 	});
 
+	it('should move one unit away from a machine that runs more of a step than may be away', () => {
+		const {book, input} = lastingOn(['w1', 'w1', 'w22'], 100);
+		const life = lifeNamed('w1').life;
+		assert.equal(keepsBudgets(input, life), false);
+		const unit = unitToEvacuate(input, life)!;
+		assert.equal(book.find(unit)!.unit.worker, life);
+		input.trackOf(life)!.askStop(unit, 10);
+		assert.equal(unitToEvacuate(input, life), undefined);
+		assert.equal(unitToEvacuate(lastingOn(['w1', 'w1', 'w22'], 50).input, life), undefined);
+	});
+
 	it('should find the work on a machine before its worker has announced itself to a new leader', () => {
 		const book = bookWith([orderOf('a')]);
 		book.apply({type: 'runs-start', lives: [lifeNamed('w1', {machine: 'm1'})], runs: [{unit: `${'a'.padEnd(16, '0')}.0.0.0`, attempt: 1, life: lifeNamed('w1').life}]});
--- a/tests/core/jobs/worker-track.spec.ts
+++ b/tests/core/jobs/worker-track.spec.ts
@@ -47,13 +47,21 @@
 
 	it('should take a run with an unclear order for lost only after its stop went through', () => {
 		const {track} = started();
-		track.doubtful(unit, 1);
+		track.doubtful(unit, 1, 50);
+		assert.deepEqual(track.reconcile(noLists, 40, 60).stops, []);
 		assert.deepEqual(track.reconcile(noLists, 100, 110), {over: [], stops: [{unit, attempt: 1}], ackSeq: 0});
 		track.stopped(unit, 1, 200);
 		assert.deepEqual(track.reconcile(noLists, 190, 210).over, []);
 		assert.deepEqual(track.reconcile(noLists, 210, 220).over.map(run => run.how), ['lost']);
 	});
 
+	it('should keep a run with an unclear order that the list shows', () => {
+		const {track} = started();
+		track.doubtful(unit, 1, 50);
+		assert.deepEqual(track.reconcile({...noLists, active: [active]}, 100, 110), {over: [], stops: [], ackSeq: 0});
+		assert.equal(track.runs.get(unit)!.phase.type, 'confirmed');
+	});
+
 	it('should not take a run for lost while its order is under way', () => {
 		const {track} = started();
 		assert.deepEqual(track.reconcile(noLists, 10, 20), {over: [], stops: [], ackSeq: 0});
