--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -49,6 +49,14 @@
 	const byAddress = new Map<string, WorkerEntry>();
 	let fresh = new Map<string, {announcement: WorkerAnnouncement; atMs: number}>();
 
+	/** A machine lives one life at a time: the latest one ends those before it, whatever their ids. */
+	const retire = (entry: WorkerEntry): void => {
+		const others = entry.machine === undefined ? [] : [...byId.values()].filter(other => other.machine === entry.machine && other.id !== entry.id);
+		for (const other of others) {
+			(other.bornMs < entry.bornMs ? other : entry).left = true;
+		}
+	};
+
 	return {
 		/** Takes an announcement that arrived now. */
 		announce(announcement: WorkerAnnouncement, nowMs: number): AnnounceEffect {
@@ -83,6 +91,8 @@
 				occupant.left = true;
 			}
 
+			retire(entry);
+
 			if (known && known.address !== address && byAddress.get(known.address) === known) {
 				byAddress.delete(known.address);
 			}
--- a/tests/core/jobs/workers.spec.ts
+++ b/tests/core/jobs/workers.spec.ts
@@ -36,6 +36,22 @@
 		assert.equal(directory.find('w1')!.left, true);
 	});
 
+	it('should know the latest life on a machine, also in whatever order its lives are heard', () => {
+		const first = announcementOf({id: 'w1', bornMs: 10, machine: 'm1'});
+		const second = announcementOf({
+			id: 'w2', bornMs: 20, machine: 'm1', address: '10.0.0.2:80',
+		});
+		for (const order of [[first, second], [second, first]]) {
+			const directory = createWorkerDirectory();
+			for (const announcement of order) {
+				directory.announce(announcement, 0);
+			}
+
+			assert.equal(directory.ofMachine('m1')!.id, 'w2');
+			assert.equal(directory.find('w1')!.left, true);
+		}
+	});
+
 	it('should keep a draining worker draining', () => {
 		const directory = createWorkerDirectory();
 		directory.announce(announcementOf({seq: 1, draining: true}), 0);
