--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -15,6 +15,9 @@
 	return book.busyLives().find(life => life.machine === machine.name || (machine.workerId !== undefined && life.id === machine.workerId))?.life;
 };
 
+/** Orders to machines. */
+export type MachineOrderKind = 'upkeep' | 'move';
+
 /** States of a machine. */
 export const MachineStates = {
 	up: 'up', moving: 'moving', upkeep: 'upkeep', down: 'down',
@@ -32,8 +35,8 @@
 	lifeOf: (machine: Machine) => string | undefined;
 	/** Undefined once a life is over, also before the record says so. */
 	trackOf: (life: string) => WorkerTrack | undefined;
-	/** Machines that were given an order that is not known to be over. */
-	ordered: ReadonlySet<string>;
+	/** Machines that were given an order that is not known to be over, with the order. */
+	ordered: ReadonlyMap<string, MachineOrderKind>;
 	nowMs: number;
 };
 
@@ -92,10 +95,10 @@
 /** Work that upkeep of a machine would throw away, in core-milliseconds. */
 const lossOn = (input: UpkeepInput, life: string | undefined): number => (life === undefined ? 0 : [...input.book.runsOf(life).values()].reduce((sum, {job, step}) => sum + job.order.steps[step]!.resources.cpu, 0));
 
-/** Machines of a wave that are down for their upkeep, or may be. */
+/** Machines of a wave that are down for their upkeep, or may be; other causes do not count against its cap. */
 const downOf = (input: UpkeepInput, wave: UpkeepWave): number => wave.machines.filter(name => {
 	const machine = input.machines.get(name);
-	return machine !== undefined && (input.ordered.has(name) || machine.state !== MachineStates.up);
+	return machine !== undefined && (input.ordered.get(name) === 'upkeep' || machine.state === MachineStates.upkeep);
 }).length;
 
 /** Creates the choice, which remembers since when machines have been emptied. */
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -1,7 +1,7 @@
 /** Gives orders to machines for one term: upkeep for waves, and moves between pools. One order at a time for each. */
 import {
 	createFleetBalance, createUpkeepPlan, groupBy, lifeOnMachine, MachineStates, measureDemand, unitToEvacuate,
-	type ArrivalMeter, type Clock, type JobBook, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MovableMachine,
+	type ArrivalMeter, type Clock, type JobBook, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MachineOrderKind, type MovableMachine,
 	type RunEstimates, type UpkeepInput, type WorkerDirectory, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
@@ -46,7 +46,7 @@
 	isLeading(): boolean;
 };
 
-type Ordered = {atMs: number; isDone: boolean};
+type Ordered = {atMs: number; isDone: boolean; kind: MachineOrderKind};
 
 /** Starts the care of machines for one term. */
 export const createMachineKeeper = (options: MachineKeeperOptions) => {
@@ -63,7 +63,7 @@
 	const lifeOf = (machine: Machine): string | undefined => lifeOnMachine(machine, book, directory);
 
 	const input = (): UpkeepInput => ({
-		book, machines, lifeOf, trackOf: options.trackOf, ordered: new Set(ordered.keys()), nowMs: clock.monotonicMs(),
+		book, machines, lifeOf, trackOf: options.trackOf, ordered: new Map([...ordered].map(([name, order]) => [name, order.kind])), nowMs: clock.monotonicMs(),
 	});
 
 	const hasWaves = (): boolean => book.waves().some(wave => !wave.completed);
@@ -106,13 +106,14 @@
 	const isIdle = (life: string | undefined): boolean => life === undefined || (book.runsOf(life).size === 0 && !options.isBeingUsed(life));
 
 	/** Gives one order, which is recorded first. */
-	const give = async (machine: string, life: string | undefined, call: () => Promise<MachineResult>, fields: Record<string, string | number>): Promise<MachineResult> => {
-		ordered.set(machine, {atMs: clock.monotonicMs(), isDone: false});
+	const give = async (machine: string, life: string | undefined, call: () => Promise<MachineResult>, fields: Record<string, string | number> & {order: MachineOrderKind}): Promise<MachineResult> => {
+		const kind = fields.order;
+		ordered.set(machine, {atMs: clock.monotonicMs(), isDone: false, kind});
 		await options.propose({
 			type: 'machine-order', machine, holder: options.holder, atMs: clock.wallMs(),
 		});
 
-		const isStillIdle = fields.order !== 'move' || isIdle(life);
+		const isStillIdle = kind === 'upkeep' || isIdle(life);
 		if (!options.isLeading() || !isStillIdle) {
 			ordered.delete(machine);
 			return {type: 'rejected', reason: 'busy'};
@@ -123,7 +124,7 @@
 			machine, ...fields, result: result.type, reason: 'reason' in result ? result.reason : undefined, worker: life, listMsAgo: Math.round(clock.monotonicMs() - listedMs),
 		});
 		if (result.type === 'done') {
-			ordered.set(machine, {atMs: clock.monotonicMs(), isDone: true});
+			ordered.set(machine, {atMs: clock.monotonicMs(), isDone: true, kind});
 			if (life !== undefined) {
 				options.onEnded(life);
 			}
