--- /dev/null
+++ b/tests/daemon/jobs/group-client.spec.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {systemClock, type JobAnswer} from '@bronzebend/core';
+import {createGroupClient, silentLogs} from '@bronzebend/daemon';
+import type {NotLeading, PeerMessage} from '@bronzebend/wire';
+
+const call = {type: 'read-manifest'} as const;
+const manifest: JobAnswer = {type: 'manifest', document: '{}'};
+
+/** Keepers that answer by a function of their own. */
+const clientWith = (answers: Record<string, () => JobAnswer | NotLeading | undefined>, leading: () => string | undefined) => {
+	const calls: string[] = [];
+	const client = createGroupClient({
+		node: 'me',
+		seeds: () => Object.keys(answers),
+		clock: systemClock,
+		log: silentLogs('test'),
+		send(to: string, message: PeerMessage) {
+			setImmediate(() => {
+				if (message.type === 'view-query') {
+					client.receive(to, {type: 'view', view: {leader: leading(), members: Object.keys(answers), leading: leading() === to}});
+				} else if (message.type === 'job-call') {
+					calls.push(to);
+					const answer = answers[to]!();
+					if (answer) {
+						client.receive(to, {type: 'job-answer', id: message.id, answer});
+					}
+				}
+			});
+		},
+	});
+	return {client, calls};
+};
+
+describe('a client of the group', () => {
+	it('should find the leader and call it', async () => {
+		const {client, calls} = clientWith({a: () => manifest, b: () => manifest}, () => 'b');
+		assert.deepEqual(await client.call(call, systemClock.monotonicMs() + 5000), manifest);
+		assert.deepEqual(calls, ['b']);
+		client.close();
+	});
+
+	it('should follow a keeper that names another leader', async () => {
+		let leader = 'a';
+		const {client} = clientWith({
+			a() {
+				leader = 'b';
+				return {type: 'not-leading', leader: 'b'};
+			},
+			b: () => manifest,
+		}, () => leader);
+		assert.deepEqual(await client.call(call, systemClock.monotonicMs() + 5000), manifest);
+		client.close();
+	});
+
+	it('should say that nothing ran where no leader was found', async () => {
+		const {client} = clientWith({a: () => manifest}, () => undefined);
+		const answer = await client.call(call, systemClock.monotonicMs() + 100);
+		assert.deepEqual([answer.type, 'mayHaveRun' in answer && answer.mayHaveRun], ['unavailable', false]);
+		client.close();
+	});
+
+	it('should never pass on a refusal after a try without an answer', async () => {
+		let tries = 0;
+		const {client} = clientWith({
+			a() {
+				tries += 1;
+				return tries === 1 ? undefined : {type: 'rejected', reason: 'backlog', retryAfterMs: 1000};
+			},
+		}, () => 'a');
+		const answer = await client.call(call, systemClock.monotonicMs() + 5000);
+		assert.deepEqual([answer.type, 'mayHaveRun' in answer && answer.mayHaveRun], ['unavailable', true]);
+		assert.equal(tries, 2);
+		client.close();
+	});
+});
--- /dev/null
+++ b/tests/platform/formats.spec.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {ManifestError} from '@bronzebend/core';
+import {decodeAnnouncement, decodeLeave} from '@bronzebend/platform/announcement-format';
+import {replyTo} from '@bronzebend/platform/http-server';
+import {decodeJob} from '@bronzebend/platform/job-format';
+import {decodeManifest, MessageError} from '@bronzebend/platform/manifest-format';
+import {parseSettings, PlatformSettingsError} from '@bronzebend/platform/settings';
+
+const route = {
+	name: 'quotes', host: 'desk.example', 'path-prefix': '/quotes/', 'timeout-ms': 3000, service: 'bench',
+};
+const manifest = {
+	version: 3, routes: [route], services: [{name: 'bench'}], limits: {'max-body-bytes': 100}, tenants: [{name: 'north', 'api-keys': ['k1'], weight: 2}],
+};
+const manifestText = (changes: Record<string, unknown>): string => JSON.stringify({...manifest, ...changes});
+
+describe('a manifest on the wire', () => {
+	it('should be read with its usual values', () => {
+		const decoded = decodeManifest(manifestText({}));
+		assert.deepEqual(decoded.queues[0], {
+			name: 'quotes', host: 'desk.example', pathPrefix: '/quotes/', pool: 'bench', priority: 0, maxAttempts: 1, objectiveFactor: 1, objectiveMs: 0, timeoutMs: 3000, open: false, recommendation: undefined,
+		});
+		assert.equal(decoded.document, manifestText({}));
+	});
+
+	const invalid: Array<[string, string]> = [
+		['is cut short', manifestText({}).slice(0, -5)],
+		['names an unknown service', manifestText({services: []})],
+		['has two routes at one place', manifestText({routes: [route, {...route, name: 'other'}]})],
+		['has a route without a timeout', manifestText({routes: [{...route, 'timeout-ms': 0}]})],
+		['shares a key between tenants', manifestText({tenants: [...manifest.tenants, {name: 'south', 'api-keys': ['k1'], weight: 1}]})],
+		['has a tenant without a weight', manifestText({tenants: [{name: 'north', 'api-keys': ['k1']}]})],
+		['has no version', manifestText({version: undefined})],
+	];
+	for (const [what, text] of invalid) {
+		it(`should be refused where it ${what}`, () => {
+			assert.throws(() => decodeManifest(text), error => error instanceof MessageError || error instanceof ManifestError);
+		});
+	}
+});
+
+describe('a job on the wire', () => {
+	it('should take fields that are left out for nothing', () => {
+		const job = decodeJob('{"spec":"x","steps":[{"count":2,"cpu":500,"estimate-ms":9},{"count":1,"depends-on":[0],"fill-count":true,"long-running":true,"anti-affinity":1,"miss-allowed":1}]}');
+		assert.equal(job.times, 1);
+		assert.deepEqual(job.steps[0]!.resources, {cpu: 500, memoryMb: 0, gpu: 0});
+		const {fillsSpare, lasting, perWorker, mayMiss, dependsOn} = job.steps[1]!;
+		assert.deepEqual({
+			fillsSpare, lasting, perWorker, mayMiss, dependsOn,
+		}, {
+			fillsSpare: true, lasting: true, perWorker: 1, mayMiss: 1, dependsOn: [0],
+		});
+	});
+
+	it('should keep its times', () => {
+		const job = decodeJob('{"spec":"x","steps":[{"count":1}],"times":3,"start-at-ms":1000,"interval-ms":50}');
+		assert.deepEqual([job.times, job.startAtMs, job.intervalMs], [3, 1000, 50]);
+	});
+
+	it('should be refused with a clear failure', () => {
+		for (const text of ['', '{', '[]', '{"steps":[]}', '{"steps":[{"count":0}]}', '{"steps":[{"count":1,"cpu":-1}]}', `{"spec":"${'x'.repeat(4001)}","steps":[{"count":1}]}`]) {
+			assert.throws(() => decodeJob(text), MessageError);
+		}
+	});
+});
+
+describe('a liveness report on the wire', () => {
+	const report = {
+		service: 'bench', addr: '10.0.0.1:80', zone: 'a', state: 'ready', capacity: {cpu: 1, 'mem-mb': 2, gpu: 0}, labels: ['a'], seq: 4, born: 77, 'host-machine': 'm-1', 'clock-ms': 5,
+	};
+
+	it('should be read', () => {
+		const {bornMs, machine, clockMs, draining} = decodeAnnouncement('w', JSON.stringify(report));
+		assert.deepEqual({
+			bornMs, machine, clockMs, draining,
+		}, {
+			bornMs: 77, machine: 'm-1', clockMs: 5, draining: false,
+		});
+	});
+
+	it('should be refused from another writer', () => {
+		for (const changes of [{born: undefined}, {state: 'odd'}, {seq: 'four'}, {addr: 7}, {capacity: []}, {labels: 'a'}]) {
+			assert.throws(() => decodeAnnouncement('w', JSON.stringify({...report, ...changes})), MessageError);
+		}
+
+		assert.throws(() => decodeAnnouncement('w', '\u0000\u0001'), MessageError);
+	});
+
+	it('should tell which life leaves, where it says so', () => {
+		assert.equal(decodeLeave('{"born":77}'), 77);
+		assert.equal(decodeLeave(''), undefined);
+	});
+});
+
+describe('an answer on the wire', () => {
+	it('should say that a call did not run only where that is certain', () => {
+		assert.equal(replyTo({
+			type: 'unavailable', reason: 'no-leader', mayHaveRun: false, retryAfterMs: 1,
+		}).status, 503);
+		assert.equal(replyTo({
+			type: 'unavailable', reason: 'outcome-unknown', mayHaveRun: true, retryAfterMs: 1,
+		}).status, 504);
+	});
+});
+
+describe('settings of the platform', () => {
+	const text = 'node-name: n\nip: 10.0.0.1\nzone: a\nlisten: {control-plane: "10.0.0.1:80"}\ninternal-ports: [7000, 7015]\nseeds: ["10.0.0.1:80"]\nnew-field: 1\n';
+
+	it('should ignore fields that are not known', () => {
+		assert.equal(parseSettings(text, 'f').peerPort, 7000);
+	});
+
+	it('should be refused with a clear failure', () => {
+		assert.throws(() => parseSettings(text.replace('seeds', 'sods'), 'f'), PlatformSettingsError);
+		assert.throws(() => parseSettings('a: [', 'f'), PlatformSettingsError);
+	});
+});
