Hold more workers ready for the queue whose turn is the longest ago

Cause (experiment): queues take turns, so a pool that just had one needs few workers and the one that waited longest will need many. Ruled out: two workers after a turn (its stragglers are late).

--- a/packages/core/src/jobs/fleet-balance.ts
+++ b/packages/core/src/jobs/fleet-balance.ts
@@ -8,8 +8,12 @@
 import type {JobPool, Resources} from './fleet-manifest.js';
 import type {MachineDemand} from './machine-demand.js';
 
-/** Workers that a pool keeps without any demand; the first jobs of a turn start on them. */
-const MIN_WORKERS = 4;
+/** Workers that a pool keeps shortly after its turn. */
+const MIN_WORKERS = 3;
+/** Workers that a pool keeps while its turn may come; the first jobs of a turn start on them. */
+const READY_WORKERS = 5;
+/** Workers that the pool keeps whose turn is the longest ago, once all have had one. */
+const NEXT_WORKERS = 6;
 /** Room beyond the demand, as a factor; units do not fill machines exactly. */
 const HEADROOM = 1.05;
 /** Time for which a pool must have had too many workers before one goes to standby, in milliseconds. */
@@ -43,7 +47,7 @@
 	const cpu = Math.max(demand.wanted.cpu, demand.lasting.cpu + demand.arrivingCpu);
 	const memoryMb = Math.max(demand.wanted.memoryMb, demand.lasting.memoryMb + demand.arrivingMemoryMb);
 	const machines = Math.max(cpu / Math.max(1, capacity.cpu), memoryMb / Math.max(1, capacity.memoryMb));
-	return Math.max(MIN_WORKERS, demand.spread, Math.ceil(machines * HEADROOM));
+	return Math.max(demand.spread, Math.ceil(machines * HEADROOM));
 };
 
 /** Creates the balance, which remembers moves under way and since when pools have had too many workers. */
@@ -51,6 +55,7 @@
 	const underWay = new Map<string, {to: string; atMs: number}>();
 	const surplusSince = new Map<string, number>();
 	const refused = new Set<string>();
+	const busyAt = new Map<string, number>();
 
 	const forgetArrived = ({poolOfMachine, nowMs}: BalanceInput): void => {
 		for (const [machine, move] of underWay) {
@@ -60,6 +65,17 @@
 		}
 	};
 
+	/** Workers that a pool keeps without demand: queues take turns, so the one that has waited longest is next. */
+	const reserveOf = (pool: string, serving: readonly string[]): number => {
+		const last = busyAt.get(pool);
+		if (last === undefined) {
+			return READY_WORKERS;
+		}
+
+		const isOldest = serving.every(other => other === pool || (busyAt.get(other) ?? -Infinity) > last);
+		return isOldest ? NEXT_WORKERS : MIN_WORKERS;
+	};
+
 	const coming = (pool: string): number => [...underWay.values()].filter(move => move.to === pool).length;
 
 	return {
@@ -87,8 +103,14 @@
 				return [];
 			}
 
-			const balances = input.pools.filter(pool => !pool.standby).map(({name}) => {
-				const need = workersFor(input.demands.get(name)!, usual);
+			const serving = input.pools.filter(pool => !pool.standby).map(pool => pool.name);
+			const balances = serving.map(name => {
+				const asked = workersFor(input.demands.get(name)!, usual);
+				if (asked > NEXT_WORKERS) {
+					busyAt.set(name, input.nowMs);
+				}
+
+				const need = Math.max(asked, reserveOf(name, serving));
 				const have = (input.workers.get(name) ?? 0) + coming(name);
 				if (have <= need) {
 					surplusSince.delete(name);
