--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * from './jobs/interference.js';
 export * from './jobs/job.js';
 export * from './jobs/job-book.js';
+export * from './jobs/job-commands.js';
 export type * from './jobs/job-calls.js';
 export * from './jobs/job-order.js';
 export * from './jobs/placement.js';
--- a/packages/core/src/jobs/job-book.ts
+++ b/packages/core/src/jobs/job-book.ts
@@ -6,10 +6,13 @@
 */
 import {UnreachableError} from '../utils/errors.js';
 import {
-	createManifestIndex, type FleetManifest, type ManifestIndex, NO_RESOURCES, type Resources,
+	createManifestIndex, type ManifestIndex, NO_RESOURCES, type Resources,
 } from './fleet-manifest.js';
+import type {
+	JobBookSnapshot, JobCommand, JobOutcome, MachineOrder, RunOver, RunStart, UpkeepWave, WorkerLife,
+} from './job-commands.js';
 import {
-	createJob, isOpen, isStepReady, type Job, type JobOrder, JobStates, parseUnitName, type RunEnd, RunEnds, type WorkUnit,
+	createJob, isOpen, isStepReady, type Job, JobStates, parseUnitName, RunEnds, type WorkUnit,
 } from './job.js';
 
 /** Time for which an ended job can be asked for, in milliseconds; twice what callers are promised. */
@@ -17,63 +20,6 @@
 /** Accepted jobs between two looks for ended ones to drop. */
 const PURGE_EVERY = 256;
 
-/** One life of a worker: it forgets everything when it starts anew. */
-export type WorkerLife = {
-	/** Identity and start together; a restart gives another. */
-	life: string;
-	id: string;
-	/** Start of this life, in Unix milliseconds. */
-	bornMs: number;
-	address: string;
-	pool: string;
-	zone: string;
-	/** Machine that it lives on, where it tells. */
-	machine?: string;
-	capacity: Resources;
-	labels: string[];
-};
-
-/** Identity of one life. */
-export const lifeOf = (id: string, bornMs: number): string => `${id}@${bornMs}`;
-
-/** A run to record before it is ordered. */
-export type RunStart = {unit: string; attempt: number; life: string};
-/** A run that is over. */
-export type RunOver = {unit: string; attempt: number; how: RunEnd; checkpoint: string};
-
-/** Machines that are due for upkeep. */
-export type UpkeepWave = {number: number; machines: string[]; deadlineMs: number; cap: number; begun: string[]; completed: boolean};
-
-/** A command in the log. */
-export type JobCommand =
-	| {type: 'publish-fleet'; manifest: FleetManifest}
-	| {type: 'submit'; order: JobOrder; atMs: number}
-	| {type: 'cancel'; job: string; atMs: number}
-	| {type: 'runs-start'; lives: WorkerLife[]; runs: RunStart[]}
-	| {type: 'runs-over'; life: string; runs: RunOver[]; atMs: number}
-	| {type: 'wave'; wave: UpkeepWave}
-	| {type: 'wave-begun'; number: number; machine: string}
-	| {type: 'wave-completed'; number: number}
-	/** An order to a machine is about to go out; a later holder must not follow too closely. */
-	| {type: 'machine-order'; machine: string; holder: string; atMs: number}
-	| {type: 'group-whole'};
-
-/** What applying a command gave. */
-export type JobOutcome =
-	| {type: 'fleet-published'; version: number; changed: boolean}
-	| {type: 'accepted'; isNew: boolean}
-	| {type: 'no-queue'}
-	| {type: 'cancelled'}
-	| {type: 'no-job'}
-	| {type: 'runs-started'; accepted: RunStart[]}
-	| {type: 'applied'};
-
-/** The last order to a machine. */
-export type MachineOrder = {holder: string; atMs: number};
-
-/** Serializable content. */
-export type JobBookSnapshot = {manifest?: FleetManifest; jobs: Job[]; lives: WorkerLife[]; waves: UpkeepWave[]; groupWhole: boolean; accepted: number; machineOrders: Array<[string, MachineOrder]>};
-
 /** The record. */
 export type JobBook = ReturnType<typeof createJobBook>;
 
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,7 +1,8 @@
 /** Decides which work units start where, from the record and what is known of the workers. */
 import {groupBy} from '../utils/group-by.js';
 import type {ManifestIndex, Resources} from './fleet-manifest.js';
-import type {JobBook, RunStart} from './job-book.js';
+import type {JobBook} from './job-book.js';
+import type {RunStart} from './job-commands.js';
 import {
 	isOpen, isStepReady, type Job, type Occurrence, type WorkUnit,
 } from './job.js';
--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -1,6 +1,7 @@
 /** Which machines of a wave begin their upkeep next, within the wave's cap and availability budgets. */
 import type {Resources} from './fleet-manifest.js';
-import type {JobBook, UpkeepWave} from './job-book.js';
+import type {JobBook} from './job-book.js';
+import type {UpkeepWave} from './job-commands.js';
 import type {WorkerDirectory} from './worker-directory.js';
 import type {WorkerTrack} from './worker-track.js';
 
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -1,6 +1,6 @@
 /** Workers by what they say of themselves; late and foreign announcements change nothing. */
 import type {Resources} from './fleet-manifest.js';
-import {lifeOf, type WorkerLife} from './job-book.js';
+import {lifeOf, type WorkerLife} from './job-commands.js';
 
 /** A worker's liveness report. */
 export type WorkerAnnouncement = {
--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -4,7 +4,8 @@
 A run counts as lost only when the worker can neither run it now nor start it later: its list shows
 it neither running nor ended, after a stop of that run or a higher fencing token went through.
 */
-import type {JobBook, RunOver} from './job-book.js';
+import type {JobBook} from './job-book.js';
+import type {RunOver} from './job-commands.js';
 import {type RunEnd, RunEnds} from './job.js';
 
 /** Slowest rate of a worker's clock against ours. */
--- /dev/null
+++ b/packages/daemon/src/jobs/leader-reports.ts
@@ -0,0 +1,72 @@
+/** What the leader tells at fixed pauses: the usage of pools to the log, and reports of workers to the other keepers. */
+import {
+	groupBy, type Clock, type JobBook, type WorkerDirectory, type WorkerHeard,
+} from '@bronzebend/core';
+import type {Log} from '../utils/log.js';
+
+/** Pause between two messages to the other keepers on workers, in milliseconds; a third of a worker's pause. */
+const TELL_MS = 500;
+/** Pause between two lines on the usage of a pool, in milliseconds. */
+const USAGE_MS = 1000;
+
+/** Creates the reports of one term. */
+export const createLeaderReports = (options: {
+	book: JobBook;
+	clock: Clock;
+	log: Log;
+	directory: WorkerDirectory;
+	tell(heard: WorkerHeard[]): void;
+	/** Work units of a pool that found no room. */
+	waiting(pool: string): number;
+}) => {
+	const {book, clock, log, directory, tell, waiting} = options;
+	let toldMs = -Infinity;
+	let heardToldMs = -Infinity;
+
+	/** One line a second and pool: what it has, what runs, what waits. */
+	const tellUsage = (): void => {
+		const nowMs = clock.monotonicMs();
+		if (nowMs - toldMs < USAGE_MS) {
+			return;
+		}
+
+		toldMs = nowMs;
+		for (const [pool, entries] of groupBy(directory.list().filter(entry => !entry.left), entry => entry.pool)) {
+			const used = entries.map(entry => book.usageOfLife(entry.life));
+			const runs = entries.flatMap(entry => [...book.runsOf(entry.life).values()]);
+			log.info('Pool usage.', {
+				pool,
+				workers: entries.length,
+				cpu: entries.reduce((sum, entry) => sum + entry.capacity.cpu, 0),
+				cpuUsed: used.reduce((sum, each) => sum + each.cpu, 0),
+				memoryMb: entries.reduce((sum, entry) => sum + entry.capacity.memoryMb, 0),
+				memoryUsedMb: used.reduce((sum, each) => sum + each.memoryMb, 0),
+				runs: runs.length,
+				lasting: runs.filter(run => run.job.order.steps[run.step]!.lasting).length,
+				fillers: runs.filter(run => run.job.order.steps[run.step]!.fillsSpare).length,
+				waiting: waiting(pool),
+			});
+		}
+	};
+
+	const tellHeard = (): void => {
+		const nowMs = clock.monotonicMs();
+		if (nowMs - heardToldMs < TELL_MS) {
+			return;
+		}
+
+		heardToldMs = nowMs;
+		const heard = directory.takeHeard(nowMs);
+		if (heard.length > 0) {
+			tell(heard);
+		}
+	};
+
+	return {
+		/** Tells what is due. */
+		step(): void {
+			tellUsage();
+			tellHeard();
+		},
+	};
+};
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -37,8 +37,8 @@
 	trackOf(life: string): WorkerTrack | undefined;
 	/** Work was placed on this life and is not recorded yet. */
 	isBeingUsed(life: string): boolean;
-	/** Workers that may take work, by life. */
-	isUsable(life: string): boolean;
+	/** Lives that may take work now. */
+	usable(): ReadonlySet<string>;
 	/** Moves a work unit away from a life. */
 	evacuate(life: string, unit: string): void;
 	/** Everything on this life was ended by an order. */
@@ -148,7 +148,9 @@
 		for (const {wave, machine, mayBegin, evacuated} of plan.choose(input())) {
 			const life = lifeOf(machine);
 			if (evacuated !== undefined && life !== undefined && unitToEvacuate(input(), life) === evacuated) {
-				log.info('Work moved away before upkeep.', {machine: machine.name, worker: life, unit: evacuated, wave: wave.number});
+				log.info('Work moved away before upkeep.', {
+					machine: machine.name, worker: life, unit: evacuated, wave: wave.number,
+				});
 				options.evacuate(life, evacuated);
 			}
 
@@ -195,7 +197,8 @@
 
 	const stepBalance = async (): Promise<void> => {
 		const pools = book.manifest()?.manifest.pools ?? [];
-		const usable = directory.list().filter(entry => !entry.left && options.isUsable(entry.life));
+		const lives = options.usable();
+		const usable = directory.list().filter(entry => !entry.left && lives.has(entry.life));
 		const moves = balance.step({
 			pools,
 			demands: measureDemand(book, options.arrivals, options.estimates, {wallMs: clock.wallMs(), nowMs: clock.monotonicMs()}),
--- a/packages/daemon/src/jobs/run-watch.ts
+++ b/packages/daemon/src/jobs/run-watch.ts
@@ -119,3 +119,6 @@
 		},
 	};
 };
+
+/** The watch of one term. */
+export type RunWatch = ReturnType<typeof createRunWatch>;
