--- a/packages/daemon/src/jobs/worker-runner.ts
+++ b/packages/daemon/src/jobs/worker-runner.ts
@@ -7,10 +7,10 @@
 import type {JobMetrics} from './job-metrics.js';
 import type {HoldResult, OrderResult, WorkerPort} from './ports.js';
 
-/** Longest wait of a look at the lists, in milliseconds; well below the lease, which each look renews. */
-const WAIT_MS = 1000;
+/** Longest wait of a look at the lists, in milliseconds; a look that gets lost hides ends for as long. */
+const WAIT_MS = 400;
 /** Pause after a look that failed, in milliseconds. */
-const RETRY_MS = 200;
+const RETRY_MS = 50;
 /** Pause between two tries of a stop, in milliseconds. */
 const STOP_RETRY_MS = 150;
 /** Ends that arrive within this time are read together, in milliseconds. */
