--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -21,6 +21,8 @@
 
 const known = new Set(['timestamp', 'node', 'part', 'level', 'message']);
 
+const textOf = (value: unknown): string => (typeof value === 'string' ? value : '');
+
 /** Reads a line; anything before the first brace is another writer's prefix. */
 export const parseLogLine = (text: string): LogLine | undefined => {
 	const start = text.indexOf('{');
@@ -33,10 +35,10 @@
 		const atMs = Date.parse(String(raw.timestamp));
 		return {
 			atMs: Number.isNaN(atMs) ? 0 : atMs,
-			node: String(raw.node ?? ''),
-			part: String(raw.part ?? ''),
-			level: String(raw.level ?? ''),
-			message: String(raw.message ?? ''),
+			node: textOf(raw.node),
+			part: textOf(raw.part),
+			level: textOf(raw.level),
+			message: textOf(raw.message),
 			fields: Object.fromEntries(Object.entries(raw).filter(([name]) => !known.has(name))),
 		};
 	} catch {
