--- a/packages/daemon/src/jobs/group-client.ts
+++ b/packages/daemon/src/jobs/group-client.ts
@@ -94,7 +94,7 @@
 		leader: () => leader,
 		/** Milliseconds since the leader was last heard. */
 		leaderSilenceMs: (): number => (leader === undefined ? Infinity : clock.monotonicMs() - leaderHeardMs),
-		/** Where the leader is asked for first, a hint for workers. */
+		/** Longest body that the manifest in force allows; undefined before a leader told it. */
 		maxBodyBytes: () => view?.maxBodyBytes,
 
 		/** Calls the leader until it answers or the time is up. */
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
-/** Which packages and folders may import which, beside XO's own rules. */
 /** The adapter of the users' platform puts the parts together; no part knows it. */
 const adapter = ['@bronzebend/platform', '**/platform/**'];
+/** Which packages and folders may import which, beside XO's own rules. */
 const forbid = (...patterns) => ({'no-restricted-imports': ['error', {patterns: [...adapter, ...patterns].map(group => ({group: [group], message: 'See docs/ARCHITECTURE.md for which part may import which.'}))}]});
 
 export default [
