Count work on silent workers and on machines under order as away before upkeep

Cause: a budget was judged by the last list of each worker. A worker that had fallen silent, and a machine whose order got no clear answer, still showed their units at work; between the choice and the order a commit passes in which a run may end. Two tests failed before and pass now.

--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -56,15 +56,33 @@
 /** Percent at which a lasting work unit is at work. */
 const AT_WORK = 100;
 
-/** Work units of a step that are away, beside those on one life. */
-const awayElsewhere = (input: UpkeepInput, units: ReadonlyArray<{name: string; state: string; worker?: string; attempt: number}>, life: string): number => units.filter(unit => {
-	if (unit.state !== 'running' || unit.worker === undefined) {
-		return true;
-	}
+/** Silence of a worker from which its work counts as away, in milliseconds; two looks without an answer. */
+const SILENCE_MS = 1000;
 
-	const progress = input.trackOf(unit.worker)?.runs.get(unit.name);
-	return unit.worker !== life && (progress?.attempt !== unit.attempt || progress.percent < AT_WORK || progress.stopAskedMs !== undefined);
-}).length;
+/** Lives on machines that were given an order: it may be carried out at any moment, also without a clear answer. */
+const livesUnderOrder = (input: UpkeepInput): ReadonlySet<string> => new Set([...input.ordered.keys()].flatMap(name => {
+	const machine = input.machines.get(name);
+	return machine ? input.lifeOf(machine) ?? [] : [];
+}));
+
+/** Work units of a step that are away, beside those on one life. */
+const awayElsewhere = (input: UpkeepInput, units: ReadonlyArray<{name: string; state: string; worker?: string; attempt: number}>, life: string): number => {
+	const underOrder = livesUnderOrder(input);
+	return units.filter(unit => {
+		if (unit.state !== 'running' || unit.worker === undefined) {
+			return true;
+		}
+
+		if (unit.worker === life) {
+			return false;
+		}
+
+		const track = input.trackOf(unit.worker);
+		const progress = track?.runs.get(unit.name);
+		return track === undefined || underOrder.has(unit.worker) || input.nowMs - track.contactMs() > SILENCE_MS
+			|| progress?.attempt !== unit.attempt || progress.percent < AT_WORK || progress.stopAskedMs !== undefined;
+	}).length;
+};
 
 /** True where ending everything on a life keeps every availability budget. */
 export const keepsBudgets = (input: UpkeepInput, life: string): boolean => [...input.book.runsOf(life).values()].every(({job, step, unit}) => {
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -1,6 +1,6 @@
 /** Gives orders to machines for one term: upkeep for waves, and moves between pools. One order at a time for each. */
 import {
-	createFleetBalance, createUpkeepPlan, groupBy, lifeOnMachine, MachineStates, measureDemand, unitToEvacuate,
+	createFleetBalance, createUpkeepPlan, groupBy, keepsBudgets, lifeOnMachine, MachineStates, measureDemand, unitToEvacuate,
 	type ArrivalMeter, type Clock, type JobBook, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MachineOrderKind, type MovableMachine,
 	type RunEstimates, type UpkeepInput, type WorkerDirectory, type WorkerTrack,
 } from '@bronzebend/core';
@@ -105,16 +105,15 @@
 
 	const isIdle = (life: string | undefined): boolean => life === undefined || (book.runsOf(life).size === 0 && !options.isBeingUsed(life));
 
-	/** Gives one order, which is recorded first. */
-	const give = async (machine: string, life: string | undefined, call: () => Promise<MachineResult>, fields: Record<string, string | number> & {order: MachineOrderKind}): Promise<MachineResult> => {
+	/** Gives one order, which is recorded first; meanwhile work may have come to its machine or gone elsewhere. */
+	const give = async (machine: string, life: string | undefined, isStillFine: () => boolean, call: () => Promise<MachineResult>, fields: Record<string, string | number> & {order: MachineOrderKind}): Promise<MachineResult> => {
 		const kind = fields.order;
 		ordered.set(machine, {atMs: clock.monotonicMs(), isDone: false, kind});
 		await options.propose({
 			type: 'machine-order', machine, holder: options.holder, atMs: clock.wallMs(),
 		});
 
-		const isStillIdle = kind === 'upkeep' || isIdle(life);
-		if (!options.isLeading() || !isStillIdle) {
+		if (!options.isLeading() || !isStillFine()) {
 			ordered.delete(machine);
 			return {type: 'rejected', reason: 'busy'};
 		}
@@ -164,7 +163,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			const result = await give(machine.name, life, async () => port.upkeep(machine.name, wave.number, by), {order: 'upkeep', wave: wave.number});
+			const result = await give(machine.name, life, () => life === undefined || keepsBudgets(input(), life), async () => port.upkeep(machine.name, wave.number, by), {order: 'upkeep', wave: wave.number});
 			if (result.type === 'done') {
 				// eslint-disable-next-line no-await-in-loop
 				await options.propose({type: 'wave-begun', number: wave.number, machine: machine.name});
@@ -184,7 +183,7 @@
 		}
 
 		balance.ordered(chosen, clock.monotonicMs());
-		const result = await give(machine.name, life, async () => port.move(machine.name, chosen.to, by), {order: 'move', from: chosen.from, to: chosen.to});
+		const result = await give(machine.name, life, () => isIdle(life), async () => port.move(machine.name, chosen.to, by), {order: 'move', from: chosen.from, to: chosen.to});
 		if (result.type === 'done') {
 			machines.set(machine.name, {...machine, pool: chosen.to, state: MachineStates.moving});
 		} else if (result.type !== 'unknown') {
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -112,7 +112,7 @@
 	return {
 		book,
 		input: {
-			book, machines: new Map(['m1', 'm2', 'm3'].map((name, index) => [name, machineOf(name, ids[index])])), lifeOf: machine => machine.workerId && lifeNamed(machine.workerId).life, trackOf: life => tracks.get(life), ordered: new Map(), nowMs: 5000,
+			book, machines: new Map(['m1', 'm2', 'm3'].map((name, index) => [name, machineOf(name, ids[index])])), lifeOf: machine => machine.workerId && lifeNamed(machine.workerId).life, trackOf: life => tracks.get(life), ordered: new Map(), nowMs: 500,
 		},
 	};
 };
@@ -148,6 +148,17 @@
 		assert.equal(keepsBudgets(next, lifeNamed('w1').life), false);
 	});
 
+	it('should count work on a machine that was given an order as away, whether or not the order was answered', () => {
+		const {input} = lastingOn(['w1', 'w22', 'w333'], 100);
+		assert.equal(keepsBudgets({...input, ordered: new Map([['m2', 'upkeep']])}, lifeNamed('w1').life), false);
+		assert.equal(keepsBudgets({...input, ordered: new Map([['m1', 'upkeep']])}, lifeNamed('w1').life), true);
+	});
+
+	it('should count work on a worker that has fallen silent as away', () => {
+		const {input} = lastingOn(['w1', 'w22', 'w333'], 100);
+		assert.equal(keepsBudgets({...input, nowMs: 1500}, lifeNamed('w1').life), false);
+	});
+
 	it('should move one unit away from a machine that runs more of a step than may be away', () => {
 		const {book, input} = lastingOn(['w1', 'w1', 'w22'], 100);
 		const {life} = lifeNamed('w1');
