Take machines back from standby as soon as they are listed there

Cause: a machine on its way to standby counted as under way until a worker reported from it, which none does in standby, so it stayed out of use for 6 s. The list of machines is also read every 0.4 s while an order is under way. Ruled out: the demand (it asked for 11), the platform (each order was done).

--- a/packages/core/src/jobs/fleet-balance.ts
+++ b/packages/core/src/jobs/fleet-balance.ts
@@ -57,9 +57,13 @@
 	const refused = new Set<string>();
 	const busyAt = new Map<string, number>();
 
-	const forgetArrived = ({poolOfMachine, nowMs}: BalanceInput): void => {
+	/** A machine has arrived with its worker's first report, in standby with its place in the list of machines. */
+	const forgetArrived = ({machines, pools, poolOfMachine, nowMs}: BalanceInput): void => {
+		const standby = new Set(pools.filter(pool => pool.standby).map(pool => pool.name));
+		const poolInList = new Map(machines.map(machine => [machine.name, machine.pool]));
 		for (const [machine, move] of underWay) {
-			if (poolOfMachine.get(machine) === move.to || nowMs - move.atMs > ARRIVAL_LIMIT_MS) {
+			const pool = standby.has(move.to) ? poolInList.get(machine) : poolOfMachine.get(machine);
+			if (pool === move.to || nowMs - move.atMs > ARRIVAL_LIMIT_MS) {
 				underWay.delete(machine);
 			}
 		}
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -9,8 +9,8 @@
 
 /** Pause between two steps, in milliseconds. */
 const STEP_MS = 200;
-/** Age from which the list of machines is read again while a wave is under way, in milliseconds. */
-const WAVE_LIST_MS = 400;
+/** Age from which the list of machines is read again while a wave or an order is under way, in milliseconds. */
+const ACTIVE_LIST_MS = 400;
 /** The same at other times, in milliseconds; each reading has a price. */
 const CALM_LIST_MS = 1500;
 /** Pause before an order without a clear answer is repeated, in milliseconds. */
@@ -70,7 +70,7 @@
 
 	const read = async (): Promise<boolean> => {
 		const askedMs = clock.monotonicMs();
-		if (askedMs - listedMs < (hasWaves() ? WAVE_LIST_MS : CALM_LIST_MS)) {
+		if (askedMs - listedMs < (hasWaves() || ordered.size > 0 ? ACTIVE_LIST_MS : CALM_LIST_MS)) {
 			return listedMs > startedMs;
 		}
 
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -66,6 +66,16 @@
 		assert.deepEqual(balance.step(inputOf(machines, {}, 1300)).map(move => move.to), ['spare', 'spare', 'spare']);
 	});
 
+	it('should take a machine back from standby as soon as it is listed there', () => {
+		const balance = createFleetBalance();
+		const before = [...machinesOf('bench', 5, false), ...machinesOf('desk', 5, false)];
+		const [returned] = machinesOf('spare', 1);
+		balance.ordered({machine: returned!.name, from: 'bench', to: 'spare'}, 0);
+		const demands = {bench: demandOf({arrivingCpu: 21_000})};
+		assert.deepEqual(balance.step(inputOf(before, demands, 200)), []);
+		assert.deepEqual(balance.step(inputOf([...before, returned!], demands, 1800)), [{machine: returned!.name, from: 'spare', to: 'bench'}]);
+	});
+
 	it('should hold more workers ready for the queue whose turn is the longest ago', () => {
 		const balance = createFleetBalance();
 		const machines = [...machinesOf('bench', 3, false), ...machinesOf('desk', 3, false), ...machinesOf('spare', 9)];
