Count arrivals over 1.5 s and keep lasting work on few machines

Arrivals counted over 0.35 s read four jobs as a rate of 29 machines and brought 21 for 10; lasting units took the emptiest workers and so kept five or more machines in each pool. Work under a target is still spread.

--- a/packages/core/src/jobs/machine-demand.ts
+++ b/packages/core/src/jobs/machine-demand.ts
@@ -5,11 +5,8 @@
 import {remainingMs, tierOf, Tiers} from './job-order.js';
 import type {RunEstimates} from './run-estimates.js';
 
-/** Spans over which arriving work is counted, in milliseconds; a turn of a queue lasts a few seconds. */
-const ARRIVAL_WINDOW_MS = 600;
-const SHORT_WINDOW_MS = 350;
-/** Jobs in the short span from which it counts; fewer say little. */
-const SHORT_WINDOW_JOBS = 4;
+/** Span over which arriving work is counted, in milliseconds: a few jobs of a queue in its turn, and short against the turn. */
+const ARRIVAL_WINDOW_MS = 1500;
 /** Part of the waiting work of late jobs that asks for machines; it earns little more for being early. */
 const LATE_WEIGHT = 0.25;
 
@@ -38,6 +35,10 @@
 		/** A job was accepted. */
 		add(job: Job, pool: string, estimates: RunEstimates, nowMs: number): void {
 			const steps = job.order.steps.filter(step => !step.lasting);
+			if (steps.length === 0) {
+				return;
+			}
+
 			const total = (amount: (resources: Resources) => number): number => steps.reduce((sum, step) => sum + (step.count * amount(step.resources) * estimates.expectedMs(job.order.queue, step.estimateMs)), 0);
 			const list = arrivals.get(pool) ?? [];
 			list.push({atMs: nowMs, cpuMs: total(resources => resources.cpu), memoryMs: total(resources => resources.memoryMb)});
@@ -48,18 +49,10 @@
 		rate(pool: string, nowMs: number): {cpu: number; memoryMb: number} {
 			const list = (arrivals.get(pool) ?? []).filter(arrival => nowMs - arrival.atMs < ARRIVAL_WINDOW_MS);
 			arrivals.set(pool, list);
-			const over = (spanMs: number): {cpu: number; memoryMb: number} => {
-				const recent = list.filter(arrival => nowMs - arrival.atMs < spanMs);
-				return {
-					cpu: recent.reduce((sum, arrival) => sum + arrival.cpuMs, 0) / spanMs,
-					memoryMb: recent.reduce((sum, arrival) => sum + arrival.memoryMs, 0) / spanMs,
-				};
+			return {
+				cpu: list.reduce((sum, arrival) => sum + arrival.cpuMs, 0) / ARRIVAL_WINDOW_MS,
+				memoryMb: list.reduce((sum, arrival) => sum + arrival.memoryMs, 0) / ARRIVAL_WINDOW_MS,
 			};
-
-			const long = over(ARRIVAL_WINDOW_MS);
-			const isShortTelling = list.filter(arrival => nowMs - arrival.atMs < SHORT_WINDOW_MS).length >= SHORT_WINDOW_JOBS;
-			const short = isShortTelling ? over(SHORT_WINDOW_MS) : long;
-			return {cpu: Math.max(long.cpu, short.cpu), memoryMb: Math.max(long.memoryMb, short.memoryMb)};
 		},
 	};
 };
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -1,7 +1,8 @@
 /**
 Where a work unit runs.
 
-Packs a pool's workers, so that large units still find room, and keeps work that fills spare
+Packs a pool's workers, those first whose machines stay in the pool anyway: large units still find
+room, and the other machines fall idle and can follow the demand. Keeps work that fills spare
 capacity away from work that serves users.
 */
 import type {Resources} from './fleet-manifest.js';
@@ -18,6 +19,8 @@
 	serves: boolean;
 	/** Runs work that fills spare capacity. */
 	fills: boolean;
+	/** Runs work that lasts, so that its machine stays in the pool. */
+	isPinned: boolean;
 	/** Duration of runs here against what was expected. */
 	slowness: number;
 };
@@ -35,7 +38,8 @@
 	const disturbs = (step.fillsSpare && seat.serves) || (step.targetMs !== undefined && seat.fills);
 	const remote = step.dataRack !== undefined && !seat.labels.has(step.dataRack);
 	const left = (seat.free.cpu - (step.fillsSpare ? 0 : step.resources.cpu)) / Math.max(1, seat.capacity.cpu);
-	const room = step.lasting ? -left : left;
+	// Work under a target is disturbed by its neighbours, whatever they run.
+	const room = step.targetMs === undefined ? left + (seat.isPinned ? 0 : 1) : -left;
 	return (disturbs ? 100 : 0) + (remote ? 20 : 0) + (seat.slowness > SLOW ? 10 + seat.slowness : 0) + room;
 };
 
@@ -66,5 +70,6 @@
 	if (factor > 0) {
 		seat.serves ||= step.targetMs !== undefined;
 		seat.fills ||= step.fillsSpare;
+		seat.isPinned ||= step.lasting;
 	}
 };
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -96,6 +96,7 @@
 				labels: new Set(worker.labels),
 				serves: steps.some(step => step.targetMs !== undefined),
 				fills: steps.some(step => step.fillsSpare),
+				isPinned: steps.some(step => step.lasting),
 				slowness: worker.slowness,
 			},
 		};
--- a/tests/core/jobs/scheduler.spec.ts
+++ b/tests/core/jobs/scheduler.spec.ts
@@ -95,6 +95,22 @@
 		assert.equal(new Set(lives).size, 2);
 	});
 
+	it('should run lasting work on few workers and other work beside it, so that the rest fall idle', () => {
+		const small = {cpu: 500, memoryMb: 1, gpu: 0};
+		const lasting = stepOf({count: 4, lasting: true, perWorker: 2, resources: small});
+		const book = bookWith([orderOf('a', [lasting]), orderOf('b', [stepOf({count: 4, resources: small})])]);
+		const workers = ['w1', 'w22', 'w333', 'w4444', 'w55555'].map(id => workerOf(id));
+		const lives = plan(book, workers).starts.map(start => start.life);
+		assert.equal(lives.length, 8);
+		assert.equal(new Set(lives).size, 2);
+	});
+
+	it('should spread work under a target', () => {
+		const book = bookWith([orderOf('a', [stepOf({count: 3, lasting: true, targetMs: 50})])]);
+		const workers = ['w1', 'w22', 'w333'].map(id => workerOf(id));
+		assert.equal(new Set(plan(book, workers).starts.map(start => start.life)).size, 3);
+	});
+
 	it('should not start an occurrence before it is due', () => {
 		const book = bookWith([orderOf('a', [stepOf()], {times: 2, startAtMs: 50, intervalMs: 100})]);
 		assert.deepEqual(plan(book, [workerOf('w1')]).starts.map(start => start.unit), [`${'a'.padEnd(16, '0')}.0.0.0`]);
--- a/utils/experiment.ts
+++ b/utils/experiment.ts
@@ -29,10 +29,10 @@
 	},
 ];
 
-type Row = {load: string; way: string; earned: number; inObjective: number; late: number; refused: number; unfinished: number; worstTeam: number; waitP95Ms: number; machineSeconds: number; moves: number};
+type Row = {load: string; way: string; net: number; earned: number; inObjective: number; late: number; refused: number; unfinished: number; worstTeam: number; waitP95Ms: number; machineSeconds: number; moves: number};
 
 const share = (result: PlayResult, outcome: string): number => {
-	const owed = result.played.filter(played => !played.job.isPoison);
+	const owed = result.played.filter(played => !played.job.isPoison && played.job.queue.worth > 0);
 	return owed.filter(played => played.outcome === outcome).length / owed.length;
 };
 
@@ -49,6 +49,7 @@
 	return {
 		load: load.name,
 		way: way.name,
+		net: earnedOf(result.played) - (result.machineSeconds * load.prices.machineSecond) - (result.moves * load.prices.move),
 		earned: earnedOf(result.played),
 		inObjective: share(result, 'in-objective'),
 		late: share(result, 'late'),
@@ -66,12 +67,12 @@
 const render = (rows: readonly Row[], earlier: readonly Row[]): string => {
 	const lines = rows.map(row => {
 		const before = earlier.find(other => other.load === row.load && other.way === row.way);
-		const parts = [row.earned, row.inObjective, row.late, row.refused, row.unfinished, row.worstTeam].map(value => asPart(value));
-		return `| ${row.load} | ${row.way} | ${parts.join(' | ')} | ${row.waitP95Ms.toFixed(0)} | ${row.machineSeconds.toFixed(0)} | ${row.moves} | ${before ? asPart(before.earned) : '–'} |`;
+		const parts = [row.net, row.earned, row.inObjective, row.late, row.refused, row.unfinished, row.worstTeam].map(value => asPart(value));
+		return `| ${row.load} | ${row.way} | ${parts.join(' | ')} | ${row.waitP95Ms.toFixed(0)} | ${row.machineSeconds.toFixed(0)} | ${row.moves} | ${before?.net === undefined ? '–' : asPart(before.net)} |`;
 	});
 	return [
-		'| load | way | worth earned | in objective | late | refused | unfinished | worst team | wait p95 ms | machine-seconds in pools | moves | worth, last record |',
-		'| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
+		'| load | way | net of prices | worth earned | in objective | late | refused | unfinished | worst team | wait p95 ms | machine-seconds in pools | moves | net, last record |',
+		'| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
 		...lines,
 	].join('\n');
 };
