Ask for machines only for work within its workspace's limit

Cause: work beyond a workspace's limit counted as waiting for room; it asked for machines that could not help, and marked its pool as short of room. Placement and demand now share one accounting of limits. The test fails on the code before.

--- a/packages/core/src/jobs/machine-demand.ts
+++ b/packages/core/src/jobs/machine-demand.ts
@@ -1,9 +1,12 @@
 /** What each pool is asked for: work that runs, work that waits, and work that is arriving. */
 import {type Resources} from './fleet-manifest.js';
 import type {JobBook} from './job-book.js';
-import {isOpen, isStepReady, type Job} from './job.js';
+import {
+	isOpen, isStepReady, type Job, type WorkUnit,
+} from './job.js';
 import {remainingMs, tierOf, Tiers} from './job-order.js';
 import type {RunEstimates} from './run-estimates.js';
+import {createWorkspaceTill, type WorkspaceTill} from './workspace-till.js';
 
 /** Span over which arriving work is counted, in milliseconds: a few jobs of a queue in its turn, and short against the turn. */
 const ARRIVAL_WINDOW_MS = 1500;
@@ -61,15 +64,18 @@
 	wanted: {cpu: 0, memoryMb: 0, gpu: 0}, lasting: {cpu: 0, memoryMb: 0, gpu: 0}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0,
 });
 
-/** Adds a job's part to its pool's demand; waiting work counts by its weight. */
-const addJob = (demand: MachineDemand, job: Job, weight: number, book: JobBook, wallMs: number): void => {
+/** Adds a job's part to its pool's demand: what runs, and what waits and may start within its workspace's limit, by its weight. */
+const addJob = (demand: MachineDemand, job: Job, weight: number, till: WorkspaceTill, {book, wallMs}: {book: JobBook; wallMs: number}): void => {
 	for (const occurrence of job.occurrences.filter(each => each.dueMs <= wallMs)) {
 		for (const [number, step] of job.order.steps.entries()) {
 			if (!isStepReady(job, occurrence, number)) {
 				continue;
 			}
 
-			const units = occurrence.steps[number]!.reduce((sum, unit) => sum + (unit.state === 'running' ? 1 : (unit.state === 'idle' ? weight : 0)), 0);
+			const countOf = (state: WorkUnit['state']): number => occurrence.steps[number]!.filter(unit => unit.state === state).length;
+			const startable = till.most(job.order.workspace, step.resources, countOf('idle'));
+			till.take(job.order.workspace, step.resources, startable);
+			const units = countOf('running') + (startable * weight);
 			const amount = book.reserved(job, number);
 			for (const target of step.lasting ? [demand.wanted, demand.lasting] : [demand.wanted]) {
 				target.cpu += amount.cpu * units;
@@ -86,12 +92,14 @@
 
 /** Measures all pools. */
 export const measureDemand = (book: JobBook, arrivals: ArrivalMeter, estimates: RunEstimates, {wallMs, nowMs}: {wallMs: number; nowMs: number}): Map<string, MachineDemand> => {
-	const demands = new Map((book.manifest()?.manifest.pools ?? []).map(pool => [pool.name, emptyDemand()]));
+	const manifest = book.manifest();
+	const till = createWorkspaceTill(book, manifest);
+	const demands = new Map((manifest?.manifest.pools ?? []).map(pool => [pool.name, emptyDemand()]));
 	for (const job of book.openJobs()) {
-		const demand = demands.get((book.manifest()?.queue(job.order.queue) ?? job.queue).pool);
+		const demand = demands.get((manifest?.queue(job.order.queue) ?? job.queue).pool);
 		if (demand && isOpen(job)) {
 			const isLate = tierOf(job, wallMs, remainingMs(job, estimates)) > Tiers.inTime;
-			addJob(demand, job, isLate ? LATE_WEIGHT : 1, book, wallMs);
+			addJob(demand, job, isLate ? LATE_WEIGHT : 1, till, {book, wallMs});
 		}
 	}
 
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -9,6 +9,7 @@
 import {compareRanks, type JobRank, rankJob} from './job-order.js';
 import {chooseSeat, occupy, type Seat} from './placement.js';
 import type {RunEstimates} from './run-estimates.js';
+import {createWorkspaceTill} from './workspace-till.js';
 
 /** A worker that may take work now, with its pool. */
 export type SchedulableWorker = {life: string; id: string; pool: string; capacity: Resources; labels: string[]; slowness: number};
@@ -33,55 +34,18 @@
 /** What a pass decides. */
 export type SchedulingPass = {
 	starts: RunStart[];
-	/** Work units that found no room, by pool. */
+	/** Work units that found no room, by pool; those beyond their workspace's limit wait for something else. */
 	waiting: Map<string, number>;
 	/** Steps that wait for advice. */
 	unadvised: Array<{job: Job; occurrence: number; step: number}>;
 };
 
-const isWithinCap = (used: Resources, added: Resources, cap: Resources): boolean => (cap.cpu === 0 || used.cpu + added.cpu <= cap.cpu)
-	&& (cap.memoryMb === 0 || used.memoryMb + added.memoryMb <= cap.memoryMb)
-	&& (cap.gpu === 0 || used.gpu + added.gpu <= cap.gpu);
-
 /** Workers to avoid, unless the pool has no others: a unit that failed on all of them must still run. */
 const avoidable = (avoided: ReadonlySet<string> | undefined, pool: readonly Seat[]): ReadonlySet<string> | undefined => (avoided && pool.some(seat => !avoided.has(seat.life)) ? avoided : undefined);
 
 /** Work units of a step that could start now. */
 const idleUnits = (units: readonly WorkUnit[]): WorkUnit[] => units.filter(unit => unit.state === 'idle');
 
-/** Creates the workspace accounting of one pass. */
-const createTill = ({book, manifest}: SchedulingInput) => {
-	const planned = new Map<string, Resources>();
-	const usedBy = (name: string): Resources => {
-		const used = planned.get(name) ?? {...book.usageOfWorkspace(name)};
-		planned.set(name, used);
-		return used;
-	};
-
-	return {
-		/** True where one more work unit stays within the workspace's limit. */
-		allows(name: string | undefined, amount: Resources): boolean {
-			const workspace = name === undefined ? undefined : manifest.workspace(name);
-			return !workspace || isWithinCap(usedBy(workspace.name), amount, workspace.cap);
-		},
-
-		take(name: string | undefined, amount: Resources, factor = 1): void {
-			if (name !== undefined) {
-				const used = usedBy(name);
-				used.cpu += amount.cpu * factor;
-				used.memoryMb += amount.memoryMb * factor;
-				used.gpu += amount.gpu * factor;
-			}
-		},
-
-		/** Cores in use against the workspace's weight. */
-		shareOf(name: string | undefined): number {
-			const workspace = name === undefined ? undefined : manifest.workspace(name);
-			return workspace ? usedBy(workspace.name).cpu / workspace.weight : 0;
-		},
-	};
-};
-
 const seatsOf = ({book, workers}: SchedulingInput): Map<string, Seat[]> => {
 	const seats = workers.map(worker => {
 		const used = book.usageOfLife(worker.life);
@@ -108,12 +72,12 @@
 export const planStarts = (input: SchedulingInput): SchedulingPass => {
 	const {book, manifest, estimates, wallMs} = input;
 	const seats = seatsOf(input);
-	const till = createTill(input);
+	const till = createWorkspaceTill(book, manifest);
 	const pass: SchedulingPass = {starts: [], waiting: new Map(), unadvised: []};
 
 	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => unit.state === 'running' && unit.worker === life).length + (started.get(life) ?? 0);
 
-	/** Starts what fits of one step; returns how many work units are left. */
+	/** Starts what fits of one step; returns how many work units found no room. */
 	const startStep = (job: Job, occurrence: Occurrence, number: number, pool: readonly Seat[]): number => {
 		const step = job.order.steps[number]!;
 		const units = occurrence.steps[number]!;
@@ -135,16 +99,18 @@
 		const started = new Map<string, number>();
 		const chosen: Array<{unit: WorkUnit; seat: Seat}> = [];
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
+		let isLimited = false;
 		for (const unit of idle) {
+			isLimited = till.most(job.order.workspace, step.resources, 1) === 0;
 			const avoided = avoidable(input.avoided(unit.name), pool);
-			const seat = pass.starts.length + chosen.length < input.most && till.allows(job.order.workspace, step.resources)
+			const seat = pass.starts.length + chosen.length < input.most && !isLimited
 				? chooseSeat(step, pool, candidate => avoided?.has(candidate.life) !== true
 					&& approved?.has(candidate.life) !== false
 					&& (step.perWorker === undefined || countOn(units, started, candidate.life) < step.perWorker))
 				: undefined;
 			if (!seat) {
 				// Units of a step are alike, so the others have no room either, unless this one avoids a worker.
-				if (step.gang || avoided === undefined) {
+				if (step.gang || isLimited || avoided === undefined) {
 					break;
 				}
 
@@ -152,7 +118,7 @@
 			}
 
 			occupy(step, seat);
-			till.take(job.order.workspace, step.resources);
+			till.take(job.order.workspace, step.resources, 1);
 			started.set(seat.life, (started.get(seat.life) ?? 0) + 1);
 			chosen.push({unit, seat});
 		}
@@ -163,11 +129,11 @@
 				till.take(job.order.workspace, step.resources, -1);
 			}
 
-			return idle.length;
+			return isLimited ? 0 : idle.length;
 		}
 
 		pass.starts.push(...chosen.map(({unit, seat}) => ({unit: unit.name, attempt: attempt ?? unit.attempt + 1, life: seat.life})));
-		return idle.length - chosen.length;
+		return isLimited ? 0 : idle.length - chosen.length;
 	};
 
 	const startJob = (job: Job, poolName: string): void => {
--- a/tests/core/jobs/scheduler.spec.ts
+++ b/tests/core/jobs/scheduler.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createRunEstimates, planStarts,
+	createArrivalMeter, createRunEstimates, measureDemand, planStarts,
 	type JobBook, type SchedulableWorker, type SchedulingInput,
 } from '@bronzebend/core';
 import {
@@ -48,6 +48,17 @@
 		assert.equal(starts.length, 4);
 	});
 
+	it('should tell work beyond its workspace\'s limit from work that lacks room', () => {
+		const manifest = manifestOf();
+		manifest.workspaces[0]!.cap = {cpu: 2500, memoryMb: 0, gpu: 0};
+		const book = bookWith([orderOf('a', [stepOf({count: 9})]), orderOf('b', [stepOf({count: 9})], {workspace: 'south'})], manifest);
+		const pass = plan(book, [workerOf('w1')]);
+		assert.equal(pass.starts.length, 4);
+		assert.equal(pass.waiting.get('bench'), 7);
+		const demand = measureDemand(book, createArrivalMeter(), createRunEstimates(), {wallMs: 0, nowMs: 0}).get('bench')!;
+		assert.equal(demand.wanted.cpu, 11_000);
+	});
+
 	it('should keep units of a step apart', () => {
 		const book = bookWith([orderOf('a', [stepOf({count: 3, perWorker: 1})])]);
 		const {starts} = plan(book, [workerOf('w1'), workerOf('w2')]);
