Spare busy pools during a wave, and follow another holder's orders by the time they were applied

Now only machines that may begin are emptied, those in standby first, pools short of room last while there is time, and one that waits for a budget holds up no other. The age of another holder's order counts from when this process applied it, on its steady clock.

--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -38,7 +38,12 @@
 	trackOf: (life: string) => WorkerTrack | undefined;
 	/** Machines that were given an order that is not known to be over, with the order. */
 	ordered: ReadonlyMap<string, MachineOrderKind>;
+	/** Pools whose work waits for room. */
+	shortPools: ReadonlySet<string>;
+	/** Pools whose machines are switched off. */
+	standbyPools: ReadonlySet<string>;
 	nowMs: number;
+	wallMs: number;
 };
 
 /** A machine that may begin, or that should take no more work until it may. */
@@ -52,6 +57,12 @@
 
 /** Time for which a machine that is next takes no new work before its upkeep, in milliseconds. */
 const EMPTYING_MS = 1500;
+/** Machines that are emptied beyond those that may begin now, so that one that must wait for a budget holds up no other. */
+const EMPTYING_AHEAD = 2;
+/** Time that one machine after another takes in a wave, in milliseconds: emptied, down, listed as up again. */
+const ROUND_MS = 4500;
+/** Time in hand at which a wave stops sparing pools that are short of room, in milliseconds. */
+const WAVE_RESERVE_MS = 5000;
 
 /** Percent at which a lasting work unit is at work. */
 const AT_WORK = 100;
@@ -120,10 +131,42 @@
 	return machine !== undefined && (input.ordered.get(name) === 'upkeep' || machine.state === MachineStates.upkeep);
 }).length;
 
+/** True where a wave has no time left to spare pools that are short of room. */
+const isPressed = (input: UpkeepInput, wave: UpkeepWave, left: number): boolean => {
+	const neededMs = Math.ceil(left / Math.max(1, wave.cap)) * ROUND_MS;
+	return wave.deadlineMs - input.wallMs < neededMs + WAVE_RESERVE_MS;
+};
+
 /** Creates the choice, which remembers since when machines have been emptied. */
 export const createUpkeepPlan = () => {
 	const emptyingSince = new Map<string, number>();
 
+	/** Machines in standby and idle ones go first, those of pools that are short of room last, while there is time. */
+	const chooseOf = (wave: UpkeepWave, input: UpkeepInput): UpkeepChoice[] => {
+		const left = wave.machines.filter(name => !wave.begun.includes(name));
+		const spares = !isPressed(input, wave, left.length);
+		let room = Math.max(0, wave.cap - downOf(input, wave));
+		const candidates = left.flatMap(name => {
+			const machine = input.machines.get(name);
+			const isFree = machine?.state === MachineStates.up && !input.ordered.has(name) && !(spares && input.shortPools.has(machine.pool));
+			return isFree ? [machine] : [];
+		}).map(machine => ({
+			machine, loss: input.standbyPools.has(machine.pool) ? -1 : lossOn(input, input.lifeOf(machine)), since: emptyingSince.get(machine.name),
+		}));
+		// Machines that are being emptied stay first, or none would ever be empty.
+		candidates.sort((one, other) => (one.since ?? Infinity) - (other.since ?? Infinity) || one.loss - other.loss);
+		return candidates.slice(0, room === 0 ? 0 : room + EMPTYING_AHEAD).map(({machine, loss, since}) => {
+			const life = input.lifeOf(machine);
+			const isEmptied = loss <= 0 || input.nowMs - (since ?? input.nowMs) >= EMPTYING_MS;
+			const mayBegin = room > 0 && isEmptied && (life === undefined || keepsBudgets(input, life));
+			const evacuated = !mayBegin && room > 0 && life !== undefined ? unitToEvacuate(input, life) : undefined;
+			room -= mayBegin ? 1 : 0;
+			return {
+				wave, machine, mayBegin, evacuated,
+			};
+		});
+	};
+
 	return {
 		/** Machines that take no new work now. */
 		emptying: (): ReadonlySet<string> => new Set(emptyingSince.keys()),
@@ -132,27 +175,7 @@
 		choose(input: UpkeepInput): UpkeepChoice[] {
 			const waves = input.book.waves().filter(wave => !wave.completed);
 			waves.sort((left, right) => left.deadlineMs - right.deadlineMs);
-			const choices = waves.flatMap(wave => {
-				const left = wave.machines.filter(name => !wave.begun.includes(name));
-				const room = Math.max(0, wave.cap - downOf(input, wave));
-				const candidates = left.flatMap(name => {
-					const machine = input.machines.get(name);
-					return machine?.state === MachineStates.up && !input.ordered.has(name) ? [machine] : [];
-				});
-				const byLoss = candidates.map(machine => ({machine, loss: lossOn(input, input.lifeOf(machine)), since: emptyingSince.get(machine.name)}));
-				// Machines that are being emptied stay first, or none would ever be empty.
-				byLoss.sort((one, other) => (one.since ?? Infinity) - (other.since ?? Infinity) || one.loss - other.loss);
-				const next = byLoss.slice(0, wave.cap);
-				return next.map(({machine, loss, since}, position) => {
-					const life = input.lifeOf(machine);
-					const isEmptied = loss === 0 || input.nowMs - (since ?? input.nowMs) >= EMPTYING_MS;
-					const mayBegin = position < room && isEmptied && (life === undefined || keepsBudgets(input, life));
-					const evacuated = !mayBegin && position < room && life !== undefined ? unitToEvacuate(input, life) : undefined;
-					return {
-						wave, machine, mayBegin, evacuated,
-					};
-				});
-			});
+			const choices = waves.flatMap(wave => chooseOf(wave, input));
 			const names = new Set(choices.map(choice => choice.machine.name));
 			for (const name of emptyingSince.keys()) {
 				if (!names.has(name)) {
--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -28,7 +28,14 @@
 };
 
 /** What a leader's work is given. */
-export type LeaderContext = {term: number; book: JobBook; propose(command: JobCommand): Promise<JobOutcome>; isLeading(): boolean};
+export type LeaderContext = {
+	term: number;
+	book: JobBook;
+	propose(command: JobCommand): Promise<JobOutcome>;
+	isLeading(): boolean;
+	/** When this process applied the last order to a machine, on its own steady clock; undefined where a snapshot had it. */
+	orderAppliedMs(machine: string): number | undefined;
+};
 
 /** What a keeper is made of. */
 export type JobKeeperOptions = {
@@ -41,6 +48,8 @@
 	/** Voters that the group should have. */
 	groupSize: number;
 	clock: Clock;
+	/** Never runs ahead, not even after a suspension; spans that must have passed are counted on it. */
+	steadyClock: Clock;
 	timings?: RaftTimings;
 	random: () => number;
 	logs: LogFactory;
@@ -68,6 +77,7 @@
 	let stopped = false;
 	let forming = false;
 	const probeReplies = new Map<string, ProbeReply>();
+	const ordersAppliedMs = new Map<string, number>();
 
 	const isLeading = (): boolean => replica?.hasLease() === true;
 	const leaderNode = (): string | undefined => replica?.raft.members().find(member => member.replica === replica?.raft.leader())?.node;
@@ -88,7 +98,7 @@
 		workTerm = current.raft.term();
 		log.info('Leading.', {term: workTerm, version: book.manifest()?.manifest.version, openJobs: book.openCount()});
 		work = options.lead({
-			term: workTerm, book, isLeading, propose: async command => current.propose(command),
+			term: workTerm, book, isLeading, propose: async command => current.propose(command), orderAppliedMs: machine => ordersAppliedMs.get(machine),
 		});
 	};
 
@@ -100,10 +110,17 @@
 			random: options.random,
 			snapshotInterval: SNAPSHOT_ENTRIES,
 			stateMachine: {
-				apply: command => book.apply(command),
+				apply(command) {
+					if (command.type === 'machine-order') {
+						ordersAppliedMs.set(command.machine, options.steadyClock.monotonicMs());
+					}
+
+					return book.apply(command);
+				},
 				snapshot: () => encodeBytes(book.snapshot()),
 				restore(data) {
 					book = createJobBook(decodeBytes(data) as JobBookSnapshot);
+					ordersAppliedMs.clear();
 				},
 			},
 			send(to: Member, message) {
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -45,7 +45,7 @@
 /** Starts the work of one term. */
 export const createJobLeader = (options: JobLeaderOptions, context: LeaderContext): LeaderWork => {
 	const {clock, metrics, directory} = options;
-	const {book, term, propose, isLeading} = context;
+	const {book, term, propose, isLeading, orderAppliedMs} = context;
 	const log = options.logs('scheduler');
 	const watch = createRunWatch({
 		book, clock, log, metrics,
@@ -93,12 +93,14 @@
 		holder: options.node,
 		fence: term,
 		holderLeaseMs: options.holderLeaseMs,
+		orderAppliedMs,
 		clock,
 		log: options.logs('machines'),
 		propose,
 		trackOf: fleet.trackOf,
 		isBeingUsed: life => proposedLives.has(life),
 		usable: () => new Set(workers().map(worker => worker.life)),
+		shortPools: () => new Set([...waitingUnits].filter(([, count]) => count > 0).map(([pool]) => pool)),
 		evacuate: fleet.evacuate,
 		onEnded(life) {
 			directory.ended(life);
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -31,6 +31,8 @@
 	fence: number;
 	/** Span after another holder's last order in which this one must not give any, in milliseconds. */
 	holderLeaseMs: number;
+	/** When this process applied the last order to a machine, on its steady clock; undefined where it did not. */
+	orderAppliedMs(machine: string): number | undefined;
 	clock: Clock;
 	log: Log;
 	propose(command: JobCommand): Promise<JobOutcome>;
@@ -39,6 +41,8 @@
 	isBeingUsed(life: string): boolean;
 	/** Lives that may take work now. */
 	usable(): ReadonlySet<string>;
+	/** Pools whose work waits for room. */
+	shortPools(): ReadonlySet<string>;
 	/** Moves a work unit away from a life. */
 	evacuate(life: string, unit: string): void;
 	/** Everything on this life was ended by an order. */
@@ -62,8 +66,18 @@
 
 	const lifeOf = (machine: Machine): string | undefined => lifeOnMachine(machine, book, directory);
 
+	const standbyPools = (): Set<string> => new Set(book.manifest()?.manifest.pools.filter(pool => pool.standby).map(pool => pool.name));
+
 	const input = (): UpkeepInput => ({
-		book, machines, lifeOf, trackOf: options.trackOf, ordered: new Map([...ordered].map(([name, order]) => [name, order.kind])), nowMs: clock.monotonicMs(),
+		book,
+		machines,
+		lifeOf,
+		trackOf: options.trackOf,
+		ordered: new Map([...ordered].map(([name, order]) => [name, order.kind])),
+		shortPools: options.shortPools(),
+		standbyPools: standbyPools(),
+		nowMs: clock.monotonicMs(),
+		wallMs: clock.wallMs(),
 	});
 
 	const hasWaves = (): boolean => book.waves().some(wave => !wave.completed);
@@ -100,7 +114,8 @@
 		}
 
 		const spanMs = options.holderLeaseMs + HOLDER_MARGIN_MS;
-		return clock.monotonicMs() - startedMs > spanMs || Math.abs(clock.wallMs() - last.atMs) > spanMs + CLOCK_MARGIN_MS;
+		// The order was applied here after it was recorded there, and it went out right then or not at all.
+		return clock.monotonicMs() - (options.orderAppliedMs(machine) ?? startedMs) > spanMs || Math.abs(clock.wallMs() - last.atMs) > spanMs + CLOCK_MARGIN_MS;
 	};
 
 	const isIdle = (life: string | undefined): boolean => life === undefined || (book.runsOf(life).size === 0 && !options.isBeingUsed(life));
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {
 	createFleetBalance, createUpkeepPlan, createWorkerDirectory, createWorkerTrack, keepsBudgets, lifeOnMachine, unitToEvacuate, MachineStates,
-	type BalanceInput, type JobBook, type Machine, type MachineDemand, type MovableMachine, type UpkeepInput, type UpkeepWave,
+	type BalanceInput, type JobBook, type Machine, type MachineDemand, type MovableMachine, type UpkeepChoice, type UpkeepInput, type UpkeepWave,
 } from '@bronzebend/core';
 import {
 	bookWith, lifeNamed, manifestOf, orderOf, stepOf,
@@ -122,7 +122,7 @@
 	return {
 		book,
 		input: {
-			book, machines: new Map(['m1', 'm2', 'm3'].map((name, index) => [name, machineOf(name, ids[index])])), lifeOf: machine => machine.workerId && lifeNamed(machine.workerId).life, trackOf: life => tracks.get(life), ordered: new Map(), nowMs: 500,
+			book, machines: new Map(['m1', 'm2', 'm3'].map((name, index) => [name, machineOf(name, ids[index])])), lifeOf: machine => machine.workerId && lifeNamed(machine.workerId).life, trackOf: life => tracks.get(life), ordered: new Map(), shortPools: new Set(), standbyPools: new Set(), nowMs: 500, wallMs: 500,
 		},
 	};
 };
@@ -135,6 +135,30 @@
 		assert.equal(plan.choose({...input, ordered: new Map([['m2', 'upkeep']])}).filter(choice => choice.mayBegin).length, 0);
 	});
 
+	it('should spare pools that are short of room while there is time, and take machines in standby first', () => {
+		const {input} = lastingOn([], 100);
+		const machines = new Map(input.machines);
+		machines.set('m3', {...machineOf('m3'), pool: 'spare'});
+		const short = {
+			...input, machines, shortPools: new Set(['bench']), standbyPools: new Set(['spare']), wallMs: -20_000,
+		};
+		const namesOf = (choices: UpkeepChoice[]): string[] => choices.filter(choice => choice.mayBegin).map(choice => choice.machine.name);
+		const plan = createUpkeepPlan();
+		assert.deepEqual(namesOf(plan.choose(short)), ['m3']);
+		assert.deepEqual([...plan.emptying()], ['m3']);
+		assert.deepEqual(namesOf(createUpkeepPlan().choose({...short, machines: input.machines})), []);
+		assert.deepEqual(namesOf(createUpkeepPlan().choose({...short, machines: input.machines, wallMs: 0})), ['m1']);
+	});
+
+	it('should begin with another machine of a wave where one must wait for a budget', () => {
+		const {input} = lastingOn(['w1', 'w1', 'w22'], 50);
+		const plan = createUpkeepPlan();
+		const idle = new Map([...input.machines, ['m3', machineOf('m3')]]);
+		plan.choose({...input, machines: idle});
+		const later = plan.choose({...input, machines: idle, nowMs: 2100});
+		assert.deepEqual(later.filter(choice => choice.mayBegin).map(choice => choice.machine.name), ['m3']);
+	});
+
 	it('should count machines that are down for upkeep, and no others', () => {
 		const {input} = lastingOn([], 100);
 		const machines = new Map(input.machines);
