--- a/packages/core/src/jobs/fleet-balance.ts
+++ b/packages/core/src/jobs/fleet-balance.ts
@@ -114,7 +114,8 @@
 					busyAt.set(name, input.nowMs);
 				}
 
-				const need = Math.max(asked, reserveOf(name, serving));
+				const reserve = reserveOf(name, serving);
+				const need = Math.max(asked, reserve);
 				const have = (input.workers.get(name) ?? 0) + coming(name);
 				if (have <= need) {
 					surplusSince.delete(name);
@@ -122,7 +123,7 @@
 					surplusSince.set(name, surplusSince.get(name) ?? input.nowMs);
 				}
 
-				return {name, lack: need - have};
+				return {name, lack: need - have, urgent: asked - have};
 			});
 			const free = input.machines.filter(machine => machine.isIdle && !underWay.has(machine.name));
 			const surplus = new Map(balances.map(({name, lack}) => [name, Math.max(0, -lack)]));
@@ -143,7 +144,8 @@
 			};
 
 			const needy = balances.filter(({lack}) => lack > 0);
-			needy.sort((left, right) => right.lack - left.lack);
+			// Work that is there goes before work that may come.
+			needy.sort((left, right) => Math.max(0, right.urgent) - Math.max(0, left.urgent) || right.lack - left.lack);
 			for (const {name, lack} of needy) {
 				for (let missing = lack; missing > 0 && moves.length < MAX_MOVES; missing -= 1) {
 					const machine = take(name);
--- a/packages/core/src/jobs/machine-demand.ts
+++ b/packages/core/src/jobs/machine-demand.ts
@@ -10,6 +10,10 @@
 
 /** Span over which arriving work is counted, in milliseconds: a few jobs of a queue in its turn, and short against the turn. */
 const ARRIVAL_WINDOW_MS = 1500;
+/** Jobs by which the latter half of the span must outnumber the former, in standard deviations, before a rise counts. */
+const RISE_DEVIATIONS = 2;
+/** Time ahead for which a rise is carried on, in milliseconds: a machine that is moved takes work about then. */
+const RISE_AHEAD_MS = 1000;
 /** Part of the waiting work of late jobs that asks for machines; it earns little more for being early. */
 const LATE_WEIGHT = 0.25;
 
@@ -48,13 +52,17 @@
 			arrivals.set(pool, list);
 		},
 
-		/** Resources that keep up with what arrived lately. */
+		/** Resources that keep up with what arrived lately, and with a rise that is more than chance. */
 		rate(pool: string, nowMs: number): {cpu: number; memoryMb: number} {
 			const list = (arrivals.get(pool) ?? []).filter(arrival => nowMs - arrival.atMs < ARRIVAL_WINDOW_MS);
 			arrivals.set(pool, list);
+			const latter = list.filter(arrival => nowMs - arrival.atMs < ARRIVAL_WINDOW_MS / 2).length;
+			const rise = (2 * latter) - list.length;
+			const isRising = rise > RISE_DEVIATIONS * Math.sqrt(list.length);
+			const factor = isRising ? 1 + ((rise / list.length) * (1 + (4 * RISE_AHEAD_MS / ARRIVAL_WINDOW_MS))) : 1;
 			return {
-				cpu: list.reduce((sum, arrival) => sum + arrival.cpuMs, 0) / ARRIVAL_WINDOW_MS,
-				memoryMb: list.reduce((sum, arrival) => sum + arrival.memoryMs, 0) / ARRIVAL_WINDOW_MS,
+				cpu: factor * list.reduce((sum, arrival) => sum + arrival.cpuMs, 0) / ARRIVAL_WINDOW_MS,
+				memoryMb: factor * list.reduce((sum, arrival) => sum + arrival.memoryMs, 0) / ARRIVAL_WINDOW_MS,
 			};
 		},
 	};
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createFleetBalance, createUpkeepPlan, createWorkerDirectory, createWorkerTrack, keepsBudgets, lifeOnMachine, unitToEvacuate, MachineStates,
+	createArrivalMeter, createFleetBalance, createJob, createRunEstimates, createUpkeepPlan, createWorkerDirectory, createWorkerTrack, keepsBudgets, lifeOnMachine, unitToEvacuate, MachineStates,
 	type BalanceInput, type JobBook, type Machine, type MachineDemand, type MovableMachine, type UpkeepChoice, type UpkeepInput, type UpkeepWave,
 } from '@bronzebend/core';
 import {
-	bookWith, lifeNamed, manifestOf, orderOf, stepOf,
+	bookWith, lifeNamed, manifestOf, orderOf, queueOf, stepOf,
 } from '../../fixtures/job-fixtures.js';
 
 const capacity = {cpu: 4000, memoryMb: 4000, gpu: 0};
@@ -76,6 +76,13 @@
 		assert.deepEqual(balance.step(inputOf([...before, returned!], demands, 1800)), [{machine: returned!.name, from: 'spare', to: 'bench'}]);
 	});
 
+	it('should serve work that is there before it holds workers ready for work that may come', () => {
+		const balance = createFleetBalance();
+		const machines = [...machinesOf('bench', 5, false), ...machinesOf('spare', 2)];
+		const moves = balance.step(inputOf(machines, {bench: demandOf({arrivingCpu: 24_000})}, 0));
+		assert.deepEqual(moves.map(move => move.to), ['bench', 'bench']);
+	});
+
 	it('should hold more workers ready for the queue whose turn is the longest ago', () => {
 		const balance = createFleetBalance();
 		const machines = [...machinesOf('bench', 3, false), ...machinesOf('desk', 3, false), ...machinesOf('spare', 9)];
@@ -94,6 +101,31 @@
 	});
 });
 
+describe('the meter of arriving work', () => {
+	/** Cores that the meter asks for after jobs of one core-second each arrived at these times. */
+	const coresAfter = (times: number[], nowMs: number): number => {
+		const meter = createArrivalMeter();
+		for (const [number, atMs] of times.entries()) {
+			const order = orderOf(String(number), [stepOf({estimateMs: 1000, resources: {cpu: 1000, memoryMb: 1, gpu: 0}})]);
+			meter.add(createJob(order, queueOf(), atMs), 'bench', createRunEstimates(), atMs);
+		}
+
+		return meter.rate('bench', nowMs).cpu / 1000;
+	};
+
+	const evenly = (count: number, fromMs: number, toMs: number): number[] => Array.from({length: count}, (_, index) => fromMs + ((toMs - fromMs) * index / count));
+
+	it('should ask for what keeps up with a steady rate, whatever chance does to a few jobs', () => {
+		assert.equal(coresAfter(evenly(30, 0, 1500), 1500), 20);
+		assert.equal(coresAfter([100, 900, 1200, 1400], 1500), 4 / 1.5);
+	});
+
+	it('should ask ahead of a rise that is more than chance', () => {
+		const cores = coresAfter([...evenly(3, 0, 750), ...evenly(15, 750, 1500)], 1500);
+		assert.ok(cores > 20, `${cores}`);
+	});
+});
+
 const machineOf = (name: string, workerId?: string): Machine => ({
 	name, pool: 'bench', state: MachineStates.up, zone: 'a', labels: ['a'], capacity, workerId,
 });
