--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -116,7 +116,7 @@
 	const evenly = (count: number, fromMs: number, toMs: number): number[] => Array.from({length: count}, (_, index) => fromMs + ((toMs - fromMs) * index / count));
 
 	it('should ask for what keeps up with a steady rate, whatever chance does to a few jobs', () => {
-		assert.equal(coresAfter(evenly(30, 0, 1500), 1500), 20);
+		assert.equal(coresAfter(evenly(30, 1, 1501), 1500), 20);
 		assert.equal(coresAfter([100, 900, 1200, 1400], 1500), 4 / 1.5);
 	});
 
