Scale reserves and moves with the fleet, and do not wait for orders to machines

Reserves are now shares of the fleet (the same figures at 48 machines), moves a share of the platform's limit, orders of one step go out together, each checked against those before it, and a machine whose order is under way is left alone until it is answered. Machines and workers are found by index, and workers that have been silent for a minute leave the directory.

--- a/packages/core/src/jobs/fleet-balance.ts
+++ b/packages/core/src/jobs/fleet-balance.ts
@@ -8,21 +8,18 @@
 import type {JobPool, Resources} from './fleet-manifest.js';
 import type {MachineDemand} from './machine-demand.js';
 
-/** Workers that a pool keeps shortly after its turn. */
-const MIN_WORKERS = 3;
-/** Workers that a pool keeps while its turn may come; the first jobs of a turn start on them. */
-const READY_WORKERS = 5;
-/** Workers that the pool keeps whose turn is the longest ago, once all have had one. */
-const NEXT_WORKERS = 6;
+/** Workers that a pool keeps shortly after its turn, as a share of the fleet. */
+const MIN_SHARE = 0.06;
+/** Workers that a pool keeps while its turn may come, as a share of the fleet; the first jobs of a turn start on them. */
+const READY_SHARE = 0.1;
+/** Workers that the pool keeps whose turn is the longest ago, once all have had one, as a share of the fleet. */
+const NEXT_SHARE = 0.125;
 /** Room beyond the demand, as a factor; units do not fill machines exactly. */
 const HEADROOM = 1.05;
 /** Time for which a pool must have had too many workers before one goes to standby, in milliseconds. */
 const SURPLUS_MS = 1200;
 /** Time after which a move that brought no worker is forgotten, in milliseconds; several moves long. */
 const ARRIVAL_LIMIT_MS = 6000;
-/** Moves decided in one step at most. */
-const MAX_MOVES = 8;
-
 /** A machine that may be moved. */
 export type MovableMachine = {name: string; pool: string; capacity: Resources; kind: string; isIdle: boolean};
 
@@ -34,6 +31,10 @@
 	workers: ReadonlyMap<string, number>;
 	/** Machines that are up and that nothing else was ordered for. */
 	machines: readonly MovableMachine[];
+	/** All machines, whatever their state. */
+	fleetSize: number;
+	/** Moves decided in this step at most. */
+	mostMoves: number;
 	/** Machines seen as a worker of a pool. */
 	poolOfMachine: ReadonlyMap<string, string>;
 	nowMs: number;
@@ -70,14 +71,10 @@
 	};
 
 	/** Workers that a pool keeps without demand: queues take turns, so the one that has waited longest is next. */
-	const reserveOf = (pool: string, serving: readonly string[]): number => {
+	const reserveOf = (pool: string, serving: readonly string[], fleetSize: number): number => {
 		const last = busyAt.get(pool);
-		if (last === undefined) {
-			return READY_WORKERS;
-		}
-
-		const isOldest = serving.every(other => other === pool || (busyAt.get(other) ?? -Infinity) > last);
-		return isOldest ? NEXT_WORKERS : MIN_WORKERS;
+		const isOldest = serving.every(other => other === pool || (busyAt.get(other) ?? -Infinity) > (last ?? -Infinity));
+		return Math.max(1, Math.round(fleetSize * (last === undefined ? READY_SHARE : (isOldest ? NEXT_SHARE : MIN_SHARE))));
 	};
 
 	const coming = (pool: string): number => [...underWay.values()].filter(move => move.to === pool).length;
@@ -110,11 +107,11 @@
 			const serving = input.pools.filter(pool => !pool.standby).map(pool => pool.name);
 			const balances = serving.map(name => {
 				const asked = workersFor(input.demands.get(name)!, usual);
-				if (asked > NEXT_WORKERS) {
+				if (asked > input.fleetSize * NEXT_SHARE) {
 					busyAt.set(name, input.nowMs);
 				}
 
-				const reserve = reserveOf(name, serving);
+				const reserve = reserveOf(name, serving, input.fleetSize);
 				const need = Math.max(asked, reserve);
 				const have = (input.workers.get(name) ?? 0) + coming(name);
 				if (have <= need) {
@@ -147,7 +144,7 @@
 			// Work that is there goes before work that may come.
 			needy.sort((left, right) => Math.max(0, right.urgent) - Math.max(0, left.urgent) || right.lack - left.lack);
 			for (const {name, lack} of needy) {
-				for (let missing = lack; missing > 0 && moves.length < MAX_MOVES; missing -= 1) {
+				for (let missing = lack; missing > 0 && moves.length < input.mostMoves; missing -= 1) {
 					const machine = take(name);
 					if (!machine) {
 						break;
@@ -169,7 +166,7 @@
 				moves.push(...idle.slice(0, surplus.get(name)).map(machine => ({machine: machine.name, from: name, to: home!})));
 			}
 
-			return moves.slice(0, MAX_MOVES);
+			return moves.slice(0, input.mostMoves);
 		},
 	};
 };
--- a/packages/core/src/jobs/job-book.ts
+++ b/packages/core/src/jobs/job-book.ts
@@ -292,6 +292,16 @@
 		runsOf: (life: string): ReadonlyMap<string, {unit: WorkUnit; job: Job; step: number}> => runsOf.get(life) ?? new Map(),
 		/** Lives that may run something. */
 		busyLives: (): WorkerLife[] => [...runsOf.keys()].map(life => lives.get(life)!),
+		/** A life that may run something on a machine, which its worker's identity names too. */
+		busyLifeOn(machine: string, workerId: string | undefined): WorkerLife | undefined {
+			for (const life of lives.values()) {
+				if (runsOf.has(life.life) && (life.machine === machine || (workerId !== undefined && life.id === workerId))) {
+					return life;
+				}
+			}
+
+			return undefined;
+		},
 		usageOfLife: (life: string): Resources => usageOfLife.get(life) ?? NO_RESOURCES,
 		usageOfWorkspace: (workspace: string): Resources => usageOfWorkspace.get(workspace) ?? NO_RESOURCES,
 		waves: (): UpkeepWave[] => [...waves.values()],
--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -13,7 +13,7 @@
 	}
 
 	// A leader that has heard of no worker yet must not take their machines for empty.
-	return book.busyLives().find(life => life.machine === machine.name || (machine.workerId !== undefined && life.id === machine.workerId))?.life;
+	return book.busyLifeOn(machine.name, machine.workerId)?.life;
 };
 
 /** Orders to machines. */
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -47,14 +47,27 @@
 export const createWorkerDirectory = () => {
 	const byId = new Map<string, WorkerEntry>();
 	const byAddress = new Map<string, WorkerEntry>();
+	/** The latest life on each machine, left or not. */
+	const byMachine = new Map<string, WorkerEntry>();
 	let fresh = new Map<string, {announcement: WorkerAnnouncement; atMs: number}>();
 
 	/** A machine lives one life at a time: the latest one ends those before it, whatever their ids. */
 	const retire = (entry: WorkerEntry): void => {
-		const others = entry.machine === undefined ? [] : [...byId.values()].filter(other => other.machine === entry.machine && other.id !== entry.id);
-		for (const other of others) {
-			(other.bornMs < entry.bornMs ? other : entry).left = true;
+		if (entry.machine === undefined) {
+			return;
 		}
+
+		const other = byMachine.get(entry.machine);
+		if (other && other.id !== entry.id && other.bornMs >= entry.bornMs) {
+			entry.left = true;
+			return;
+		}
+
+		if (other && other.id !== entry.id) {
+			other.left = true;
+		}
+
+		byMachine.set(entry.machine, entry);
 	};
 
 	return {
@@ -132,6 +145,10 @@
 			for (const entry of byId.values()) {
 				if (entry.heardMs < beforeMs) {
 					byId.delete(entry.id);
+					if (entry.machine !== undefined && byMachine.get(entry.machine) === entry) {
+						byMachine.delete(entry.machine);
+					}
+
 					if (byAddress.get(entry.address) === entry) {
 						byAddress.delete(entry.address);
 					}
@@ -147,7 +164,11 @@
 		},
 
 		find: (id: string): WorkerEntry | undefined => byId.get(id),
-		ofMachine: (machine: string): WorkerEntry | undefined => [...byId.values()].find(entry => entry.machine === machine && !entry.left),
+		/** The worker that lives on a machine; undefined where none does. */
+		ofMachine(machine: string): WorkerEntry | undefined {
+			const entry = byMachine.get(machine);
+			return entry?.left === false ? entry : undefined;
+		},
 		list: (): WorkerEntry[] => [...byId.values()],
 	};
 };
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -18,6 +18,10 @@
 const PASS_MS = 100;
 /** Starts in one pass at most; the rest follows in the next. */
 const MAX_STARTS = 200;
+/** Orders to machines a second where the platform names no limit. */
+const DEFAULT_ORDERS_PER_S = 20;
+/** Silence after which a worker leaves the directory, in milliseconds; far beyond any lease. */
+const FORGET_MS = 60_000;
 /** Liveness reports that may be missed before a worker gets no new work. */
 const MISSED_REPORTS = 3;
 
@@ -31,6 +35,8 @@
 	directory: WorkerDirectory;
 	connect: WorkerConnector;
 	machines?: MachinePort;
+	/** Orders to machines that the platform takes a second. */
+	machineOrdersPerS?: number;
 	advice?: AdvicePort;
 	/** Length of a worker's lease, in milliseconds. */
 	leaseMs: number;
@@ -90,6 +96,7 @@
 		arrivals,
 		estimates: watch.estimates,
 		port: options.machines,
+		ordersPerS: options.machineOrdersPerS ?? DEFAULT_ORDERS_PER_S,
 		holder: options.node,
 		fence: term,
 		holderLeaseMs: options.holderLeaseMs,
@@ -265,6 +272,7 @@
 
 	const timer = setInterval(() => {
 		reports.step();
+		directory.forgetSilent(clock.monotonicMs() - FORGET_MS);
 		metrics.openJobs.set(book.openCount());
 		metrics.manifestVersion.set(book.manifest()?.manifest.version ?? 0);
 		metrics.workers.set({state: 'known'}, directory.list().length);
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -2,13 +2,15 @@
 import {
 	createFleetBalance, createUpkeepPlan, groupBy, keepsBudgets, lifeOnMachine, MachineStates, measureDemand, unitToEvacuate,
 	type ArrivalMeter, type Clock, type JobBook, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MachineOrderKind, type MovableMachine,
-	type RunEstimates, type UpkeepInput, type WorkerDirectory, type WorkerTrack,
+	type RunEstimates, type UpkeepInput, type UpkeepWave, type WorkerDirectory, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
 import type {MachinePort, MachineResult} from './ports.js';
 
 /** Pause between two steps, in milliseconds. */
 const STEP_MS = 200;
+/** Share of the platform's limit on orders that moves may use; upkeep and repeats need the rest. */
+const MOVES_SHARE = 0.7;
 /** Age from which the list of machines is read again while a wave or an order is under way, in milliseconds. */
 const ACTIVE_LIST_MS = 400;
 /** The same at other times, in milliseconds; each reading has a price. */
@@ -27,6 +29,8 @@
 	arrivals: ArrivalMeter;
 	estimates: RunEstimates;
 	port: MachinePort;
+	/** Orders that the platform takes a second, from all nodes together. */
+	ordersPerS: number;
 	holder: string;
 	fence: number;
 	/** Span after another holder's last order in which this one must not give any, in milliseconds. */
@@ -50,7 +54,8 @@
 	isLeading(): boolean;
 };
 
-type Ordered = {atMs: number; isDone: boolean; kind: MachineOrderKind};
+/** An order that is not known to be over; `unanswered` got no clear answer and may still be carried out. */
+type Ordered = {atMs: number; state: 'sent' | 'done' | 'unanswered'; kind: MachineOrderKind};
 
 /** Starts the care of machines for one term. */
 export const createMachineKeeper = (options: MachineKeeperOptions) => {
@@ -60,6 +65,8 @@
 	const ordered = new Map<string, Ordered>();
 	const startedMs = clock.monotonicMs();
 	const by = {holder: options.holder, fence: options.fence};
+	/** Waves whose completion is being recorded. */
+	const completing = new Set<number>();
 	let machines = new Map<string, Machine>();
 	let listedMs = -Infinity;
 	let isBusy = false;
@@ -97,8 +104,8 @@
 		listedMs = askedMs;
 		machines = new Map(list.map(machine => [machine.name, machine]));
 		for (const [name, order] of ordered) {
-			const isUpAgain = order.isDone && order.atMs < askedMs && machines.get(name)?.state === MachineStates.up;
-			if (isUpAgain || (!order.isDone && askedMs - order.atMs > REPEAT_MS)) {
+			const isUpAgain = order.state === 'done' && order.atMs < askedMs && machines.get(name)?.state === MachineStates.up;
+			if (isUpAgain || (order.state === 'unanswered' && askedMs - order.atMs > REPEAT_MS)) {
 				ordered.delete(name);
 			}
 		}
@@ -123,10 +130,16 @@
 	/** Gives one order, which is recorded first; meanwhile work may have come to its machine or gone elsewhere. */
 	const give = async (machine: string, life: string | undefined, isStillFine: () => boolean, call: () => Promise<MachineResult>, fields: Record<string, string | number> & {order: MachineOrderKind}): Promise<MachineResult> => {
 		const kind = fields.order;
-		ordered.set(machine, {atMs: clock.monotonicMs(), isDone: false, kind});
-		await options.propose({
-			type: 'machine-order', machine, holder: options.holder, atMs: clock.wallMs(),
-		});
+		ordered.set(machine, {atMs: clock.monotonicMs(), state: 'sent', kind});
+		try {
+			await options.propose({
+				type: 'machine-order', machine, holder: options.holder, atMs: clock.wallMs(),
+			});
+		} catch (error) {
+			ordered.delete(machine);
+			throw error;
+		}
+
 
 		if (!options.isLeading() || !isStillFine()) {
 			ordered.delete(machine);
@@ -138,11 +151,13 @@
 			machine, ...fields, result: result.type, reason: 'reason' in result ? result.reason : undefined, worker: life, listMsAgo: Math.round(clock.monotonicMs() - listedMs),
 		});
 		if (result.type === 'done') {
-			ordered.set(machine, {atMs: clock.monotonicMs(), isDone: true, kind});
+			ordered.set(machine, {atMs: clock.monotonicMs(), state: 'done', kind});
 			if (life !== undefined) {
 				options.onEnded(life);
 			}
-		} else if (result.type !== 'unknown') {
+		} else if (result.type === 'unknown') {
+			ordered.set(machine, {atMs: clock.monotonicMs(), state: 'unanswered', kind});
+		} else {
 			ordered.delete(machine);
 		}
 
@@ -150,16 +165,32 @@
 	};
 
 	const complete = async (): Promise<void> => {
-		const over = book.waves().filter(wave => !wave.completed && plan.isComplete(wave, machines));
+		const over = book.waves().filter(wave => !wave.completed && !completing.has(wave.number) && plan.isComplete(wave, machines));
 		await Promise.all(over.map(async wave => {
-			await options.propose({type: 'wave-completed', number: wave.number});
-			log.info('Wave completed.', {wave: wave.number});
+			completing.add(wave.number);
+			try {
+				await options.propose({type: 'wave-completed', number: wave.number});
+				log.info('Wave completed.', {wave: wave.number});
+			} finally {
+				completing.delete(wave.number);
+			}
 		}));
 	};
 
+	/** Begins one machine's upkeep, where that still keeps cap and budgets: each order changes what the next ones may do. */
+	const beginUpkeep = async (wave: UpkeepWave, machine: Machine, life: string | undefined): Promise<void> => {
+		if (!options.isLeading() || !isOurs(machine.name) || !plan.mayBegin(input(), wave, life)) {
+			return;
+		}
+
+		const result = await give(machine.name, life, () => life === undefined || keepsBudgets(input(), life), async () => port.upkeep(machine.name, wave.number, by), {order: 'upkeep', wave: wave.number});
+		if (result.type === 'done') {
+			await options.propose({type: 'wave-begun', number: wave.number, machine: machine.name});
+		}
+	};
+
 	const stepWaves = async (): Promise<void> => {
-		await complete();
-		for (const {wave, machine, mayBegin, evacuated} of plan.choose(input())) {
+		const orders = plan.choose(input()).map(async ({wave, machine, mayBegin, evacuated}) => {
 			const life = lifeOf(machine);
 			if (evacuated !== undefined && life !== undefined && unitToEvacuate(input(), life) === evacuated) {
 				log.info('Work moved away before upkeep.', {
@@ -168,22 +199,11 @@
 				options.evacuate(life, evacuated);
 			}
 
-			if (!mayBegin) {
-				continue;
-			}
-
-			// Each order changes which others keep the budgets.
-			if (!options.isLeading() || !isOurs(machine.name) || !plan.mayBegin(input(), wave, life)) {
-				continue;
-			}
-
-			// eslint-disable-next-line no-await-in-loop
-			const result = await give(machine.name, life, () => life === undefined || keepsBudgets(input(), life), async () => port.upkeep(machine.name, wave.number, by), {order: 'upkeep', wave: wave.number});
-			if (result.type === 'done') {
-				// eslint-disable-next-line no-await-in-loop
-				await options.propose({type: 'wave-begun', number: wave.number, machine: machine.name});
+			if (mayBegin) {
+				await beginUpkeep(wave, machine, life);
 			}
-		}
+		});
+		await Promise.all([complete(), ...orders]);
 	};
 
 	const movable = (): MovableMachine[] => [...machines.values()].filter(machine => machine.state === MachineStates.up && !ordered.has(machine.name) && isOurs(machine.name)).map(machine => ({
@@ -198,7 +218,10 @@
 		}
 
 		balance.ordered(chosen, clock.monotonicMs());
-		const result = await give(machine.name, life, () => isIdle(life), async () => port.move(machine.name, chosen.to, by), {order: 'move', from: chosen.from, to: chosen.to});
+		const result = await give(machine.name, life, () => isIdle(life), async () => port.move(machine.name, chosen.to, by), {order: 'move', from: chosen.from, to: chosen.to}).catch((error: unknown) => {
+			balance.failed(chosen);
+			throw error;
+		});
 		if (result.type === 'done') {
 			machines.set(machine.name, {...machine, pool: chosen.to, state: MachineStates.moving});
 		} else if (result.type !== 'unknown') {
@@ -219,6 +242,8 @@
 			workers: new Map([...groupBy(usable, entry => entry.pool)].map(([pool, entries]) => [pool, entries.length])),
 			machines: movable(),
 			poolOfMachine: new Map(directory.list().flatMap(entry => (entry.left || entry.machine === undefined ? [] : [[entry.machine, entry.pool] as const]))),
+			fleetSize: machines.size,
+			mostMoves: Math.max(1, Math.floor(options.ordersPerS * MOVES_SHARE * STEP_MS / 1000)),
 			nowMs: clock.monotonicMs(),
 		});
 		await Promise.all(moves.map(async chosen => move(chosen)));
@@ -235,11 +260,12 @@
 				return;
 			}
 
-			if (hasWaves()) {
-				await stepWaves();
+			// The next step need not wait for these orders: a machine takes part again only when its order is over.
+			for (const orders of [hasWaves() ? stepWaves() : Promise.resolve(), stepBalance()]) {
+				orders.catch((error: unknown) => {
+					log.warn('Orders to machines failed.', {cause: String(error)});
+				});
 			}
-
-			await stepBalance();
 		} catch (error) {
 			log.warn('A step on the machines failed.', {cause: String(error)});
 		} finally {
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -23,6 +23,8 @@
 	workers: new Map(['bench', 'desk'].map(pool => [pool, machines.filter(machine => machine.pool === pool).length])),
 	machines,
 	poolOfMachine: new Map(machines.filter(machine => machine.pool !== 'spare').map(machine => [machine.name, machine.pool])),
+	fleetSize: 48,
+	mostMoves: 8,
 	nowMs,
 });
 
--- a/utils/experiment/model.ts
+++ b/utils/experiment/model.ts
@@ -11,6 +11,8 @@
 const BALANCE_MS = 200;
 /** Time from an order to a worker that takes work, in milliseconds: the users' move and its first report. */
 const MOVE_MS = 1700;
+/** Moves in one step of the balance at most: 40 a second, short of what the users' platform takes. */
+const MOST_MOVES = 8;
 /** Time after the load in which jobs may still end, in milliseconds; the users ask for their states then. */
 const FINISH_MS = 14_000;
 
@@ -164,6 +166,8 @@
 				name: machine.name, pool: machine.pool, capacity, kind: 'a', isIdle: machine.life === undefined || book.runsOf(machine.life.life).size === 0,
 			})),
 			poolOfMachine: new Map(machines.flatMap(machine => (machine.life ? [[machine.name, machine.life.pool] as const] : []))),
+			fleetSize: machines.length,
+			mostMoves: MOST_MOVES,
 			nowMs,
 		});
 		for (const chosen of decided) {
