Reserve for small fleets too, and count machines that have not reported yet when refusing

After all power was lost 29 calls were refused, since a new leader counted only the workers that had reported to it; machines in the platform's list count now.

--- a/packages/core/src/jobs/fleet-balance.ts
+++ b/packages/core/src/jobs/fleet-balance.ts
@@ -9,11 +9,11 @@
 import type {MachineDemand} from './machine-demand.js';
 
 /** Workers that a pool keeps shortly after its turn, as a share of the fleet. */
-const MIN_SHARE = 0.06;
+const MIN_SHARE = 0.07;
 /** Workers that a pool keeps while its turn may come, as a share of the fleet; the first jobs of a turn start on them. */
-const READY_SHARE = 0.1;
+const READY_SHARE = 0.12;
 /** Workers that the pool keeps whose turn is the longest ago, once all have had one, as a share of the fleet. */
-const NEXT_SHARE = 0.125;
+const NEXT_SHARE = 0.15;
 /** Room beyond the demand, as a factor; units do not fill machines exactly. */
 const HEADROOM = 1.05;
 /** Time for which a pool must have had too many workers before one goes to standby, in milliseconds. */
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -251,7 +251,11 @@
 		metrics,
 		propose,
 		isLeading: leads,
-		capacityOf: pool => directory.list().filter(entry => entry.pool === pool && !entry.left && !entry.draining).reduce((sum, entry) => sum + entry.capacity.cpu, machines?.standbyCpu() ?? 0),
+		capacityOf(pool) {
+			const announced = directory.list().filter(entry => entry.pool === pool && !entry.left && !entry.draining).reduce((sum, entry) => sum + entry.capacity.cpu, 0);
+			// A new leader hears of the workers only with their next reports.
+			return Math.max(announced, machines?.reachableCpu(pool) ?? 0);
+		},
 		announce: onAnnounce,
 		leave(call) {
 			const entry = directory.leave(call.id, call.bornMs);
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -23,7 +23,7 @@
 	workers: new Map(['bench', 'desk'].map(pool => [pool, machines.filter(machine => machine.pool === pool).length])),
 	machines,
 	poolOfMachine: new Map(machines.filter(machine => machine.pool !== 'spare').map(machine => [machine.name, machine.pool])),
-	fleetSize: 48,
+	fleetSize: 40,
 	mostMoves: 8,
 	nowMs,
 });
@@ -68,6 +68,12 @@
 		assert.deepEqual(balance.step(inputOf(machines, {}, 1300)).map(move => move.to), ['spare', 'spare', 'spare']);
 	});
 
+	it('should hold more workers ready in a larger fleet', () => {
+		const machines = [...machinesOf('bench', 5, false), ...machinesOf('desk', 5, false), ...machinesOf('spare', 100)];
+		const moves = createFleetBalance().step({...inputOf(machines, {}, 0), fleetSize: 400, mostMoves: 200});
+		assert.equal(moves.filter(move => move.to === 'bench').length, 43);
+	});
+
 	it('should take a machine back from standby as soon as it is listed there', () => {
 		const balance = createFleetBalance();
 		const before = [...machinesOf('bench', 5, false), ...machinesOf('desk', 5, false)];
