Keep a worker's task alive when the leader loses its lease for a moment

A start not sent for the same reason stayed 'ordered' for good, a stop was given up, and so was the record of lost runs. Tasks now end with the term, not with the lease. Ruled out: the record (the runs were in it), the take-over at 23.0 s (it had read the lists).

--- a/packages/daemon/src/jobs/worker-runner.ts
+++ b/packages/daemon/src/jobs/worker-runner.ts
@@ -36,6 +36,7 @@
 	onStartFailed(start: RunStart, reason: string): void;
 	/** This life is over, or its lease ran out without contact. */
 	onOver(life: string, cause: string): void;
+	/** False while this process must give no orders. */
 	isLeading(): boolean;
 };
 
@@ -59,7 +60,8 @@
 	/** No start goes out before this leader's token is known to the worker. */
 	let isFenced = !options.inherited;
 
-	const isActive = (): boolean => !isOver && options.isLeading();
+	/** A leader may lose its lease for a moment; the task goes on once it has it again, unless the term is over. */
+	const mayAct = (): boolean => !isOver && options.isLeading();
 
 	const end = (cause: string): void => {
 		if (isOver) {
@@ -88,7 +90,12 @@
 
 		stopping.add(key);
 		/* eslint-disable no-await-in-loop */
-		while (isActive()) {
+		while (!isOver) {
+			if (!mayAct()) {
+				await pause(RETRY_MS);
+				continue;
+			}
+
 			const result = await timed('stop', port.stop({unit, attempt, fence}));
 			if (result.type === 'done') {
 				track.stopped(unit, attempt, clock.monotonicMs());
@@ -133,7 +140,7 @@
 		const result: HoldResult = await timed('hold', port.hold({
 			expiresMs: isIdle ? undefined : track.renewal(sentMs), fence, ackSeq, waitMs: isIdle || !isFenced ? 0 : WAIT_MS,
 		}));
-		if (!isActive()) {
+		if (!mayAct()) {
 			return;
 		}
 
@@ -170,10 +177,10 @@
 	const lookWhileNeeded = async (): Promise<void> => {
 		isLooking = true;
 		try {
-			while (isActive() && (track.runs.size > 0 || acknowledged < track.ackSeq())) {
+			while (!isOver && (track.runs.size > 0 || acknowledged < track.ackSeq())) {
 				// Looks follow one another, so that lists are never read out of order.
 				// eslint-disable-next-line no-await-in-loop
-				await lookOnce();
+				await (mayAct() ? lookOnce() : pause(RETRY_MS));
 			}
 		} finally {
 			isLooking = false;
@@ -235,7 +242,9 @@
 	const sendStart = async (start: RunStart, ticket: string | undefined): Promise<void> => {
 		const found = book.find(start.unit);
 		const expiresMs = track.leaseExpiry(clock.monotonicMs());
-		if (!found || !isActive()) {
+		if (!found || !mayAct()) {
+			// Not sent, so a stop finds out that it never began.
+			track.doubtful(start.unit, start.attempt, clock.monotonicMs());
 			return;
 		}
 
