Send calls again as soon as another keeper leads

A silent leader's group is asked after 0.35 s, and calls to an earlier leader go to the new one at once: every call names its job, version or wave, so a repeat does nothing twice. The test waited for its time limit before.

--- a/packages/daemon/src/jobs/group-client.ts
+++ b/packages/daemon/src/jobs/group-client.ts
@@ -8,7 +8,9 @@
 /** Time that one try waits for its answer, in milliseconds; several commits on a slow disk. */
 const TRY_MS = 900;
 /** Pause between two questions to the leader whether it still leads, in milliseconds. */
-const VIEW_MS = 400;
+const VIEW_MS = 250;
+/** Silence of a leader after which the others are asked as well, in milliseconds; one question without an answer. */
+const DOUBT_MS = 350;
 /** Time without a word after which a leader is looked for anew, in milliseconds. */
 const LEADER_SILENCE_MS = 1000;
 /** Pause between two looks for a leader during a call, in milliseconds. */
@@ -21,6 +23,8 @@
 	seeds(): string[];
 	clock: Clock;
 	log: Log;
+	/** Time that one try waits for its answer, in milliseconds. */
+	tryMs?: number;
 	send(to: string, message: PeerMessage): void;
 };
 
@@ -28,8 +32,8 @@
 export type GroupClient = ReturnType<typeof createGroupClient>;
 
 /** Creates a client; it keeps looking for the leader until it is closed. */
-export const createGroupClient = ({node, seeds, clock, log, send}: GroupClientOptions) => {
-	const waiting = new Map<number, (answer: JobAnswer | NotLeading) => void>();
+export const createGroupClient = ({node, seeds, clock, log, send, tryMs = TRY_MS}: GroupClientOptions) => {
+	const waiting = new Map<number, {to: string; resolve: (answer: JobAnswer | NotLeading | undefined) => void}>();
 	let members: string[] = [];
 	let leader: string | undefined;
 	let leaderHeardMs = -Infinity;
@@ -44,6 +48,13 @@
 		log.info(next === undefined ? 'Lost the leader.' : 'Found the leader.', {leader: next, before: leader});
 		leader = next;
 		leaderHeardMs = clock.monotonicMs();
+		if (next !== undefined) {
+			// Calls are idempotent, so those that went to an earlier leader need not wait for it.
+			for (const {to, resolve} of [...waiting.values()].filter(entry => entry.to !== next)) {
+				log.debug('Sending a call again.', {before: to, leader: next});
+				resolve(undefined);
+			}
+		}
 	};
 
 	const ask = (): void => {
@@ -51,7 +62,8 @@
 			follow(undefined);
 		}
 
-		const targets = leader === undefined ? new Set([...members, ...seeds()]) : [leader];
+		const isDoubtful = leader === undefined || clock.monotonicMs() - leaderHeardMs > DOUBT_MS;
+		const targets = new Set([...(leader === undefined ? [] : [leader]), ...(isDoubtful ? [...members, ...seeds()] : [])]);
 		for (const target of targets) {
 			send(target, {type: 'view-query'});
 		}
@@ -67,15 +79,14 @@
 	const tryOnce = async (to: string, call: JobCall, untilMs: number): Promise<JobAnswer | NotLeading | undefined> => new Promise(resolve => {
 		lastId += 1;
 		const id = lastId;
-		const timeout = setTimeout(() => {
-			waiting.delete(id);
-			resolve(undefined);
-		}, Math.max(1, Math.min(TRY_MS, untilMs - clock.monotonicMs())));
-		waiting.set(id, answer => {
+		const finish = (answer: JobAnswer | NotLeading | undefined): void => {
 			clearTimeout(timeout);
 			waiting.delete(id);
 			resolve(answer);
-		});
+		};
+
+		const timeout = setTimeout(finish, Math.max(1, Math.min(tryMs, untilMs - clock.monotonicMs())), undefined);
+		waiting.set(id, {to, resolve: finish});
 		send(to, {type: 'job-call', id, call});
 	});
 
@@ -112,7 +123,7 @@
 				const answer = await tryOnce(asked, call, untilMs);
 				if (answer === undefined) {
 					inDoubt = true;
-					log.warn('The leader gave no answer in time.', {leader: asked, call: call.type});
+					log.warn('The leader gave no answer in time.', {leader: asked, call: call.type, next: leader});
 				} else if (answer.type === 'not-leading') {
 					if (leader === asked) {
 						follow(answer.leader === asked ? undefined : answer.leader);
@@ -137,7 +148,7 @@
 					leaderHeardMs = clock.monotonicMs();
 				}
 
-				waiting.get(message.id)?.(message.answer);
+				waiting.get(message.id)?.resolve(message.answer);
 				return true;
 			}
 
--- a/tests/daemon/jobs/group-client.spec.ts
+++ b/tests/daemon/jobs/group-client.spec.ts
@@ -4,20 +4,27 @@
 import {createGroupClient, silentLogs} from '@bronzebend/daemon';
 import type {NotLeading, PeerMessage} from '@bronzebend/wire';
 
+/** Longer than any test, for what must not be waited for. */
+const LONG_MS = 100_000;
 const call = {type: 'read-manifest'} as const;
 const manifest: JobAnswer = {type: 'manifest', document: '{}'};
 
 /** Keepers that answer by a function of their own. */
-const clientWith = (answers: Record<string, () => JobAnswer | NotLeading | undefined>, leading: () => string | undefined) => {
+const clientWith = (answers: Record<string, () => JobAnswer | NotLeading | undefined>, leading: () => string | undefined, answersViews: (name: string) => boolean = () => true, tryMs?: number) => {
 	const calls: string[] = [];
 	const client = createGroupClient({
 		node: 'me',
 		seeds: () => Object.keys(answers),
 		clock: systemClock,
 		log: silentLogs('test'),
+		tryMs,
 		send(to: string, message: PeerMessage) {
 			setImmediate(() => {
 				if (message.type === 'view-query') {
+					if (!answersViews(to)) {
+						return;
+					}
+
 					client.receive(to, {type: 'view', view: {leader: leading(), members: Object.keys(answers), leading: leading() === to}});
 				} else if (message.type === 'job-call') {
 					calls.push(to);
@@ -53,6 +60,21 @@
 		client.close();
 	});
 
+	it('should send a call again at once when another keeper leads', async () => {
+		let leader = 'a';
+		const {client, calls} = clientWith({
+			a() {
+				// Falls silent with the call, and another is elected.
+				leader = 'b';
+				return undefined;
+			},
+			b: () => manifest,
+		}, () => leader, name => name === leader, LONG_MS);
+		assert.deepEqual(await client.call(call, systemClock.monotonicMs() + LONG_MS), manifest);
+		assert.deepEqual(calls, ['a', 'b']);
+		client.close();
+	});
+
 	it('should say that nothing ran where no leader was found', async () => {
 		const {client} = clientWith({a: () => manifest}, () => undefined);
 		const answer = await client.call(call, systemClock.monotonicMs() + 100);
