--- a/packages/core/src/jobs/admission.ts
+++ b/packages/core/src/jobs/admission.ts
@@ -15,7 +15,7 @@
 const MIN_RETRY_MS = 250;
 
 /** Work that waits and what works it off, for one pool. */
-export type Backlog = {coreMs: number; capacityCpu: number};
+export type Backlog = {coreMs: number; capacityCpu: number | undefined};
 
 /** Work of some steps, in thousandths of a core times milliseconds. */
 export const workOf = (steps: readonly JobStep[], left: (step: number) => number): number => steps.reduce((sum, step, number) => sum + (step.lasting ? 0 : left(number) * step.resources.cpu * step.estimateMs), 0);
@@ -37,9 +37,9 @@
 	return backlogs;
 };
 
-/** Time after which a caller should come back; undefined where the job may come in. */
+/** Time after which a caller should come back; undefined where the job may come in, also while nobody knows what the pool holds. */
 export const retryAfterMs = ({coreMs, capacityCpu}: Backlog): number | undefined => {
-	if (capacityCpu <= 0) {
+	if (capacityCpu === undefined || capacityCpu <= 0) {
 		return undefined;
 	}
 
--- a/packages/daemon/src/jobs/job-desk.ts
+++ b/packages/daemon/src/jobs/job-desk.ts
@@ -26,8 +26,8 @@
 	propose(command: JobCommand): Promise<JobOutcome>;
 	/** True while what this process knows is the latest accepted state. */
 	isLeading(): boolean;
-	/** Thousandths of cores that a pool has. */
-	capacityOf(pool: string): number;
+	/** Thousandths of cores that a pool has; undefined while that is not known. */
+	capacityOf(pool: string): number | undefined;
 	announce(call: JobCall & {type: 'announce'}): void;
 	leave(call: JobCall & {type: 'leave'}): void;
 	/** A job is new in the record. */
@@ -144,7 +144,7 @@
 		if (retryMs !== undefined) {
 			metrics.jobs.inc({queue: queue.name, outcome: 'rejected'});
 			log.info('Job rejected.', {
-				job: rest, queue: queue.name, workspace, reason: 'backlog', backlogMs: Math.round(backlog.coreMs / backlog.capacityCpu), retryMs,
+				job: rest, queue: queue.name, workspace, reason: 'backlog', backlogMs: Math.round(backlog.coreMs / (backlog.capacityCpu ?? 0)), retryMs,
 			});
 			return {type: 'rejected', reason: 'backlog', retryAfterMs: retryMs};
 		}
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -253,8 +253,9 @@
 		isLeading: leads,
 		capacityOf(pool) {
 			const announced = directory.list().filter(entry => entry.pool === pool && !entry.left && !entry.draining).reduce((sum, entry) => sum + entry.capacity.cpu, 0);
-			// A new leader hears of the workers only with their next reports.
-			return Math.max(announced, machines?.reachableCpu(pool) ?? 0);
+			// A new leader hears of the workers only with their next reports; before it knows the machines, it knows no capacity.
+			const reachable = machines ? machines.reachableCpu(pool) : 0;
+			return reachable === undefined ? undefined : Math.max(announced, reachable);
 		},
 		announce: onAnnounce,
 		leave(call) {
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -281,8 +281,12 @@
 		/** True where a machine takes no new work: it is about to go down or to move. */
 		isLeaving: (machine: string): boolean => ordered.has(machine) || plan.emptying().has(machine),
 		machineOfWorker: (id: string): string | undefined => [...machines.values()].find(machine => machine.workerId === id)?.name,
-		/** Cores that a pool has or gets within seconds, in thousandths: of its own machines and of those in standby, whether or not their workers have reported yet. */
-		reachableCpu(pool: string): number {
+		/** Cores that a pool has or gets within seconds, in thousandths: of its own machines and of those in standby, whether or not their workers have reported yet; undefined before the first list. */
+		reachableCpu(pool: string): number | undefined {
+			if (machines.size === 0) {
+				return undefined;
+			}
+
 			const standby = standbyPools();
 			const within = [...machines.values()].filter(machine => machine.state !== MachineStates.down && (machine.pool === pool || standby.has(machine.pool)));
 			return within.reduce((sum, machine) => sum + machine.capacity.cpu, 0);
