Bound the share of time that planning takes, and gather proposals while the disk is busy

Each end woke a planning pass over 300 jobs and 170 workers, and since the log is written beside the events each proposal had a message of its own.

--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -16,6 +16,8 @@
 
 /** Pause between two passes that nothing asked for, in milliseconds; due times pass meanwhile. */
 const PASS_MS = 100;
+/** Share of the time that planning may take; calls, looks and heartbeats need the rest. */
+const PLANNING_SHARE = 1 / 3;
 /** Starts in one pass at most; the rest follows in the next. */
 const MAX_STARTS = 200;
 /** Orders to machines a second where the platform names no limit. */
@@ -148,11 +150,13 @@
 		fleet.start(life, start, advice.ticket(job.order.id, occurrence, step, life.id));
 	};
 
-	const pass = async (): Promise<void> => {
+	/** Returns the time that planning took, in milliseconds. */
+	const pass = async (): Promise<number> => {
+		const startedMs = clock.monotonicMs();
 		const manifest = book.manifest();
 		fleet.stopUnwanted();
 		if (!manifest || book.openCount() === 0) {
-			return;
+			return 0;
 		}
 
 		const list = workers();
@@ -176,8 +180,9 @@
 			advice.request(job, occurrence, step, list.filter(worker => worker.pool === pool).map(worker => worker.id));
 		}
 
+		const tookMs = clock.monotonicMs() - startedMs;
 		if (starts.length === 0) {
-			return;
+			return tookMs;
 		}
 
 		const lives = new Set(starts.map(start => start.life));
@@ -194,6 +199,8 @@
 				order(start);
 			}
 		}
+
+		return tookMs;
 	};
 
 	const passWhileDirty = async (): Promise<void> => {
@@ -204,7 +211,11 @@
 				proposedLives = new Set();
 				// The next pass decides from what this one recorded.
 				// eslint-disable-next-line no-await-in-loop
-				await pass();
+				const tookMs = await pass();
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise(resolve => {
+					setTimeout(resolve, tookMs * ((1 / PLANNING_SHARE) - 1));
+				});
 			}
 		} catch (error) {
 			log.warn('A scheduling pass failed.', {cause: String(error)});
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -176,6 +176,7 @@
 			}
 		} finally {
 			isSaving = false;
+			void pump();
 		}
 	};
 
@@ -309,7 +310,11 @@
 	};
 
 	const runBatch = async (): Promise<void> => {
-		takeProposals();
+		// Proposals gather while the disk is busy, so that one entry's message and sync serve many; a slow disk holds them up to a tick.
+		if (!isSaving || events.some(event => event.type === 'tick')) {
+			takeProposals();
+		}
+
 		const batch = events;
 		events = [];
 		for (const event of batch) {
@@ -338,7 +343,7 @@
 
 		busy = true;
 		try {
-			while (!isStopped() && (events.length > 0 || proposals.length > 0)) {
+			while (!isStopped() && (events.length > 0 || (proposals.length > 0 && !isSaving))) {
 				// eslint-disable-next-line no-await-in-loop
 				await runBatch();
 			}
