--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -10,7 +10,7 @@
 export type JobMetrics = ReturnType<typeof createJobMetrics>;
 
 /** Creates the metrics in a registry. */
-export const createJobMetrics = (registry: Registry) => {
+export const createJobMetrics = (registry: Registry = new Registry()) => {
 	const registers = [registry];
 	return {
 		registry,
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -140,7 +140,6 @@
 			throw error;
 		}
 
-
 		if (!options.isLeading() || !isStillFine()) {
 			ordered.delete(machine);
 			return {type: 'rejected', reason: 'busy'};
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -35,7 +35,8 @@
 export const createWorkerFleet = (options: WorkerFleetOptions) => {
 	const {book, clock, log, metrics, directory, watch, propose, isLeading, onChange} = options;
 	const runners = new Map<string, WorkerRunner>();
-	let isClosed = false;
+	let closed = false;
+	const isClosed = (): boolean => closed;
 	const pace = createPaceKeeper(book);
 
 	const record = async (life: string, over: RunOver[]): Promise<boolean> => {
@@ -64,7 +65,7 @@
 	const recordLost = async (life: string, over: RunOver[]): Promise<void> => {
 		// Each try waits for the one before.
 		// eslint-disable-next-line no-await-in-loop
-		while (!isClosed && over.length > 0 && !await record(life, over)) {
+		while (!isClosed() && over.length > 0 && !await record(life, over)) {
 			// eslint-disable-next-line no-await-in-loop
 			await new Promise(resolve => {
 				setTimeout(resolve, RECORD_RETRY_MS);
@@ -189,7 +190,7 @@
 		},
 
 		close(): void {
-			isClosed = true;
+			closed = true;
 			for (const runner of runners.values()) {
 				runner.close();
 			}
--- a/packages/daemon/src/jobs/worker-runner.ts
+++ b/packages/daemon/src/jobs/worker-runner.ts
@@ -60,6 +60,7 @@
 	/** No start goes out before this leader's token is known to the worker. */
 	let isFenced = !options.inherited;
 
+	const hasEnded = (): boolean => isOver;
 	/** A leader may lose its lease for a moment; the task goes on once it has it again, unless the term is over. */
 	const mayAct = (): boolean => !isOver && options.isLeading();
 
@@ -90,7 +91,7 @@
 
 		stopping.add(key);
 		/* eslint-disable no-await-in-loop */
-		while (!isOver) {
+		while (!hasEnded()) {
 			if (!mayAct()) {
 				await pause(RETRY_MS);
 				continue;
@@ -177,7 +178,7 @@
 	const lookWhileNeeded = async (): Promise<void> => {
 		isLooking = true;
 		try {
-			while (!isOver && (track.runs.size > 0 || acknowledged < track.ackSeq())) {
+			while (!hasEnded() && (track.runs.size > 0 || acknowledged < track.ackSeq())) {
 				// Looks follow one another, so that lists are never read out of order.
 				// eslint-disable-next-line no-await-in-loop
 				await (mayAct() ? lookOnce() : pause(RETRY_MS));
@@ -266,7 +267,7 @@
 	return {
 		track,
 		life,
-		isOver: () => isOver,
+		isOver: hasEnded,
 
 		/** Orders a run that is recorded. */
 		start(start: RunStart, ticket: string | undefined): void {
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -8,18 +8,15 @@
 import type {
 	LogEntry, LogPayload, Member, RaftMessage, Snapshot,
 } from '@bronzebend/wire';
+import {createLogWriter} from './log-writer.js';
 import {
 	createRaft, type Outgoing, type Raft, type RaftEvent, type RaftOutput, type RaftTimings,
 } from './raft.js';
 import {NotLeaderError, OutcomeUnknownError} from './replica-errors.js';
-import {DiskFullError, type Storage, type StorageOperation} from './storage.js';
+import {DiskFullError, type Storage} from './storage.js';
 
 /** Applied entries after which the log is cut by a snapshot. */
 export const SNAPSHOT_INTERVAL = 1000;
-/** Operations that may wait for the disk before events do too; some seconds of them. */
-const MAX_UNSAVED = 500;
-/** Pause before a batch is tried again on a full disk, in milliseconds. */
-const DISK_FULL_PAUSE_MS = 500;
 
 /** The state that the log drives. */
 export type StateMachine<Outcome, Command = ControlCommand> = {
@@ -72,13 +69,8 @@
 	let events: RaftEvent[] = [];
 	let proposals: Array<Proposal<Outcome>> = [];
 	const pending = new Map<number, Pending<Outcome>>();
-	/** What waits for the disk, in order, with the messages that promise it. */
-	let unsaved: {operations: StorageOperation[]; deferred: Outgoing[]} = {operations: [], deferred: []};
-	let isSaving = false;
-	let saving: Promise<void> = Promise.resolve();
 	let busy = false;
 	let stopped = false;
-	let diskFull = false;
 	const isStopped = (): boolean => stopped;
 
 	const deliver = (messages: readonly Outgoing[]): void => {
@@ -110,94 +102,14 @@
 		pending.clear();
 	};
 
-	/** Must follow the event at once: whatever the agreement holds is either saved or in `unsaved`. */
 	const collect = (output: RaftOutput): void => {
-		if (output.hardState) {
-			unsaved.operations.push({type: 'hard-state', hardState: output.hardState});
-		}
-
-		if (output.append.length > 0) {
-			unsaved.operations.push({type: 'append', entries: output.append});
-		}
-
-		unsaved.deferred.push(...output.afterSync);
+		writer.add(output);
 		deliver(output.now);
 		for (const entry of output.committed) {
 			applyEntry(entry);
 		}
 	};
 
-	const saveWhenRoom = async (operations: readonly StorageOperation[]): Promise<void> => {
-		for (;;) {
-			if (isStopped()) {
-				return;
-			}
-
-			try {
-				// Each batch waits for its own sync before the next may start.
-				// eslint-disable-next-line no-await-in-loop
-				await storage.save(operations);
-				diskFull = false;
-				return;
-			} catch (error) {
-				if (!(error instanceof DiskFullError)) {
-					throw error;
-				}
-
-				diskFull = true;
-				refuseProposals();
-				// eslint-disable-next-line no-await-in-loop
-				await options.sleep(DISK_FULL_PAUSE_MS);
-			}
-		}
-	};
-
-	const saveAll = async (): Promise<void> => {
-		isSaving = true;
-		try {
-			while (!isStopped() && (unsaved.operations.length > 0 || unsaved.deferred.length > 0)) {
-				const {operations, deferred} = unsaved;
-				unsaved = {operations: [], deferred: []};
-				if (operations.length > 0) {
-					const index = raft.lastIndex();
-					const term = raft.termAt(index)!;
-					// Batches reach the disk in order.
-					// eslint-disable-next-line no-await-in-loop
-					await saveWhenRoom(operations);
-					if (isStopped()) {
-						return;
-					}
-
-					collect(raft.handle({type: 'synced', index, term}, clock.monotonicMs()));
-				}
-
-				deliver(deferred);
-				onProgress?.();
-			}
-		} finally {
-			isSaving = false;
-			void pump();
-		}
-	};
-
-	const startSaving = (): void => {
-		if (!isSaving) {
-			saving = saveAll().catch((error: unknown) => {
-				stopped = true;
-				options.onFatal(error);
-			});
-		}
-	};
-
-	/** Waits until the disk holds everything so far. */
-	const drained = async (): Promise<void> => {
-		while (isSaving) {
-			// More may have come meanwhile.
-			// eslint-disable-next-line no-await-in-loop
-			await saving;
-		}
-	};
-
 	const refuseProposals = (): void => {
 		const refused = proposals;
 		proposals = [];
@@ -250,8 +162,8 @@
 
 	const handleEvent = async (event: RaftEvent): Promise<void> => {
 		if (event.type === 'receive' && event.message.type === 'install') {
-			startSaving();
-			await drained();
+			writer.start();
+			await writer.drained();
 		}
 
 		let output: RaftOutput;
@@ -288,7 +200,7 @@
 			return;
 		}
 
-		await drained();
+		await writer.drained();
 		if (isStopped()) {
 			return;
 		}
@@ -311,7 +223,7 @@
 
 	const runBatch = async (): Promise<void> => {
 		// Proposals gather while the disk is busy, so that one entry's message and sync serve many; a slow disk holds them up to a tick.
-		if (!isSaving || events.some(event => event.type === 'tick')) {
+		if (!writer.isBusy() || events.some(event => event.type === 'tick')) {
 			takeProposals();
 		}
 
@@ -323,9 +235,9 @@
 			await handleEvent(event);
 		}
 
-		startSaving();
-		if (diskFull || unsaved.operations.length > MAX_UNSAVED) {
-			await drained();
+		writer.start();
+		if (writer.isCongested()) {
+			await writer.drained();
 		}
 
 		if (raft.role() !== 'leader' && pending.size > 0) {
@@ -343,7 +255,7 @@
 
 		busy = true;
 		try {
-			while (!isStopped() && (events.length > 0 || (proposals.length > 0 && !isSaving))) {
+			while (!isStopped() && (events.length > 0 || (proposals.length > 0 && !writer.isBusy()))) {
 				// eslint-disable-next-line no-await-in-loop
 				await runBatch();
 			}
@@ -355,13 +267,35 @@
 		}
 	};
 
+	const writer = createLogWriter({
+		storage,
+		position() {
+			const index = raft.lastIndex();
+			return {index, term: raft.termAt(index)!};
+		},
+		onSynced({index, term}) {
+			collect(raft.handle({type: 'synced', index, term}, clock.monotonicMs()));
+		},
+		deliver,
+		onDiskFull: refuseProposals,
+		onProgress: () => onProgress?.(),
+		onIdle() {
+			void pump();
+		},
+		onFatal(error) {
+			stopped = true;
+			options.onFatal(error);
+		},
+		sleep: options.sleep,
+	});
+
 	const push = (event: RaftEvent): void => {
 		events.push(event);
 		void pump();
 	};
 
 	const proposePayload = async (payload: LogPayload): Promise<Outcome> => new Promise<Outcome>((resolve, reject) => {
-		if (diskFull) {
+		if (writer.isDiskFull()) {
 			reject(new DiskFullError());
 			return;
 		}
@@ -373,7 +307,7 @@
 	return {
 		replica: storage.replica,
 		raft,
-		isDiskFull: () => diskFull,
+		isDiskFull: writer.isDiskFull,
 		appliedIndex: () => appliedIndex,
 
 		tick(): void {
@@ -408,6 +342,7 @@
 
 		stop(): void {
 			stopped = true;
+			writer.stop();
 			rejectPending();
 			refuseProposals();
 		},
--- a/tests/core/jobs/scheduler.spec.ts
+++ b/tests/core/jobs/scheduler.spec.ts
@@ -108,7 +108,9 @@
 
 	it('should run lasting work on few workers and other work beside it, so that the rest fall idle', () => {
 		const small = {cpu: 500, memoryMb: 1, gpu: 0};
-		const lasting = stepOf({count: 4, lasting: true, perWorker: 2, resources: small});
+		const lasting = stepOf({
+			count: 4, lasting: true, perWorker: 2, resources: small,
+		});
 		const book = bookWith([orderOf('a', [lasting]), orderOf('b', [stepOf({count: 4, resources: small})])]);
 		const workers = ['w1', 'w22', 'w333', 'w4444', 'w55555'].map(id => workerOf(id));
 		const lives = plan(book, workers).starts.map(start => start.life);
--- a/tests/daemon/jobs/worker-runner.spec.ts
+++ b/tests/daemon/jobs/worker-runner.spec.ts
@@ -4,7 +4,6 @@
 import {
 	createJobMetrics, createWorkerRunner, silentLogs, type StartOrder, type WorkerPort, type WorkerRunner,
 } from '@bronzebend/daemon';
-import {Registry} from 'prom-client';
 import {
 	bookWith, lifeNamed, orderOf, stepOf,
 } from '../../fixtures/job-fixtures.js';
@@ -16,7 +15,7 @@
 const settled = async (isDone: () => boolean): Promise<void> => {
 	for (let turn = 0; turn < 400 && !isDone(); turn += 1) {
 		// Each turn lets one timer of the task fire.
-		// eslint-disable-next-line no-await-in-loop
+
 		await new Promise(resolve => {
 			setTimeout(resolve, 10);
 		});
@@ -36,9 +35,11 @@
 			await new Promise(resolve => {
 				setTimeout(resolve, 2);
 			});
-			return {type: 'lists', lists: {
-				clockMs: nowMs, active: [], finished: [], ...lists(),
-			}};
+			return {
+				type: 'lists', lists: {
+					clockMs: nowMs, active: [], finished: [], ...lists(),
+				},
+			};
 		},
 		async start(order) {
 			calls.starts.push(order);
@@ -61,7 +62,7 @@
 		announcedClock: {clockMs: 1000, heardMs: 1000},
 		clock: {wallMs: () => nowMs, monotonicMs: () => nowMs},
 		log: silentLogs('test'),
-		metrics: createJobMetrics(new Registry()),
+		metrics: createJobMetrics(),
 		async record(of, over) {
 			book.apply({
 				type: 'runs-over', life: of, runs: over, atMs: nowMs,
@@ -87,9 +88,11 @@
 
 describe('the task of a worker', () => {
 	it('should go on keeping leases after its leader lost its own for a moment', async () => {
-		const {calls, runner, begin, lead} = setUp(() => ({active: [{
-			unit, attempt: 1, checkpoint: '', percent: 100, load: 0,
-		}]}));
+		const {calls, runner, begin, lead} = setUp(() => ({
+			active: [{
+				unit, attempt: 1, checkpoint: '', percent: 100, load: 0,
+			}],
+		}));
 		begin();
 		await settled(() => calls.holds > 3);
 		lead(false);
--- a/utils/experiment/load.ts
+++ b/utils/experiment/load.ts
@@ -171,7 +171,7 @@
 const factorAt = (load: Load, position: number, atMs: number): number => {
 	const cycleMs = load.turnMs * load.queues.length;
 	const middleMs = ((position + 0.5) * load.turnMs);
-	const away = Math.abs((((atMs - middleMs) % cycleMs) + (1.5 * cycleMs)) % cycleMs - (cycleMs / 2));
+	const away = Math.abs(((((atMs - middleMs) % cycleMs) + (1.5 * cycleMs)) % cycleMs) - (cycleMs / 2));
 	const fromEdge = (load.turnMs / 2) + (load.rampMs / 2) - away;
 	const part = Math.min(1, Math.max(0, fromEdge / load.rampMs));
 	return load.low + ((load.high - load.low) * part);
