--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -1,6 +1,6 @@
 /** Metrics of the jobs' part of a process. */
 import {
-	Counter, Gauge, Histogram, type Registry,
+	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 
 /** Seconds at which latencies are counted. */
