--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -7,7 +7,8 @@
 	createFileDisk, createReplica, decodeBytes, encodeBytes, openStorage, type RaftTimings, type Replica,
 } from '@bronzebend/replica';
 import type {Member, NotLeading, PeerMessage} from '@bronzebend/wire';
-import {decideForming, type ProbeReply} from '../keeper/bootstrap.js';
+import {decideForming} from '../keeper/bootstrap.js';
+import {createGroupMessages} from '../keeper/group-messages.js';
 import type {Log, LogFactory} from '../utils/log.js';
 import {createMemberKeeper} from './member-keeper.js';
 
@@ -76,7 +77,7 @@
 	let workTerm = -1;
 	let stopped = false;
 	let forming = false;
-	const probeReplies = new Map<string, ProbeReply>();
+	const group = createGroupMessages({self: storage.replica, replica: () => replica, send: options.send});
 	const ordersAppliedMs = new Map<string, number>();
 
 	const isLeading = (): boolean => replica?.hasLease() === true;
@@ -145,7 +146,7 @@
 	const keeperNodes = (): string[] => (options.mayForm && options.seeds().includes(node) ? options.seeds() : options.seeds().filter(seed => seed !== node));
 
 	const form = async (): Promise<void> => {
-		const decision = decideForming({node, replica: storage.replica}, keeperNodes(), probeReplies);
+		const decision = decideForming({node, replica: storage.replica}, keeperNodes(), group.probeReplies);
 		if (replica !== undefined || decision.type === 'wait') {
 			return;
 		}
@@ -220,25 +221,11 @@
 
 		/** Takes a message; returns false where it is not for a keeper. */
 		receive(from: string, message: PeerMessage): boolean {
-			switch (message.type) {
-				case 'raft': {
-					if (message.to === storage.replica) {
-						replica?.receive(message.from, message.message);
-					}
-
-					return true;
-				}
-
-				case 'probe': {
-					options.send(from, {type: 'probe-reply', replica: storage.replica, members: replica?.raft.members()});
-					return true;
-				}
-
-				case 'probe-reply': {
-					probeReplies.set(from, {replica: message.replica, members: message.members});
-					return true;
-				}
+			if (group.receive(from, message)) {
+				return true;
+			}
 
+			switch (message.type) {
 				case 'join': {
 					members.asked(from, message.replica);
 					return true;
@@ -266,20 +253,12 @@
 
 		/** Hands leadership to the voter that is furthest along; true where there was something to hand over. */
 		handOver(): boolean {
-			if (replica?.raft.role() !== 'leader') {
-				return false;
-			}
-
-			const {raft} = replica;
-			const others = raft.members().filter(member => member.voter && member.replica !== storage.replica);
-			others.sort((left, right) => raft.matchOf(right.replica) - raft.matchOf(left.replica));
-			if (!others[0]) {
-				return false;
+			const heir = group.handOver();
+			if (heir) {
+				log.info('Handing leadership over.', {to: heir.node, term: replica?.raft.term()});
 			}
 
-			log.info('Handing leadership over.', {to: others[0].node, term: raft.term()});
-			replica.transfer(others[0].replica);
-			return true;
+			return heir !== undefined;
 		},
 
 		async stop(): Promise<void> {
--- a/packages/daemon/src/keeper/keeper-host.ts
+++ b/packages/daemon/src/keeper/keeper-host.ts
@@ -15,7 +15,8 @@
 	createWorkRunner, PLAN_MS, type WorkRunner,
 } from '../leader/work-runner.js';
 import type {Log} from '../utils/log.js';
-import {decideForming, type ProbeReply} from './bootstrap.js';
+import {decideForming} from './bootstrap.js';
+import {createGroupMessages} from './group-messages.js';
 import {createMemberChanges} from './member-changes.js';
 import {createLeaderCalls} from './leader-calls.js';
 
@@ -59,7 +60,7 @@
 	let leadingSinceMs = 0;
 	let deskTerm = -1;
 	let stopped = false;
-	const probeReplies = new Map<string, ProbeReply>();
+	const group = createGroupMessages({self: storage.replica, replica: () => replica, send: options.send});
 	const timers: NodeJS.Timeout[] = [];
 
 	const pokeNodes = (): void => {
@@ -161,7 +162,7 @@
 		probe(name) {
 			options.send(name, {type: 'probe'});
 		},
-		replicaOf: name => probeReplies.get(name)?.replica,
+		replicaOf: name => group.probeReplies.get(name)?.replica,
 	});
 
 	const answer = createLeaderCalls({
@@ -198,7 +199,7 @@
 	};
 
 	const form = async (): Promise<void> => {
-		const decision = decideForming({node, replica: storage.replica}, keepers, probeReplies);
+		const decision = decideForming({node, replica: storage.replica}, keepers, group.probeReplies);
 		if (replica !== undefined || decision.type === 'wait') {
 			return;
 		}
@@ -254,25 +255,11 @@
 
 		/** Takes a message; returns false where it is not for a keeper. */
 		receive(from: string, message: PeerMessage): boolean {
-			switch (message.type) {
-				case 'raft': {
-					if (message.to === storage.replica) {
-						replica?.receive(message.from, message.message);
-					}
-
-					return true;
-				}
-
-				case 'probe': {
-					options.send(from, {type: 'probe-reply', replica: storage.replica, members: replica?.raft.members()});
-					return true;
-				}
-
-				case 'probe-reply': {
-					probeReplies.set(from, {replica: message.replica, members: message.members});
-					return true;
-				}
+			if (group.receive(from, message)) {
+				return true;
+			}
 
+			switch (message.type) {
 				case 'heartbeat': {
 					onHeartbeat(from, message);
 					return true;
@@ -291,16 +278,7 @@
 
 		/** Hands leadership to the voter that is furthest along. */
 		handOver(): void {
-			if (replica?.raft.role() !== 'leader') {
-				return;
-			}
-
-			const {raft} = replica;
-			const others = raft.members().filter(member => member.voter && member.replica !== storage.replica);
-			others.sort((left, right) => raft.matchOf(right.replica) - raft.matchOf(left.replica));
-			if (others[0]) {
-				replica.transfer(others[0].replica);
-			}
+			group.handOver();
 		},
 
 		async stop(): Promise<void> {
