--- a/packages/core/src/jobs/machine-demand.ts
+++ b/packages/core/src/jobs/machine-demand.ts
@@ -6,13 +6,13 @@
 } from './job.js';
 import {remainingMs, tierOf, Tiers} from './job-order.js';
 import type {RunEstimates} from './run-estimates.js';
-import {createWorkspaceTill, type WorkspaceTill} from './workspace-till.js';
+import {createQuotaLedger, type QuotaLedger} from './quota-ledger.js';
 
 /** Span over which arriving work is counted, in milliseconds: a few jobs of a queue in its turn, and short against the turn. */
 const ARRIVAL_WINDOW_MS = 1500;
 /** Jobs by which the latter half of the span must outnumber the former, in standard deviations, before a rise counts. */
 const RISE_DEVIATIONS = 2;
-/** Time ahead for which a rise is carried on, in milliseconds: a machine that is moved takes work about then. */
+/** Time past the middle of the latter half to which a rise is carried on, in milliseconds: a machine that is moved takes work about then. */
 const RISE_AHEAD_MS = 1000;
 /** Part of the waiting work of late jobs that asks for machines; it earns little more for being early. */
 const LATE_WEIGHT = 0.25;
@@ -59,6 +59,7 @@
 			const latter = list.filter(arrival => nowMs - arrival.atMs < ARRIVAL_WINDOW_MS / 2).length;
 			const rise = (2 * latter) - list.length;
 			const isRising = rise > RISE_DEVIATIONS * Math.sqrt(list.length);
+			// On the straight line through the rates of both halves, against the mean rate.
 			const factor = isRising ? 1 + ((rise / list.length) * (1 + (4 * RISE_AHEAD_MS / ARRIVAL_WINDOW_MS))) : 1;
 			return {
 				cpu: factor * list.reduce((sum, arrival) => sum + arrival.cpuMs, 0) / ARRIVAL_WINDOW_MS,
@@ -73,7 +74,7 @@
 });
 
 /** Adds a job's part to its pool's demand: what runs, and what waits and may start within its workspace's limit, by its weight. */
-const addJob = (demand: MachineDemand, job: Job, weight: number, till: WorkspaceTill, {book, wallMs}: {book: JobBook; wallMs: number}): void => {
+const addJob = (demand: MachineDemand, job: Job, weight: number, quota: QuotaLedger, {book, wallMs}: {book: JobBook; wallMs: number}): void => {
 	for (const occurrence of job.occurrences.filter(each => each.dueMs <= wallMs)) {
 		for (const [number, step] of job.order.steps.entries()) {
 			if (!isStepReady(job, occurrence, number)) {
@@ -81,8 +82,8 @@
 			}
 
 			const countOf = (state: WorkUnit['state']): number => occurrence.steps[number]!.filter(unit => unit.state === state).length;
-			const startable = till.most(job.order.workspace, step.resources, countOf('idle'));
-			till.take(job.order.workspace, step.resources, startable);
+			const startable = quota.most(job.order.workspace, step.resources, countOf('idle'));
+			quota.take(job.order.workspace, step.resources, startable);
 			const units = countOf('running') + (startable * weight);
 			const amount = book.reserved(job, number);
 			for (const target of step.lasting ? [demand.wanted, demand.lasting] : [demand.wanted]) {
@@ -101,13 +102,13 @@
 /** Measures all pools. */
 export const measureDemand = (book: JobBook, arrivals: ArrivalMeter, estimates: RunEstimates, {wallMs, nowMs}: {wallMs: number; nowMs: number}): Map<string, MachineDemand> => {
 	const manifest = book.manifest();
-	const till = createWorkspaceTill(book, manifest);
+	const quota = createQuotaLedger(book, manifest);
 	const demands = new Map((manifest?.manifest.pools ?? []).map(pool => [pool.name, emptyDemand()]));
 	for (const job of book.openJobs()) {
 		const demand = demands.get((manifest?.queue(job.order.queue) ?? job.queue).pool);
 		if (demand && isOpen(job)) {
 			const isLate = tierOf(job, wallMs, remainingMs(job, estimates)) > Tiers.inTime;
-			addJob(demand, job, isLate ? LATE_WEIGHT : 1, till, {book, wallMs});
+			addJob(demand, job, isLate ? LATE_WEIGHT : 1, quota, {book, wallMs});
 		}
 	}
 
--- a/packages/core/src/jobs/workspace-till.ts
+++ b/packages/core/src/jobs/quota-ledger.ts
@@ -3,13 +3,13 @@
 import type {JobBook} from './job-book.js';
 
 /** Accounting of one decision. */
-export type WorkspaceTill = ReturnType<typeof createWorkspaceTill>;
+export type QuotaLedger = ReturnType<typeof createQuotaLedger>;
 
 /** Work units of a size that fit beside what is used; a limit of 0 is none. */
 const countWithin = (limit: number, used: number, amount: number): number => (limit === 0 || amount === 0 ? Infinity : Math.max(0, Math.floor((limit - used) / amount)));
 
 /** Creates the accounting from what the record holds. */
-export const createWorkspaceTill = (book: JobBook, manifest: ManifestIndex | undefined) => {
+export const createQuotaLedger = (book: JobBook, manifest: ManifestIndex | undefined) => {
 	const planned = new Map<string, Resources>();
 	const usedBy = (name: string): Resources => {
 		const used = planned.get(name) ?? {...book.usageOfWorkspace(name)};
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -9,7 +9,7 @@
 import {compareRanks, type JobRank, rankJob} from './job-order.js';
 import {chooseSeat, occupy, type Seat} from './placement.js';
 import type {RunEstimates} from './run-estimates.js';
-import {createWorkspaceTill} from './workspace-till.js';
+import {createQuotaLedger} from './quota-ledger.js';
 
 /** A worker that may take work now, with its pool. */
 export type SchedulableWorker = {life: string; id: string; pool: string; capacity: Resources; labels: string[]; slowness: number};
@@ -72,7 +72,7 @@
 export const planStarts = (input: SchedulingInput): SchedulingPass => {
 	const {book, manifest, estimates, wallMs} = input;
 	const seats = seatsOf(input);
-	const till = createWorkspaceTill(book, manifest);
+	const quota = createQuotaLedger(book, manifest);
 	const pass: SchedulingPass = {starts: [], waiting: new Map(), unadvised: []};
 
 	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => unit.state === 'running' && unit.worker === life).length + (started.get(life) ?? 0);
@@ -101,7 +101,7 @@
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
 		let isLimited = false;
 		for (const unit of idle) {
-			isLimited = till.most(job.order.workspace, step.resources, 1) === 0;
+			isLimited = quota.most(job.order.workspace, step.resources, 1) === 0;
 			const avoided = avoidable(input.avoided(unit.name), pool);
 			const seat = pass.starts.length + chosen.length < input.most && !isLimited
 				? chooseSeat(step, pool, candidate => avoided?.has(candidate.life) !== true
@@ -118,7 +118,7 @@
 			}
 
 			occupy(step, seat);
-			till.take(job.order.workspace, step.resources, 1);
+			quota.take(job.order.workspace, step.resources, 1);
 			started.set(seat.life, (started.get(seat.life) ?? 0) + 1);
 			chosen.push({unit, seat});
 		}
@@ -126,7 +126,7 @@
 		if (step.gang && chosen.length < idle.length) {
 			for (const {seat} of chosen) {
 				occupy(step, seat, -1);
-				till.take(job.order.workspace, step.resources, -1);
+				quota.take(job.order.workspace, step.resources, -1);
 			}
 
 			return isLimited ? 0 : idle.length;
@@ -156,7 +156,7 @@
 		}
 	};
 
-	const ranks: JobRank[] = [...book.openJobs()].filter(job => isOpen(job)).map(job => rankJob(job, wallMs, estimates, till.shareOf, manifest));
+	const ranks: JobRank[] = [...book.openJobs()].filter(job => isOpen(job)).map(job => rankJob(job, wallMs, estimates, quota.shareOf, manifest));
 	ranks.sort(input.compare ?? compareRanks);
 	for (const {job} of ranks) {
 		startJob(job, (manifest.queue(job.order.queue) ?? job.queue).pool);
