Take a life for ended by an order only where the list of machines shows it

An order that was carried out before is answered with success and ends nothing, so the life that had come after the first upkeep was declared over while it worked. Ruled out: its lease (1.9 s of 4 s), a stop (the run ended done). A list is now read at once after such an order; work on the machine counts as away until then.

--- a/packages/core/src/jobs/job-commands.ts
+++ b/packages/core/src/jobs/job-commands.ts
@@ -21,6 +21,9 @@
 /** Identity of one life. */
 export const lifeOf = (id: string, bornMs: number): string => `${id}@${bornMs}`;
 
+/** The worker's identity in that of a life. */
+export const workerOfLife = (life: string): string => life.slice(0, life.lastIndexOf('@'));
+
 /** A run to record before it is ordered. */
 export type RunStart = {unit: string; attempt: number; life: string};
 /** A run that is over. */
--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -1,7 +1,7 @@
 /** Which machines of a wave begin their upkeep next, within the wave's cap and availability budgets. */
 import type {Resources} from './fleet-manifest.js';
 import type {JobBook} from './job-book.js';
-import type {UpkeepWave} from './job-commands.js';
+import {type UpkeepWave, workerOfLife} from './job-commands.js';
 import type {WorkerDirectory} from './worker-directory.js';
 import type {WorkerTrack} from './worker-track.js';
 
@@ -28,6 +28,9 @@
 /** A machine as the platform lists it. */
 export type Machine = {name: string; pool: string; state: MachineState; zone: string; labels: string[]; capacity: Resources; workerId?: string};
 
+/** True where a list read after an order shows that the order ended a life; an order that was carried out before is answered alike and ends nothing. */
+export const hasEndedLife = (listed: Machine | undefined, life: string): boolean => listed?.state !== MachineStates.up || listed.workerId !== workerOfLife(life);
+
 /** What upkeep is decided from. */
 export type UpkeepInput = {
 	book: JobBook;
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -1,6 +1,6 @@
 /** Gives orders to machines for one term: upkeep for waves, and moves between pools. One order at a time for each. */
 import {
-	createFleetBalance, createUpkeepPlan, groupBy, keepsBudgets, lifeOnMachine, MachineStates, measureDemand, unitToEvacuate,
+	createFleetBalance, createUpkeepPlan, groupBy, hasEndedLife, keepsBudgets, lifeOnMachine, MachineStates, measureDemand, unitToEvacuate,
 	type ArrivalMeter, type Clock, type JobBook, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MachineOrderKind, type MovableMachine,
 	type RunEstimates, type UpkeepInput, type UpkeepWave, type WorkerDirectory, type WorkerTrack,
 } from '@bronzebend/core';
@@ -49,13 +49,13 @@
 	shortPools(): ReadonlySet<string>;
 	/** Moves a work unit away from a life. */
 	evacuate(life: string, unit: string): void;
-	/** Everything on this life was ended by an order. */
+	/** Everything on this life was ended by an order, as the list of machines shows. */
 	onEnded(life: string): void;
 	isLeading(): boolean;
 };
 
 /** An order that is not known to be over; `unanswered` got no clear answer and may still be carried out. */
-type Ordered = {atMs: number; state: 'sent' | 'done' | 'unanswered'; kind: MachineOrderKind};
+type Ordered = {atMs: number; state: 'sent' | 'done' | 'unanswered'; kind: MachineOrderKind; life?: string};
 
 /** Starts the care of machines for one term. */
 export const createMachineKeeper = (options: MachineKeeperOptions) => {
@@ -69,6 +69,7 @@
 	const completing = new Set<number>();
 	let machines = new Map<string, Machine>();
 	let listedMs = -Infinity;
+	let mustList = false;
 	let isBusy = false;
 
 	const lifeOf = (machine: Machine): string | undefined => lifeOnMachine(machine, book, directory);
@@ -91,7 +92,7 @@
 
 	const read = async (): Promise<boolean> => {
 		const askedMs = clock.monotonicMs();
-		if (askedMs - listedMs < (hasWaves() || ordered.size > 0 ? ACTIVE_LIST_MS : CALM_LIST_MS)) {
+		if (!mustList && askedMs - listedMs < (hasWaves() || ordered.size > 0 ? ACTIVE_LIST_MS : CALM_LIST_MS)) {
 			return listedMs > startedMs;
 		}
 
@@ -102,9 +103,16 @@
 		}
 
 		listedMs = askedMs;
+		mustList = false;
 		machines = new Map(list.map(machine => [machine.name, machine]));
 		for (const [name, order] of ordered) {
-			const isUpAgain = order.state === 'done' && order.atMs < askedMs && machines.get(name)?.state === MachineStates.up;
+			const isListedSince = order.state === 'done' && order.atMs < askedMs;
+			if (isListedSince && order.life !== undefined && hasEndedLife(machines.get(name), order.life)) {
+				options.onEnded(order.life);
+				order.life = undefined;
+			}
+
+			const isUpAgain = isListedSince && machines.get(name)?.state === MachineStates.up;
 			if (isUpAgain || (order.state === 'unanswered' && askedMs - order.atMs > REPEAT_MS)) {
 				ordered.delete(name);
 			}
@@ -150,9 +158,12 @@
 			machine, ...fields, result: result.type, reason: 'reason' in result ? result.reason : undefined, worker: life, listMsAgo: Math.round(clock.monotonicMs() - listedMs),
 		});
 		if (result.type === 'done') {
-			ordered.set(machine, {atMs: clock.monotonicMs(), state: 'done', kind});
+			ordered.set(machine, {
+				atMs: clock.monotonicMs(), state: 'done', kind, life,
+			});
 			if (life !== undefined) {
-				options.onEnded(life);
+				// Only the next list tells whether this order ended the life, or one before it had been carried out.
+				mustList = true;
 			}
 		} else if (result.type === 'unknown') {
 			ordered.set(machine, {atMs: clock.monotonicMs(), state: 'unanswered', kind});
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createArrivalMeter, createFleetBalance, createJob, createRunEstimates, createUpkeepPlan, createWorkerDirectory, createWorkerTrack, keepsBudgets, lifeOnMachine, unitToEvacuate, MachineStates,
+	createArrivalMeter, createFleetBalance, createJob, createRunEstimates, createUpkeepPlan, createWorkerDirectory, createWorkerTrack, hasEndedLife, keepsBudgets, lifeOnMachine, unitToEvacuate, MachineStates,
 	type BalanceInput, type JobBook, type Machine, type MachineDemand, type MovableMachine, type UpkeepChoice, type UpkeepInput, type UpkeepWave,
 } from '@bronzebend/core';
 import {
@@ -253,6 +253,14 @@
 		assert.equal(lifeOnMachine(machineOf('m2'), book, directory), undefined);
 	});
 
+	it('should take a life for ended only where a list shows it, since an order that was carried out before is answered alike', () => {
+		const {life} = lifeNamed('w1');
+		assert.equal(hasEndedLife(machineOf('m1', 'w1'), life), false);
+		assert.equal(hasEndedLife(machineOf('m1', 'w2'), life), true);
+		assert.equal(hasEndedLife({...machineOf('m1', 'w1'), state: MachineStates.upkeep}, life), true);
+		assert.equal(hasEndedLife(undefined, life), true);
+	});
+
 	it('should be complete only when every machine that stays has begun', () => {
 		const {input} = lastingOn([], 100);
 		const plan = createUpkeepPlan();
