Tell which accepted jobs do not run, and why

An accepted job that never ran left no line: nothing compared the record with the tasks that look after workers, and nothing named a unit that had waited long. Once a second the leader now tells, by pool, the job that has waited longest with nothing running and what keeps it, and the recorded runs that no task has. Two gauges go with the lines.

--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -283,7 +283,7 @@
 	fleet.inherit();
 
 	const reports = createLeaderReports({
-		book, clock, log, directory, tell: options.tell, waiting: pool => waitingUnits.get(pool) ?? 0,
+		book, clock, log, directory, tell: options.tell, waiting: pool => waitingUnits.get(pool) ?? 0, workers, unattended: fleet.unattended, metrics,
 	});
 
 	const timer = setInterval(() => {
--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -39,6 +39,8 @@
 			name: 'bronzebend_runs_over_total', help: 'Runs that ended, by how', labelNames: ['how'], registers,
 		}),
 		openJobs: new Gauge({name: 'bronzebend_jobs_open', help: 'Jobs that are not over, at the leader', registers}),
+		unattendedRuns: new Gauge({name: 'bronzebend_runs_without_task', help: 'Recorded runs that no task looks after, at the leader', registers}),
+		longWaits: new Gauge({name: 'bronzebend_jobs_waiting_long', help: 'Jobs that have waited for seconds with nothing running, at the leader', registers}),
 		workers: new Gauge({
 			name: 'bronzebend_workers', help: 'Workers by state, at the leader', labelNames: ['state'], registers,
 		}),
--- a/packages/daemon/src/jobs/leader-reports.ts
+++ b/packages/daemon/src/jobs/leader-reports.ts
@@ -1,8 +1,10 @@
-/** What the leader tells at fixed pauses: the usage of pools to the log, and reports of workers to the other keepers. */
+/** What the leader tells at fixed pauses: usage and long waits to the log, and reports of workers to the other keepers. */
 import {
-	groupBy, type Clock, type JobBook, type WorkerDirectory, type WorkerHeard,
+	findLongWaits, groupBy, type Clock, type JobBook, type SchedulableWorker, type WorkerDirectory, type WorkerHeard,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
+import type {JobMetrics} from './job-metrics.js';
+import type {UnattendedRun} from './worker-fleet.js';
 
 /** Pause between two messages to the other keepers on workers, in milliseconds; a third of a worker's pause. */
 const TELL_MS = 500;
@@ -18,11 +20,34 @@
 	tell(heard: WorkerHeard[]): void;
 	/** Work units of a pool that found no room. */
 	waiting(pool: string): number;
+	/** Workers that may take work. */
+	workers(): SchedulableWorker[];
+	/** Recorded runs that no task looks after. */
+	unattended(): UnattendedRun[];
+	metrics: JobMetrics;
 }) => {
-	const {book, clock, log, directory, tell, waiting} = options;
+	const {book, clock, log, directory, tell, waiting, metrics} = options;
 	let toldMs = -Infinity;
 	let heardToldMs = -Infinity;
 
+	/** What should not be: recorded runs that no task looks after, and jobs that have waited long. */
+	const tellTrouble = (): void => {
+		const unattended = options.unattended();
+		metrics.unattendedRuns.set(unattended.length);
+		const [first] = unattended;
+		if (first) {
+			log.warn('Recorded runs have no task.', {
+				runs: unattended.length, unit: first.unit, attempt: first.attempt, worker: first.life.life,
+			});
+		}
+
+		const waits = findLongWaits({book, workers: options.workers(), wallMs: clock.wallMs()});
+		metrics.longWaits.set(waits.reduce((sum, wait) => sum + wait.jobs, 0));
+		for (const wait of waits) {
+			log.warn('Jobs wait long.', {...wait, waitedMs: Math.round(wait.waitedMs)});
+		}
+	};
+
 	/** One line a second and pool: what it has, what runs, what waits. */
 	const tellUsage = (): void => {
 		const nowMs = clock.monotonicMs();
@@ -31,6 +56,7 @@
 		}
 
 		toldMs = nowMs;
+		tellTrouble();
 		for (const [pool, entries] of groupBy(directory.list().filter(entry => !entry.left), entry => entry.pool)) {
 			const used = entries.map(entry => book.usageOfLife(entry.life));
 			const runs = entries.flatMap(entry => [...book.runsOf(entry.life).values()]);
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -31,6 +31,9 @@
 	onChange(): void;
 };
 
+/** A run that is recorded for a life whose task does not know it. */
+export type UnattendedRun = {life: WorkerLife; unit: string; attempt: number};
+
 /** Creates the tasks of one term; none runs yet. */
 export const createWorkerFleet = (options: WorkerFleetOptions) => {
 	const {book, clock, log, metrics, directory, watch, propose, isLeading, onChange} = options;
@@ -141,6 +144,18 @@
 	return {
 		size: () => runners.size,
 
+		/** Runs in the record that no task looks after. */
+		unattended(): UnattendedRun[] {
+			return book.busyLives().flatMap(life => {
+				const runner = runners.get(life.life);
+				if (runner?.isOver()) {
+					return [];
+				}
+
+				return [...book.runsOf(life.life)].filter(([unit, run]) => runner?.track.runs.get(unit)?.attempt !== run.unit.attempt).map(([unit, run]) => ({life, unit, attempt: run.unit.attempt}));
+			});
+		},
+
 		/** Takes over the work that an earlier leader ordered. */
 		inherit(): void {
 			for (const life of book.busyLives()) {
