Reproduce runs that stay in the record and run nowhere

Three tests fail on this code: starts recorded while the leader had no lease for a moment, an order that never settles, and a pass in which one worker cannot be connected to.

--- /dev/null
+++ b/tests/daemon/jobs/job-leader.spec.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {bookWith, lifeNamed, orderOf, stepOf} from '../../fixtures/job-fixtures.js';
+import {createLeaderBench, settled} from '../../fixtures/leader-bench.js';
+
+describe('the work of a leader', () => {
+	it('should run a job whose starts were recorded while the leader had no lease for a moment', async () => {
+		const book = bookWith([orderOf('a', [stepOf({count: 2})])]);
+		const bench = createLeaderBench(book);
+		bench.onCommit(({type}) => {
+			if (type === 'runs-start' && bench.starts.length === 0) {
+				bench.lead(false);
+				setTimeout(() => {
+					bench.lead(true);
+				}, 50);
+			}
+		});
+		await settled(() => bench.running.size === 2);
+		bench.work.stop();
+		assert.equal(bench.running.size, 2);
+	});
+
+	it('should run a job whose order to its worker was never settled', async () => {
+		const book = bookWith([orderOf('a', [stepOf({count: 2})])]);
+		let isSilent = true;
+		const bench = createLeaderBench(book, {
+			async start(order) {
+				if (isSilent) {
+					return new Promise<never>(() => {
+						// Stays open.
+					});
+				}
+
+				bench.running.set(order.unit, order.attempt);
+				return {type: 'done'};
+			},
+		});
+		await settled(() => bench.starts.length === 2);
+		isSilent = false;
+		await settled(() => bench.running.size === 2);
+		bench.work.stop();
+		assert.equal(bench.running.size, 2);
+	});
+
+	it('should run all jobs of a pass when one worker cannot be connected to', async () => {
+		const capacity = {cpu: 1000, memoryMb: 4000, gpu: 0};
+		const lives = [lifeNamed('bad', {capacity}), lifeNamed('good', {capacity: {...capacity, cpu: 4000}})];
+		const book = bookWith([orderOf('a'), orderOf('b'), orderOf('c')]);
+		const bench = createLeaderBench(book, {lives, unreachable: 'bad'});
+		await settled(() => bench.running.size === 3);
+		bench.work.stop();
+		assert.equal(bench.running.size, 3);
+	});
+});
