Give every recorded run a task that answers for it

Cause: a pass records runs, then orders them. The order was left out where the leader had no lease at that moment, which a late reply of a follower, a wall clock that is set or a short suspension is enough for, and where an earlier start of the same pass threw. A task judged only runs that it had been told of, and an order whose call never came back was never judged. The leader kept its term, so nobody looked again: an action on a single event, with nothing that compares.

Now recorded runs always go to their task, which holds the order back without a lease and finds out by a stop that the run never began. Once a second what no task knows is handed over and judged the same way, an order is in doubt after 3 s without an answer, and a worker that cannot be connected to loses its runs alone. A run is taken for lost only after its stop went through, as before, so none can run twice.

--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -14,6 +14,8 @@
 const LEASE_MARGIN_MS = 150;
 /** Silence of a worker from which its lease is not renewed any more, in milliseconds; each try might still reach it. */
 const RENEW_SILENCE_MS = 1300;
+/** Time after which an order whose call has not come back is in doubt, in milliseconds; longer than any call may take. */
+const UNSETTLED_MS = 3000;
 
 /** One entry of a worker's list of running work units. */
 export type ActiveRun = {
@@ -98,6 +100,11 @@
 	const judgeMissing = (unit: string, run: RunProgress, sentMs: number, result: Reconciled): void => {
 		switch (run.phase.type) {
 			case 'ordered': {
+				if (sentMs - run.startedMs > UNSETTLED_MS) {
+					run.phase = {type: 'doubtful', atMs: sentMs};
+					result.stops.push({unit, attempt: run.attempt});
+				}
+
 				return;
 			}
 
@@ -162,6 +169,11 @@
 			runs.set(unit, newRun(attempt, {type: 'ordered'}, nowMs));
 		},
 
+		/** A recorded run of which nobody here knows whether it was ordered. */
+		adopt(unit: string, attempt: number, nowMs: number): void {
+			runs.set(unit, newRun(attempt, {type: 'doubtful', atMs: nowMs}, nowMs));
+		},
+
 		/** The worker answered the order. */
 		confirmed(unit: string, attempt: number, nowMs: number): void {
 			const run = progressOf(unit, attempt);
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -14,6 +14,8 @@
 import {createRunWatch} from './run-watch.js';
 import {createWorkerFleet} from './worker-fleet.js';
 
+/** Pause between two comparisons of the record with the tasks of the workers, in milliseconds. */
+const ATTEND_MS = 1000;
 /** Pause between two passes that nothing asked for, in milliseconds; due times pass meanwhile. */
 const PASS_MS = 100;
 /** Share of the time that planning may take; calls, looks and heartbeats need the rest. */
@@ -194,7 +196,7 @@
 			})),
 			runs: starts,
 		});
-		if (outcome.type === 'runs-started' && leads()) {
+		if (outcome.type === 'runs-started') {
 			for (const start of outcome.accepted) {
 				order(start);
 			}
@@ -286,7 +288,11 @@
 		book, clock, log, directory, tell: options.tell, waiting: pool => waitingUnits.get(pool) ?? 0, workers, unattended: fleet.unattended, metrics,
 	});
 
-	const timer = setInterval(() => {
+	const timers = [setInterval(() => {
+		if (leads()) {
+			fleet.attend();
+		}
+	}, ATTEND_MS), setInterval(() => {
 		reports.step();
 		directory.forgetSilent(clock.monotonicMs() - FORGET_MS);
 		metrics.openJobs.set(book.openCount());
@@ -294,7 +300,7 @@
 		metrics.workers.set({state: 'known'}, directory.list().length);
 		metrics.workers.set({state: 'busy'}, fleet.size());
 		wake();
-	}, PASS_MS);
+	}, PASS_MS)];
 
 	return {
 		async answer(call: JobCall): Promise<JobAnswer> {
@@ -307,7 +313,10 @@
 
 		stop(): void {
 			isStopped = true;
-			clearInterval(timer);
+			for (const timer of timers) {
+				clearInterval(timer);
+			}
+
 			advice.close();
 			machines?.stop();
 			fleet.close();
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -1,6 +1,6 @@
 /** The tasks of all workers that this leader deals with, and what it learns from them. */
 import {
-	createPaceKeeper, isOpen,
+	createPaceKeeper, isOpen, RunEnds,
 	type Clock, type JobBook, type JobCommand, type JobOutcome, type RunOver, type RunStart, type WorkerDirectory, type WorkerLife, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
@@ -141,31 +141,59 @@
 		return runner;
 	};
 
-	return {
-		size: () => runners.size,
+	/** Hands recorded work to the task of its life; where there can be none, the work is lost and the life gets no more. */
+	const entrust = (life: WorkerLife, inherited: boolean, hand: (runner: WorkerRunner) => void): void => {
+		if (closed) {
+			return;
+		}
 
-		/** Runs in the record that no task looks after. */
-		unattended(): UnattendedRun[] {
-			return book.busyLives().flatMap(life => {
-				const runner = runners.get(life.life);
-				if (runner?.isOver()) {
-					return [];
-				}
+		let runner: WorkerRunner;
+		try {
+			runner = runnerOf(life, inherited);
+		} catch (error) {
+			log.error('Cannot connect to a worker.', {worker: life.life, address: life.address, cause: String(error)});
+			directory.ended(life.life);
+			const over = [...book.runsOf(life.life).values()].map(({unit}): RunOver => ({
+				unit: unit.name, attempt: unit.attempt, how: RunEnds.lost, checkpoint: '',
+			}));
+			void recordLost(life.life, over);
+			return;
+		}
 
-				return [...book.runsOf(life.life)].filter(([unit, run]) => runner?.track.runs.get(unit)?.attempt !== run.unit.attempt).map(([unit, run]) => ({life, unit, attempt: run.unit.attempt}));
-			});
-		},
+		hand(runner);
+	};
+
+	/** Runs in the record that no task looks after; the runs of a life that is over are being recorded as lost. */
+	const unattended = (): UnattendedRun[] => book.busyLives().filter(life => !runners.get(life.life)?.isOver()).flatMap(life => {
+		const known = runners.get(life.life)?.track.runs;
+		return [...book.runsOf(life.life)].flatMap(([unit, {unit: {attempt}}]) => (known?.get(unit)?.attempt === attempt ? [] : [{life, unit, attempt}]));
+	});
+
+	return {
+		size: () => runners.size,
+		unattended,
 
 		/** Takes over the work that an earlier leader ordered. */
 		inherit(): void {
 			for (const life of book.busyLives()) {
-				runnerOf(life, true);
+				entrust(life, true, () => undefined);
 			}
 		},
 
-		/** Orders a run that is recorded. */
+		/** Orders a run that is recorded; without a lease its task finds out later that it never began. */
 		start(life: WorkerLife, start: RunStart, ticket: string | undefined): void {
-			runnerOf(life, false).start(start, ticket);
+			entrust(life, false, runner => {
+				runner.start(start, ticket);
+			});
+		},
+
+		/** Has the tasks find out what became of recorded runs that they do not know. */
+		attend(): void {
+			for (const {life, unit, attempt} of unattended()) {
+				entrust(life, true, runner => {
+					runner.adopt(unit, attempt);
+				});
+			}
 		},
 
 		/** Stops the runs of jobs that are over. */
--- a/packages/daemon/src/jobs/worker-runner.ts
+++ b/packages/daemon/src/jobs/worker-runner.ts
@@ -279,6 +279,12 @@
 			look();
 		},
 
+		/** Finds out what became of a recorded run that this task was never told of. */
+		adopt(unit: string, attempt: number): void {
+			track.adopt(unit, attempt, clock.monotonicMs());
+			look();
+		},
+
 		/** Stops a run, once. */
 		stop(unit: string, attempt: number): void {
 			if (track.askStop(unit, clock.monotonicMs())) {
--- a/tests/daemon/jobs/job-leader.spec.ts
+++ b/tests/daemon/jobs/job-leader.spec.ts
@@ -1,14 +1,18 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {bookWith, lifeNamed, orderOf, stepOf} from '../../fixtures/job-fixtures.js';
+import {
+	bookWith, lifeNamed, orderOf, stepOf,
+} from '../../fixtures/job-fixtures.js';
 import {createLeaderBench, settled} from '../../fixtures/leader-bench.js';
 
 describe('the work of a leader', () => {
 	it('should run a job whose starts were recorded while the leader had no lease for a moment', async () => {
 		const book = bookWith([orderOf('a', [stepOf({count: 2})])]);
 		const bench = createLeaderBench(book);
+		let commits = 0;
 		bench.onCommit(({type}) => {
-			if (type === 'runs-start' && bench.starts.length === 0) {
+			commits += type === 'runs-start' ? 1 : 0;
+			if (type === 'runs-start' && commits === 1) {
 				bench.lead(false);
 				setTimeout(() => {
 					bench.lead(true);
