Give calls to the group a span instead of a time on another clock

What callers saw: after the wall clock of a keeper was set forward, or its machine was suspended, by more than 0.85 s in all, that keeper refused everything on its control port for the rest of its life: workers' reports, manifests, reads, waves.

Cause: the control port counted the end of a call on the plain steady clock and the client compared it with the suspension-aware clock, which had run ahead by every jump so far. Two readings of different clocks were compared; nothing in their type says whose they are.

A call now takes how long it may wait, and the client counts on its own clock, so no time crosses from one part to another. The other places where a time is handed over were looked at: directory, leader and machine orders all go by the plain steady clock, the caller port shared the client's clock already.

--- a/packages/daemon/src/jobs/group-client.ts
+++ b/packages/daemon/src/jobs/group-client.ts
@@ -108,8 +108,9 @@
 		/** Longest body that the manifest in force allows; undefined before a leader told it. */
 		maxBodyBytes: () => view?.maxBodyBytes,
 
-		/** Calls the leader until it answers or the time is up. */
-		async call(call: JobCall, untilMs: number): Promise<JobAnswer> {
+		/** Calls the leader until it answers or the time is up; `waitMs` is a span, as the caller may go by another clock. */
+		async call(call: JobCall, waitMs: number): Promise<JobAnswer> {
+			const untilMs = clock.monotonicMs() + waitMs;
 			let inDoubt = false;
 			// Each try depends on how the one before ended.
 			/* eslint-disable no-await-in-loop */
--- a/tests/daemon/jobs/group-client.spec.ts
+++ b/tests/daemon/jobs/group-client.spec.ts
@@ -42,7 +42,7 @@
 describe('a client of the group', () => {
 	it('should find the leader and call it', async () => {
 		const {client, calls} = clientWith({a: () => manifest, b: () => manifest}, () => 'b');
-		assert.deepEqual(await client.call(call, systemClock.monotonicMs() + 5000), manifest);
+		assert.deepEqual(await client.call(call, 5000), manifest);
 		assert.deepEqual(calls, ['b']);
 		client.close();
 	});
@@ -56,7 +56,7 @@
 			},
 			b: () => manifest,
 		}, () => leader);
-		assert.deepEqual(await client.call(call, systemClock.monotonicMs() + 5000), manifest);
+		assert.deepEqual(await client.call(call, 5000), manifest);
 		client.close();
 	});
 
@@ -70,14 +70,14 @@
 			},
 			b: () => manifest,
 		}, () => leader, name => name === leader, LONG_MS);
-		assert.deepEqual(await client.call(call, systemClock.monotonicMs() + LONG_MS), manifest);
+		assert.deepEqual(await client.call(call, LONG_MS), manifest);
 		assert.deepEqual(calls, ['a', 'b']);
 		client.close();
 	});
 
 	it('should say that nothing ran where no leader was found', async () => {
 		const {client} = clientWith({a: () => manifest}, () => undefined);
-		const answer = await client.call(call, systemClock.monotonicMs() + 100);
+		const answer = await client.call(call, 100);
 		assert.deepEqual([answer.type, 'mayHaveRun' in answer && answer.mayHaveRun], ['unavailable', false]);
 		client.close();
 	});
@@ -90,7 +90,7 @@
 				return tries === 1 ? undefined : {type: 'rejected', reason: 'backlog', retryAfterMs: 1000};
 			},
 		}, () => 'a');
-		const answer = await client.call(call, systemClock.monotonicMs() + 5000);
+		const answer = await client.call(call, 5000);
 		assert.deepEqual([answer.type, 'mayHaveRun' in answer && answer.mayHaveRun], ['unavailable', true]);
 		assert.equal(tries, 2);
 		client.close();
