Check an order to a machine as it leaves, not before it waits for a connection

Cause: the lease was checked after an order's record was committed, then the order waited for one of two connections, with no bound and no further check. In the log core-lj-c-1 had chosen moves before it stood still from 2.501 s to 9.701 s; core-lj-a-1 led from 3.09 s. When it woke, core-lj-c-1 sent what still waited, from 9.71 s to 10.04 s (list of machines 7.9 s old), to machines that core-lj-a-1 had given orders 0.6 s to 2.9 s before, and core-lj-a-1 ordered the same machines again from 10.73 s. The new leader had counted from the record, which it had applied seconds earlier.

Now the check is made when the order has its connection and is about to be written: half a second from its record at most, under the lease, and still fine for the work on its machine. Otherwise it is withheld, which is certain, so it counts as not given. The span after another holder's order is counted from the record and grows by what an order may leave late.

`Machine ordered.` tells when an order left after its record, how long its answer took, and how old another holder's order was by which clock; withheld orders have a line of their own.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,6 +15,7 @@
 export * from './jobs/job-keeper.js';
 export * from './jobs/job-leader.js';
 export * from './jobs/job-metrics.js';
+export * from './jobs/machine-keeper.js';
 export type * from './jobs/ports.js';
 export * from './jobs/worker-runner.js';
 export * from './utils/bounded-log.js';
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -5,7 +5,7 @@
 	type RunEstimates, type UpkeepInput, type UpkeepWave, type WorkerDirectory, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
-import type {MachinePort, MachineResult} from './ports.js';
+import type {MachineHolder, MachinePort, MachineResult} from './ports.js';
 
 /** Pause between two steps, in milliseconds. */
 const STEP_MS = 200;
@@ -17,8 +17,10 @@
 const CALM_LIST_MS = 1500;
 /** Pause before an order without a clear answer is repeated, in milliseconds. */
 const REPEAT_MS = 800;
-/** Added to the span after another holder's order in which none may be given, in milliseconds. */
-const HOLDER_MARGIN_MS = 500;
+/** Time after its record in which an order must leave, in milliseconds; it is withheld after that. */
+const LEAVE_MS = 500;
+/** Added to the span after the record of another holder's order in which none may be given, in milliseconds; that order may have left as late as it could. */
+const HOLDER_MARGIN_MS = LEAVE_MS + 250;
 /** Wall clocks of two nodes may differ by this much, in milliseconds; they may be set by seconds. */
 const CLOCK_MARGIN_MS = 4000;
 
@@ -54,6 +56,17 @@
 	isLeading(): boolean;
 };
 
+/** The last order to a machine, where another holder gave it. */
+type OthersOrder = {
+	lastHolder: string;
+	/** Its least age on the steady clock, in milliseconds. */
+	lastAgeMs: number;
+	/** What that age is counted from: when its record was applied here, or the beginning of this term. */
+	lastAgeSince: 'record' | 'term';
+	/** Its age by the wall clocks of both holders, in milliseconds. */
+	lastWallAgeMs: number;
+};
+
 /** An order that is not known to be over; `unanswered` got no clear answer and may still be carried out. */
 type Ordered = {atMs: number; state: 'sent' | 'done' | 'unanswered'; kind: MachineOrderKind; life?: string};
 
@@ -64,7 +77,6 @@
 	const balance = createFleetBalance();
 	const ordered = new Map<string, Ordered>();
 	const startedMs = clock.monotonicMs();
-	const by = {holder: options.holder, fence: options.fence};
 	/** Waves whose completion is being recorded. */
 	const completing = new Set<number>();
 	let machines = new Map<string, Machine>();
@@ -121,24 +133,37 @@
 		return true;
 	};
 
-	/** True where no other holder can have given this machine an order lately. */
-	const isOurs = (machine: string): boolean => {
+	const othersOrder = (machine: string): OthersOrder | undefined => {
 		const last = book.machineOrder(machine);
 		if (!last || last.holder === options.holder) {
-			return true;
+			return undefined;
 		}
 
+		// The record was applied there before it was applied here, and the order left within LEAVE_MS of that or not at all.
+		const appliedMs = options.orderAppliedMs(machine);
+		return {
+			lastHolder: last.holder,
+			lastAgeMs: Math.round(clock.monotonicMs() - (appliedMs ?? startedMs)),
+			lastAgeSince: appliedMs === undefined ? 'term' : 'record',
+			lastWallAgeMs: Math.round(clock.wallMs() - last.atMs),
+		};
+	};
+
+	/** True where no other holder can have given this machine an order lately. */
+	const isOurs = (machine: string): boolean => {
+		const last = othersOrder(machine);
 		const spanMs = options.holderLeaseMs + HOLDER_MARGIN_MS;
-		// The order was applied here after it was recorded there, and it went out right then or not at all.
-		return clock.monotonicMs() - (options.orderAppliedMs(machine) ?? startedMs) > spanMs || Math.abs(clock.wallMs() - last.atMs) > spanMs + CLOCK_MARGIN_MS;
+		return last === undefined || last.lastAgeMs > spanMs || Math.abs(last.lastWallAgeMs) > spanMs + CLOCK_MARGIN_MS;
 	};
 
 	const isIdle = (life: string | undefined): boolean => life === undefined || (book.runsOf(life).size === 0 && !options.isBeingUsed(life));
 
-	/** Gives one order, which is recorded first; meanwhile work may have come to its machine or gone elsewhere. */
-	const give = async (machine: string, life: string | undefined, isStillFine: () => boolean, call: () => Promise<MachineResult>, fields: Record<string, string | number> & {order: MachineOrderKind}): Promise<MachineResult> => {
+	/** Gives one order, which is recorded first; until it leaves, work may have come to its machine or gone elsewhere, and the lease may have ended. */
+	const give = async (machine: string, life: string | undefined, isStillFine: () => boolean, call: (by: MachineHolder) => Promise<MachineResult>, fields: Record<string, string | number> & {order: MachineOrderKind}): Promise<MachineResult> => {
 		const kind = fields.order;
-		ordered.set(machine, {atMs: clock.monotonicMs(), state: 'sent', kind});
+		const last = othersOrder(machine);
+		const proposedMs = clock.monotonicMs();
+		ordered.set(machine, {atMs: proposedMs, state: 'sent', kind});
 		try {
 			await options.propose({
 				type: 'machine-order', machine, holder: options.holder, atMs: clock.wallMs(),
@@ -148,14 +173,19 @@
 			throw error;
 		}
 
-		if (!options.isLeading() || !isStillFine()) {
-			ordered.delete(machine);
-			return {type: 'rejected', reason: 'busy'};
-		}
-
-		const result = await call();
-		log.info('Machine ordered.', {
-			machine, ...fields, result: result.type, reason: 'reason' in result ? result.reason : undefined, worker: life, listMsAgo: Math.round(clock.monotonicMs() - listedMs),
+		const recordedMs = options.orderAppliedMs(machine) ?? proposedMs;
+		let askedMs = recordedMs;
+		const result = await call({
+			holder: options.holder,
+			fence: options.fence,
+			mayLeave() {
+				askedMs = clock.monotonicMs();
+				return askedMs - recordedMs <= LEAVE_MS && options.isLeading() && isStillFine();
+			},
+		});
+		log.info(result.type === 'withheld' ? 'Order to a machine withheld.' : 'Machine ordered.', {
+			machine, ...fields, result: result.type, reason: 'reason' in result ? result.reason : undefined, worker: life, ...last,
+			leftAfterMs: Math.round(askedMs - recordedMs), tookMs: Math.round(clock.monotonicMs() - askedMs), listMsAgo: Math.round(clock.monotonicMs() - listedMs),
 		});
 		if (result.type === 'done') {
 			ordered.set(machine, {
@@ -193,7 +223,7 @@
 			return;
 		}
 
-		const result = await give(machine.name, life, () => life === undefined || keepsBudgets(input(), life), async () => port.upkeep(machine.name, wave.number, by), {order: 'upkeep', wave: wave.number});
+		const result = await give(machine.name, life, () => life === undefined || keepsBudgets(input(), life), async by => port.upkeep(machine.name, wave.number, by), {order: 'upkeep', wave: wave.number});
 		if (result.type === 'done') {
 			await options.propose({type: 'wave-begun', number: wave.number, machine: machine.name});
 		}
@@ -228,7 +258,7 @@
 		}
 
 		balance.ordered(chosen, clock.monotonicMs());
-		const result = await give(machine.name, life, () => isIdle(life), async () => port.move(machine.name, chosen.to, by), {order: 'move', from: chosen.from, to: chosen.to}).catch((error: unknown) => {
+		const result = await give(machine.name, life, () => isIdle(life), async by => port.move(machine.name, chosen.to, by), {order: 'move', from: chosen.from, to: chosen.to}).catch((error: unknown) => {
 			balance.failed(chosen);
 			throw error;
 		});
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -43,10 +43,17 @@
 	| {type: 'done'}
 	| {type: 'rejected'; reason: 'fenced' | 'busy' | 'not-in-wave' | 'impossible'}
 	| {type: 'throttled'}
+	/** It was not sent, as its holder's `mayLeave` said no. */
+	| {type: 'withheld'}
 	| {type: 'unknown'; cause: string};
 
-/** Who gives orders to machines; one holder at a time. */
-export type MachineHolder = {holder: string; fence: number};
+/** Who gives an order to a machine; one holder at a time. */
+export type MachineHolder = {
+	holder: string;
+	fence: number;
+	/** Asked when nothing holds the order up any more and it is about to leave; orders may wait for a connection. */
+	mayLeave(): boolean;
+};
 
 /** Calls to the platform that keeps the machines. */
 export type MachinePort = {
--- /dev/null
+++ b/tests/platform/machine-client.spec.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import {describe, it} from 'node:test';
+import {connectMachines} from '@bronzebend/platform/machine-client';
+
+/** More machines than there are connections. */
+const MACHINES = Array.from({length: 20}, (_, index) => `m${index}`);
+
+describe('orders to machines on the wire', () => {
+	it('should not leave once their holder may not send them any more, after they waited for a connection', async context => {
+		const arrived: string[] = [];
+		const held: http.ServerResponse[] = [];
+		const left: string[] = [];
+		let leads = true;
+		const server = http.createServer((req, res) => {
+			let text = '';
+			req.on('data', (chunk: Uint8Array) => {
+				text += new TextDecoder().decode(chunk);
+			});
+			req.on('end', () => {
+				arrived.push((JSON.parse(text) as {'host-machine': string})['host-machine']);
+				if (leads) {
+					held.push(res);
+				} else {
+					res.end();
+				}
+			});
+		});
+		context.after(() => {
+			server.closeAllConnections();
+			server.close();
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = server.address() as {port: number};
+		const machines = connectMachines(`127.0.0.1:${port}`);
+		const orders = MACHINES.map(async machine => machines.move(machine, 'bench', {
+			holder: 'one', fence: 1, mayLeave() {
+				if (leads) {
+					left.push(machine);
+				}
+
+				return leads;
+			},
+		}));
+		const allowed = machines.upkeep('always', 1, {holder: 'one', fence: 1, mayLeave: () => true});
+		while (held.length === 0) {
+			await new Promise(resolve => {
+				setTimeout(resolve, 5);
+			});
+		}
+
+		leads = false;
+		for (const res of held) {
+			res.end();
+		}
+
+		const results = await Promise.all(orders);
+		assert.deepEqual(await allowed, {type: 'done'});
+		assert.deepEqual(new Set(arrived), new Set([...left, 'always']));
+		assert.deepEqual(results.map(result => result.type), MACHINES.map(machine => (left.includes(machine) ? 'done' : 'withheld')));
+		assert.ok(left.length < MACHINES.length);
+	});
+});
