--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -181,7 +181,11 @@
 		}
 
 		const tookMs = clock.monotonicMs() - startedMs;
+		metrics.planSeconds.observe(tookMs / 1000);
 		if (starts.length === 0) {
+			reports.passed({
+				planMs: tookMs, commitMs: 0, starts: 0, isCut: false,
+			});
 			return tookMs;
 		}
 
@@ -194,6 +198,9 @@
 			})),
 			runs: starts,
 		});
+		reports.passed({
+			planMs: tookMs, commitMs: clock.monotonicMs() - startedMs - tookMs, starts: starts.length, isCut: starts.length >= MAX_STARTS,
+		});
 		if (outcome.type === 'runs-started' && leads()) {
 			for (const start of outcome.accepted) {
 				order(start);
@@ -283,7 +290,7 @@
 	fleet.inherit();
 
 	const reports = createLeaderReports({
-		book, clock, log, directory, tell: options.tell, waiting: pool => waitingUnits.get(pool) ?? 0,
+		book, clock, log, directory, tell: options.tell, waiting: pool => waitingUnits.get(pool) ?? 0, looks: fleet.looks,
 	});
 
 	const timer = setInterval(() => {
--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -5,6 +5,8 @@
 
 /** Seconds at which latencies are counted. */
 const LATENCY_BUCKETS = [0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30];
+/** Seconds at which times of planning are counted; a pass keeps the process from everything else. */
+const PLANNING_BUCKETS = [0.001, 0.003, 0.01, 0.02, 0.03, 0.05, 0.1, 0.3, 1];
 
 /** Metrics of jobs. */
 export type JobMetrics = ReturnType<typeof createJobMetrics>;
@@ -26,6 +28,9 @@
 		acceptSeconds: new Histogram({
 			name: 'bronzebend_job_accept_seconds', help: 'Time to commit a job', buckets: LATENCY_BUCKETS, registers,
 		}),
+		planSeconds: new Histogram({
+			name: 'bronzebend_scheduling_plan_seconds', help: 'Time to plan a scheduling pass, without its commit', buckets: PLANNING_BUCKETS, registers,
+		}),
 		startSeconds: new Histogram({
 			name: 'bronzebend_job_start_seconds', help: 'Time from acceptance to the first order of a job', labelNames: ['queue'], buckets: LATENCY_BUCKETS, registers,
 		}),
--- a/packages/daemon/src/jobs/leader-reports.ts
+++ b/packages/daemon/src/jobs/leader-reports.ts
@@ -1,4 +1,6 @@
-/** What the leader tells at fixed pauses: the usage of pools to the log, and reports of workers to the other keepers. */
+/** What the leader tells at fixed pauses: the usage of pools and its own pace to the log, and reports of workers to the other keepers. */
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {
 	groupBy, type Clock, type JobBook, type WorkerDirectory, type WorkerHeard,
 } from '@bronzebend/core';
@@ -6,9 +8,19 @@
 
 /** Pause between two messages to the other keepers on workers, in milliseconds; a third of a worker's pause. */
 const TELL_MS = 500;
-/** Pause between two lines on the usage of a pool, in milliseconds. */
+/** Pause between two lines on the usage of a pool, and between two on the leader's pace, in milliseconds. */
 const USAGE_MS = 1000;
 
+/** What one scheduling pass took and gave. */
+export type PassReport = {
+	planMs: number;
+	/** Time until its starts were recorded. */
+	commitMs: number;
+	starts: number;
+	/** It stopped at the limit of starts. */
+	isCut: boolean;
+};
+
 /** Creates the reports of one term. */
 export const createLeaderReports = (options: {
 	book: JobBook;
@@ -18,10 +30,17 @@
 	tell(heard: WorkerHeard[]): void;
 	/** Work units of a pool that found no room. */
 	waiting(pool: string): number;
+	/** Looks at workers' lists since the term began. */
+	looks(): number;
 }) => {
-	const {book, clock, log, directory, tell, waiting} = options;
+	const {book, clock, log, directory, tell, waiting, looks} = options;
 	let toldMs = -Infinity;
 	let heardToldMs = -Infinity;
+	let paceToldMs = clock.monotonicMs();
+	let looksTold = 0;
+	let passes: PassReport[] = [];
+	let loop = performance.eventLoopUtilization();
+	let processor = process.cpuUsage();
 
 	/** One line a second and pool: what it has, what runs, what waits. */
 	const tellUsage = (): void => {
@@ -49,6 +68,37 @@
 		}
 	};
 
+	/** One line a second: what bounds the starts. */
+	const tellPace = (): void => {
+		const nowMs = clock.monotonicMs();
+		if (nowMs - paceToldMs < USAGE_MS) {
+			return;
+		}
+
+		const loopNow = performance.eventLoopUtilization();
+		const used = process.cpuUsage(processor);
+		const sum = (amount: (pass: PassReport) => number): number => Math.round(passes.reduce((total, pass) => total + amount(pass), 0));
+		const longest = (amount: (pass: PassReport) => number): number => Math.round(Math.max(0, ...passes.map(pass => amount(pass))));
+		log.info('Scheduling pace.', {
+			forMs: Math.round(nowMs - paceToldMs),
+			passes: passes.length,
+			cutPasses: passes.filter(pass => pass.isCut).length,
+			starts: sum(pass => pass.starts),
+			planMs: sum(pass => pass.planMs),
+			longestPlanMs: longest(pass => pass.planMs),
+			commitMs: sum(pass => pass.commitMs),
+			longestCommitMs: longest(pass => pass.commitMs),
+			looks: looks() - looksTold,
+			loopBusy: Math.round(100 * performance.eventLoopUtilization(loopNow, loop).utilization) / 100,
+			processorMs: Math.round((used.user + used.system) / 1000),
+		});
+		paceToldMs = nowMs;
+		looksTold = looks();
+		passes = [];
+		loop = loopNow;
+		processor = process.cpuUsage();
+	};
+
 	const tellHeard = (): void => {
 		const nowMs = clock.monotonicMs();
 		if (nowMs - heardToldMs < TELL_MS) {
@@ -63,9 +113,15 @@
 	};
 
 	return {
+		/** A scheduling pass is over. */
+		passed(pass: PassReport): void {
+			passes.push(pass);
+		},
+
 		/** Tells what is due. */
 		step(): void {
 			tellUsage();
+			tellPace();
 			tellHeard();
 		},
 	};
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -36,6 +36,7 @@
 	const {book, clock, log, metrics, directory, watch, propose, isLeading, onChange} = options;
 	const runners = new Map<string, WorkerRunner>();
 	let closed = false;
+	let looks = 0;
 	const isClosed = (): boolean => closed;
 	const pace = createPaceKeeper(book);
 
@@ -93,6 +94,7 @@
 	};
 
 	const onLook = (track: WorkerTrack): void => {
+		looks += 1;
 		const runner = runners.get(track.life);
 		for (const unit of watch.stalled(track)) {
 			runner?.stop(unit, track.runs.get(unit)!.attempt);
@@ -140,6 +142,8 @@
 
 	return {
 		size: () => runners.size,
+		/** Looks at workers' lists since the term began. */
+		looks: () => looks,
 
 		/** Takes over the work that an earlier leader ordered. */
 		inherit(): void {
