Look machines and lives up by their names

Machines are now found by worker, entries and busy lives by life; all three change where they are kept already, so that the look-ups cannot grow stale.

--- a/packages/core/src/jobs/job-book.ts
+++ b/packages/core/src/jobs/job-book.ts
@@ -292,6 +292,8 @@
 		runsOf: (life: string): ReadonlyMap<string, {unit: WorkUnit; job: Job; step: number}> => runsOf.get(life) ?? new Map(),
 		/** Lives that may run something. */
 		busyLives: (): WorkerLife[] => [...runsOf.keys()].map(life => lives.get(life)!),
+		/** A life, where it may run something. */
+		busyLife: (life: string): WorkerLife | undefined => (runsOf.has(life) ? lives.get(life) : undefined),
 		/** A life that may run something on a machine, which its worker's identity names too. */
 		busyLifeOn(machine: string, workerId: string | undefined): WorkerLife | undefined {
 			for (const life of lives.values()) {
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -1,6 +1,6 @@
 /** Workers by what they say of themselves; late and foreign announcements change nothing. */
 import type {Resources} from './fleet-manifest.js';
-import {lifeOf, type WorkerLife} from './job-commands.js';
+import {lifeOf, type WorkerLife, workerOfLife} from './job-commands.js';
 
 /** A worker's liveness report. */
 export type WorkerAnnouncement = {
@@ -70,6 +70,11 @@
 		byMachine.set(entry.machine, entry);
 	};
 
+	const ofLife = (life: string): WorkerEntry | undefined => {
+		const entry = byId.get(workerOfLife(life));
+		return entry?.life === life ? entry : undefined;
+	};
+
 	return {
 		/** Takes an announcement that arrived now. */
 		announce(announcement: WorkerAnnouncement, nowMs: number): AnnounceEffect {
@@ -133,10 +138,9 @@
 
 		/** A life is proven over. */
 		ended(life: string): void {
-			for (const entry of byId.values()) {
-				if (entry.life === life) {
-					entry.left = true;
-				}
+			const entry = ofLife(life);
+			if (entry) {
+				entry.left = true;
 			}
 		},
 
@@ -164,6 +168,8 @@
 		},
 
 		find: (id: string): WorkerEntry | undefined => byId.get(id),
+		/** The worker in one of its lives; undefined where it has begun another. */
+		ofLife,
 		/** The worker that lives on a machine; undefined where none does. */
 		ofMachine(machine: string): WorkerEntry | undefined {
 			const entry = byMachine.get(machine);
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -132,8 +132,8 @@
 	};
 
 	const order = (start: RunStart): void => {
-		const entry = directory.list().find(each => each.life === start.life);
-		const life = entry ?? book.busyLives().find(each => each.life === start.life);
+		const entry = directory.ofLife(start.life);
+		const life = entry ?? book.busyLife(start.life);
 		const found = book.find(start.unit);
 		if (!life || !found) {
 			return;
@@ -193,7 +193,7 @@
 		proposedLives = lives;
 		const outcome = await propose({
 			type: 'runs-start',
-			lives: directory.list().filter(entry => lives.has(entry.life)).map(({life, id, bornMs, address, pool, zone, machine, capacity, labels}) => ({
+			lives: [...lives].flatMap(life => directory.ofLife(life) ?? []).map(({life, id, bornMs, address, pool, zone, machine, capacity, labels}) => ({
 				life, id, bornMs, address, pool, zone, machine, capacity, labels,
 			})),
 			runs: starts,
--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -68,6 +68,8 @@
 	/** Waves whose completion is being recorded. */
 	const completing = new Set<number>();
 	let machines = new Map<string, Machine>();
+	/** Names of machines by their worker, the first in the list; workers change with the list only. */
+	let machineOf = new Map<string, string>();
 	let listedMs = -Infinity;
 	let mustList = false;
 	let isBusy = false;
@@ -105,6 +107,7 @@
 		listedMs = askedMs;
 		mustList = false;
 		machines = new Map(list.map(machine => [machine.name, machine]));
+		machineOf = new Map(list.toReversed().flatMap(({workerId, name}) => (workerId === undefined ? [] : [[workerId, name] as const])));
 		for (const [name, order] of ordered) {
 			const isListedSince = order.state === 'done' && order.atMs < askedMs;
 			if (isListedSince && order.life !== undefined && hasEndedLife(machines.get(name), order.life)) {
@@ -290,7 +293,7 @@
 	return {
 		/** True where a machine takes no new work: it is about to go down or to move. */
 		isLeaving: (machine: string): boolean => ordered.has(machine) || plan.emptying().has(machine),
-		machineOfWorker: (id: string): string | undefined => [...machines.values()].find(machine => machine.workerId === id)?.name,
+		machineOfWorker: (id: string): string | undefined => machineOf.get(id),
 		/** Cores that a pool has or gets within seconds, in thousandths: of its own machines and of those in standby, whether or not their workers have reported yet; undefined before the first list. */
 		reachableCpu(pool: string): number | undefined {
 			if (machines.size === 0) {
