Look for no size again that found no room in a pass

Where a pool is full, a pass looked at all of its workers for each step that waits: 75,000 looks with 500 steps and 150 workers. Room only shrinks during a pass, so a size that is no smaller than one that found none finds none either.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,7 @@
 export type * from './jobs/job-calls.js';
 export * from './jobs/job-order.js';
 export * from './jobs/placement.js';
+export * from './jobs/quota-ledger.js';
 export * from './jobs/machine-demand.js';
 export * from './jobs/run-estimates.js';
 export * from './jobs/scheduler.js';
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -4,7 +4,7 @@
 import type {JobBook} from './job-book.js';
 import type {RunStart} from './job-commands.js';
 import {
-	isOpen, isStepReady, type Job, type Occurrence, type WorkUnit,
+	isOpen, isStepReady, type Job, type JobStep, type Occurrence, type WorkUnit,
 } from './job.js';
 import {compareRanks, type JobRank, rankJob} from './job-order.js';
 import {chooseSeat, occupy, type Seat} from './placement.js';
@@ -38,8 +38,13 @@
 	waiting: Map<string, number>;
 	/** Steps that wait for advice. */
 	unadvised: Array<{job: Job; occurrence: number; step: number}>;
+	/** Workers looked at for room; what a pass costs grows with it. */
+	looked: number;
 };
 
+/** A pool's workers in one pass, with the sizes that found no room on any of them. */
+type PoolSeats = {seats: Seat[]; refused: Resources[]};
+
 /** Workers to avoid, unless the pool has no others: a unit that failed on all of them must still run. */
 const avoidable = (avoided: ReadonlySet<string> | undefined, pool: readonly Seat[]): ReadonlySet<string> | undefined => (avoided && pool.some(seat => !avoided.has(seat.life)) ? avoided : undefined);
 
@@ -68,17 +73,41 @@
 	return new Map([...groupBy(seats, entry => entry.pool)].map(([pool, entries]) => [pool, entries.map(entry => entry.seat)]));
 };
 
+/** Room that a work unit needs; one that fills spare capacity fits whatever cores are left. */
+const neededBy = ({resources, fillsSpare}: JobStep): Resources => (fillsSpare ? {...resources, cpu: -Infinity} : resources);
+
+/** True where a size that is no larger found no room; room only shrinks during a pass. */
+const isRefused = (needed: Resources, {refused}: PoolSeats): boolean => refused.some(size => size.cpu <= needed.cpu && size.memoryMb <= needed.memoryMb && size.gpu <= needed.gpu);
+
 /** Decides the starts of one pass. */
 export const planStarts = (input: SchedulingInput): SchedulingPass => {
 	const {book, manifest, estimates, wallMs} = input;
-	const seats = seatsOf(input);
+	const pools = new Map([...seatsOf(input)].map(([name, seats]): [string, PoolSeats] => [name, {seats, refused: []}]));
 	const quota = createQuotaLedger(book, manifest);
-	const pass: SchedulingPass = {starts: [], waiting: new Map(), unadvised: []};
+	const pass: SchedulingPass = {
+		starts: [], waiting: new Map(), unadvised: [], looked: 0,
+	};
 
 	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => unit.state === 'running' && unit.worker === life).length + (started.get(life) ?? 0);
 
+	/** A worker with room; a size that found none on any worker is not looked for again where that lasts. */
+	const findSeat = (step: JobStep, pool: PoolSeats, allows: ((seat: Seat) => boolean) | undefined, isLasting: boolean): Seat | undefined => {
+		const needed = neededBy(step);
+		if (isRefused(needed, pool)) {
+			return undefined;
+		}
+
+		pass.looked += pool.seats.length;
+		const seat = chooseSeat(step, pool.seats, allows ?? (() => true));
+		if (!seat && !allows && step.label === undefined && isLasting) {
+			pool.refused.push(needed);
+		}
+
+		return seat;
+	};
+
 	/** Starts what fits of one step; returns how many work units found no room. */
-	const startStep = (job: Job, occurrence: Occurrence, number: number, pool: readonly Seat[]): number => {
+	const startStep = (job: Job, occurrence: Occurrence, number: number, pool: PoolSeats): number => {
 		const step = job.order.steps[number]!;
 		const units = occurrence.steps[number]!;
 		const idle = idleUnits(units);
@@ -102,12 +131,15 @@
 		let isLimited = false;
 		for (const unit of idle) {
 			isLimited = quota.most(job.order.workspace, step.resources, 1) === 0;
-			const avoided = avoidable(input.avoided(unit.name), pool);
-			const seat = pass.starts.length + chosen.length < input.most && !isLimited
-				? chooseSeat(step, pool, candidate => avoided?.has(candidate.life) !== true
-					&& approved?.has(candidate.life) !== false
-					&& (step.perWorker === undefined || countOn(units, started, candidate.life) < step.perWorker))
-				: undefined;
+			const avoided = avoidable(input.avoided(unit.name), pool.seats);
+			const isBound = avoided !== undefined || approved !== undefined || step.perWorker !== undefined;
+			const allows = (candidate: Seat): boolean => avoided?.has(candidate.life) !== true
+				&& approved?.has(candidate.life) !== false
+				&& (step.perWorker === undefined || countOn(units, started, candidate.life) < step.perWorker);
+			const mayStart = pass.starts.length + chosen.length < input.most && !isLimited;
+			// A gang that is not started whole gives back what it took.
+			const isLasting = !(step.gang && chosen.length > 0);
+			const seat = mayStart ? findSeat(step, pool, isBound ? allows : undefined, isLasting) : undefined;
 			if (!seat) {
 				// Units of a step are alike, so the others have no room either, unless this one avoids a worker.
 				if (step.gang || isLimited || avoided === undefined) {
@@ -137,7 +169,7 @@
 	};
 
 	const startJob = (job: Job, poolName: string): void => {
-		const pool = seats.get(poolName) ?? [];
+		const pool = pools.get(poolName) ?? {seats: [], refused: []};
 		let left = 0;
 		for (const occurrence of job.occurrences) {
 			if (occurrence.dueMs > wallMs) {
