Let ends and jobs gather between two passes

A leader whose thread was free for a moment began a pass for each end that was read, and each pass costs a commit: a message to every other keeper, its answer, and a sync. A pass may wait 12 ms; jobs run for hundreds.

--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -18,6 +18,8 @@
 const PASS_MS = 100;
 /** Share of the time that planning may take; calls, looks and heartbeats need the rest. */
 const PLANNING_SHARE = 1 / 3;
+/** Pause after a pass at least, in milliseconds; ends and jobs gather meanwhile, and each pass costs a commit. */
+const GATHER_MS = 12;
 /** Starts in one pass at most; the rest follows in the next. */
 const MAX_STARTS = 200;
 /** Orders to machines a second where the platform names no limit. */
@@ -221,7 +223,7 @@
 				const tookMs = await pass();
 				// eslint-disable-next-line no-await-in-loop
 				await new Promise(resolve => {
-					setTimeout(resolve, tookMs * ((1 / PLANNING_SHARE) - 1));
+					setTimeout(resolve, Math.max(GATHER_MS, tookMs * ((1 / PLANNING_SHARE) - 1)));
 				});
 			}
 		} catch (error) {
--- a/tests/daemon/jobs/leader-pace.spec.ts
+++ b/tests/daemon/jobs/leader-pace.spec.ts
@@ -7,6 +7,8 @@
 import {createSchedulingState, GROWN, type StateSize} from '@bronzebend/utils/scheduling-state';
 import {stepOf} from '../../fixtures/job-fixtures.js';
 
+/** Passes in a second at most: each costs a commit, and 2,000 starts a second fit into ten of them. */
+const MOST_PASSES = 100;
 /** Reads of each machine that a pass, or a step on the machines, may take. */
 const MOST_READS = 20;
 /** Pause between two steps on the machines, in milliseconds. */
@@ -74,4 +76,12 @@
 		assert.ok(passes > 0);
 		assert.ok(reads <= MOST_READS * GROWN.workers * (passes + (SPAN_MS / STEP_MS)), `${reads} reads in ${passes} passes`);
 	});
+
+	it('should let jobs and ends gather between two passes', async () => {
+		const {passes} = await play({
+			...GROWN, workers: 10, running: 20, waitingJobs: 0,
+		});
+		assert.ok(passes > 0);
+		assert.ok(passes <= MOST_PASSES * SPAN_MS / 1000, `${passes} passes`);
+	});
 });
