Tell of a commit with the next entries where some wait

Each commit made it send every other keeper a message that holds no entry, and read the answers. Under load the next entries are there already, and their message tells the same; so the leader sends none where proposals wait, and sends it at once as before where none do. At the latest the next heartbeat tells. Commits, leases and elections rest on what was replicated, which is unchanged. The test failed before.

--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -108,6 +108,8 @@
 	let transferUntilMs = 0;
 	let progress = new Map<string, Progress>();
 	let output: RaftOutput;
+	/** Entries are proposed next, and tell the others of a commit. */
+	let entriesFollow = false;
 
 	const voters = (): Member[] => log.members().filter(member => member.voter);
 	const isVoter = (id: string): boolean => voters().some(member => member.replica === id);
@@ -202,7 +204,9 @@
 				return;
 			}
 
-			broadcast(nowMs);
+			if (!entriesFollow) {
+				broadcast(nowMs);
+			}
 		}
 	};
 
@@ -534,11 +538,12 @@
 
 	return {
 		/**
-		Reacts to one event.
+		Reacts to one event; where entries wait to be proposed, their message tells the others what this event commits.
 
 		@throws {MembershipError} A proposed change of members is not allowed now.
 		*/
-		handle(event: RaftEvent, nowMs: number): RaftOutput {
+		handle(event: RaftEvent, nowMs: number, willPropose = false): RaftOutput {
+			entriesFollow = willPropose;
 			output = {
 				append: [], now: [], afterSync: [], committed: [],
 			};
--- a/tests/replica/raft.spec.ts
+++ b/tests/replica/raft.spec.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import fc from 'fast-check';
+import type {ControlCommand} from '@bronzebend/core';
 import {createRaft, defaultTimings} from '@bronzebend/replica';
+import type {RaftMessage} from '@bronzebend/wire';
+import fc from 'fast-check';
 import {createRaftGroup, type RaftGroup} from '../fixtures/raft-group.js';
 
 const electLeader = (group: RaftGroup): string => {
@@ -143,6 +145,40 @@
 		assert.equal(acknowledge(2), 2);
 	});
 
+	it('should spare the others a message on a commit that the next entries tell them of', () => {
+		const members = ['r1', 'r2', 'r3', 'r4', 'r5'].map(id => ({replica: id, node: id, voter: true}));
+		const raft = createRaft({
+			replica: 'r1',
+			restored: {hardState: {term: 1, votedFor: undefined}, base: {index: 0, term: 0, members}, entries: []},
+			random: () => 0,
+			readSnapshot: () => undefined,
+			startedAtMs: 0,
+		});
+		const receive = (from: string, message: RaftMessage, willPropose = false) => raft.handle({type: 'receive', from, message}, 2001, willPropose);
+		raft.handle({type: 'tick'}, 2000);
+		for (const type of ['pre-vote-reply', 'vote-reply'] as const) {
+			for (const from of ['r2', 'r3']) {
+				receive(from, {type, term: 2, granted: true});
+			}
+		}
+
+		assert.equal(raft.role(), 'leader');
+		const acknowledge = (index: number, willPropose: boolean) => {
+			raft.handle({type: 'synced', index, term: 2}, 2001, willPropose);
+			return ['r2', 'r3'].map(from => receive(from, {
+				type: 'append-reply', term: 2, success: true, index, sentAtMs: 2001,
+			}, willPropose));
+		};
+
+		assert.equal(acknowledge(1, false)[1]!.now.length, 4);
+		const command: ControlCommand = {type: 'remove', instance: 'i'};
+		raft.handle({type: 'propose', payloads: [{type: 'command', command}]}, 2001);
+		const [, committing] = acknowledge(2, true);
+		assert.deepEqual([committing!.committed.length, committing!.now.length], [1, 0]);
+		const {now} = raft.handle({type: 'propose', payloads: [{type: 'command', command}]}, 2001);
+		assert.deepEqual(now.map(({message}) => message.type === 'append' && message.commit), [2, 2, 2, 2]);
+	});
+
 	it('should vote for no other while it hears a leader, unless that leader hands over', () => {
 		const group = createRaftGroup(3, 10);
 		const leader = electLeader(group);
