--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,6 +25,7 @@
 export * from './jobs/job-order.js';
 export * from './jobs/long-waits.js';
 export * from './jobs/placement.js';
+export * from './jobs/quota-ledger.js';
 export * from './jobs/machine-demand.js';
 export * from './jobs/run-estimates.js';
 export * from './jobs/scheduler.js';
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -20,6 +20,8 @@
 const PASS_MS = 100;
 /** Share of the time that planning may take; calls, looks and heartbeats need the rest. */
 const PLANNING_SHARE = 1 / 3;
+/** Pause after a pass at least, in milliseconds; ends and jobs gather meanwhile, and each pass costs a commit. */
+const GATHER_MS = 12;
 /** Starts in one pass at most; the rest follows in the next. */
 const MAX_STARTS = 200;
 /** Orders to machines a second where the platform names no limit. */
@@ -134,8 +136,8 @@
 	};
 
 	const order = (start: RunStart): void => {
-		const entry = directory.list().find(each => each.life === start.life);
-		const life = entry ?? book.busyLives().find(each => each.life === start.life);
+		const entry = directory.ofLife(start.life);
+		const life = entry ?? book.busyLife(start.life);
 		const found = book.find(start.unit);
 		if (!life || !found) {
 			return;
@@ -183,7 +185,11 @@
 		}
 
 		const tookMs = clock.monotonicMs() - startedMs;
+		metrics.planSeconds.observe(tookMs / 1000);
 		if (starts.length === 0) {
+			reports.passed({
+				planMs: tookMs, commitMs: 0, starts: 0, isCut: false,
+			});
 			return tookMs;
 		}
 
@@ -191,11 +197,14 @@
 		proposedLives = lives;
 		const outcome = await propose({
 			type: 'runs-start',
-			lives: directory.list().filter(entry => lives.has(entry.life)).map(({life, id, bornMs, address, pool, zone, machine, capacity, labels}) => ({
+			lives: [...lives].flatMap(life => directory.ofLife(life) ?? []).map(({life, id, bornMs, address, pool, zone, machine, capacity, labels}) => ({
 				life, id, bornMs, address, pool, zone, machine, capacity, labels,
 			})),
 			runs: starts,
 		});
+		reports.passed({
+			planMs: tookMs, commitMs: clock.monotonicMs() - startedMs - tookMs, starts: starts.length, isCut: starts.length >= MAX_STARTS,
+		});
 		if (outcome.type === 'runs-started') {
 			for (const start of outcome.accepted) {
 				order(start);
@@ -216,7 +225,7 @@
 				const tookMs = await pass();
 				// eslint-disable-next-line no-await-in-loop
 				await new Promise(resolve => {
-					setTimeout(resolve, tookMs * ((1 / PLANNING_SHARE) - 1));
+					setTimeout(resolve, Math.max(GATHER_MS, tookMs * ((1 / PLANNING_SHARE) - 1)));
 				});
 			}
 		} catch (error) {
@@ -285,7 +294,16 @@
 	fleet.inherit();
 
 	const reports = createLeaderReports({
-		book, clock, log, directory, tell: options.tell, waiting: pool => waitingUnits.get(pool) ?? 0, workers, unattended: fleet.unattended, metrics,
+		book,
+		clock,
+		log,
+		directory,
+		metrics,
+		workers,
+		tell: options.tell,
+		waiting: pool => waitingUnits.get(pool) ?? 0,
+		unattended: fleet.unattended,
+		looks: fleet.looks,
 	});
 
 	const timers = [setInterval(() => {
