Count a worker's lease from when its clock was heard

The end of a lease was computed from the time at which a look was sent; the worker reads its clock up to when the answer comes, 400 ms later where the look waits for an end. Where the last renewal arrived and its answer did not, the leader took the lease for over up to 250 ms before it was, and could start a second run beside the first (TWICE).

--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -14,7 +14,7 @@
 const LEASE_MARGIN_MS = 150;
 /** Silence of a worker from which its lease is not renewed any more, in milliseconds; each try might still reach it. */
 const RENEW_SILENCE_MS = 1300;
-/** Time after which an order whose call has not come back is in doubt, in milliseconds; longer than any call may take. */
+/** Time after which an order whose call has not come back is in doubt, in milliseconds. */
 const UNSETTLED_MS = 3000;
 
 /** One entry of a worker's list of running work units. */
@@ -76,7 +76,7 @@
 }) => {
 	const {life, book, leaseMs} = options;
 	const runs = new Map<string, RunProgress>();
-	let clock: {sentMs: number; heardMs: number; clockMs: number} | undefined = options.clock && {...options.clock, sentMs: options.clock.heardMs};
+	let {clock} = options;
 	let longestExpiryMs = 0;
 	let ackSeq = 0;
 	let contactMs = options.nowMs;
@@ -218,7 +218,7 @@
 
 		/** Reads the lists of a call that was sent and answered at these times. */
 		reconcile(lists: WorkerLists, sentMs: number, heardMs: number): Reconciled {
-			clock = {sentMs, heardMs, clockMs: lists.clockMs};
+			clock = {heardMs, clockMs: lists.clockMs};
 			contactMs = heardMs;
 			const result: Reconciled = {over: [], stops: [], ackSeq: Math.max(ackSeq, ...lists.finished.map(end => end.seq))};
 			const seen = new Set<string>();
@@ -280,7 +280,8 @@
 				return inheritedUntilMs;
 			}
 
-			const own = clock.sentMs + ((longestExpiryMs - clock.clockMs) / SLOWEST_CLOCK) + LEASE_MARGIN_MS;
+			// The worker read its clock at some time up to when we heard it.
+			const own = clock.heardMs + ((longestExpiryMs - clock.clockMs) / SLOWEST_CLOCK) + LEASE_MARGIN_MS;
 			return Math.max(own, inheritedUntilMs);
 		},
 	};
--- a/tests/core/jobs/worker-track.spec.ts
+++ b/tests/core/jobs/worker-track.spec.ts
@@ -45,6 +45,13 @@
 		assert.ok(track.leaseOverMs() >= 90 + (leaseMs / 0.98));
 	});
 
+	it('should not take a lease for over while it holds on a worker that read its clock as late as it could', () => {
+		const {track} = started();
+		track.reconcile({...noLists, active: [active]}, 0, 400);
+		track.renewal(400);
+		assert.ok(track.leaseOverMs() >= 400 + (leaseMs / 0.98), `${track.leaseOverMs()}`);
+	});
+
 	it('should take a run with an unclear order for lost only after its stop went through', () => {
 		const {track} = started();
 		track.doubtful(unit, 1, 50);
