Let the wall clock age another holder's order only where nothing better is known

An order of another holder counted as old where the wall clocks of both differed by its span and 4 s, also while this process had seen its record a moment ago. Wall clocks now count only for records that this process has not seen itself, as after a restart.

--- a/packages/daemon/src/jobs/machine-keeper.ts
+++ b/packages/daemon/src/jobs/machine-keeper.ts
@@ -156,7 +156,8 @@
 	const isOurs = (machine: string): boolean => {
 		const last = othersOrder(machine);
 		const spanMs = options.holderLeaseMs + HOLDER_MARGIN_MS;
-		return last === undefined || last.lastAgeMs > spanMs || Math.abs(last.lastWallAgeMs) > spanMs + CLOCK_MARGIN_MS;
+		// Wall clocks of two nodes only count where this process has not seen the record itself.
+		return last === undefined || last.lastAgeMs > spanMs || (last.lastAgeSince === 'term' && Math.abs(last.lastWallAgeMs) > spanMs + CLOCK_MARGIN_MS);
 	};
 
 	const isIdle = (life: string | undefined): boolean => life === undefined || (book.runsOf(life).size === 0 && !options.isBeingUsed(life));
--- a/tests/daemon/jobs/machine-keeper.spec.ts
+++ b/tests/daemon/jobs/machine-keeper.spec.ts
@@ -24,4 +24,16 @@
 		assert.deepEqual(group.turnsTooClose(), []);
 		assert.deepEqual(group.untouched(), []);
 	});
+
+	for (const wallAheadMs of [10_000, -10_000]) {
+		it(`should wait for another holder's order to age though its wall clock is ${wallAheadMs} ms ahead`, async () => {
+			const group = createMachineGroup({answerMs: 1500, wallAheadMs});
+			group.lead('one');
+			await group.pass(1000);
+			group.lead('two');
+			await group.pass(12_000);
+			group.stop();
+			assert.deepEqual(group.turnsTooClose(), []);
+		});
+	}
 });
