--- a/tests/platform/control-server.spec.ts
+++ b/tests/platform/control-server.spec.ts
@@ -46,4 +46,42 @@
 		assert.equal(before, 200);
 		assert.deepEqual(after, [200, 200]);
 	});
+
+	it('should let a leader on the same node hear of a worker\'s new life', async context => {
+		const directory = createWorkerDirectory();
+		const effects: string[] = [];
+		const group = createGroupClient({
+			node: 'me',
+			seeds: () => ['me'],
+			clock: systemClock,
+			log: silentLogs('test'),
+			send(to: string, message: PeerMessage) {
+				setImmediate(() => {
+					if (message.type === 'view-query') {
+						group.receive(to, {type: 'view', view: {leader: 'me', members: ['me'], leading: true}});
+					} else if (message.type === 'job-call' && message.call.type === 'announce') {
+						effects.push(directory.announce(message.call.announcement, systemClock.monotonicMs()));
+						group.receive(to, {type: 'job-answer', id: message.id, answer: {type: 'noted'}});
+					}
+				});
+			},
+		});
+		context.after(group.close);
+		const control = await listenControl(`${HOST}:${PORT + 1}`, {
+			group, directory, clock: systemClock, log: silentLogs('test'), controlOf: node => node,
+		});
+		const report = async (born: number, seq: number): Promise<number> => {
+			const {status} = await request('POST', HOST, PORT + 1, {
+				path: '/Instances.Heartbeat/w1', body: {
+					service: 'bench', addr: '10.0.0.1:80', zone: 'a', state: 'ready', seq, born, capacity: {cpu: 4000, 'mem-mb': 4000, gpu: 0}, labels: [],
+				},
+			});
+			return status;
+		};
+
+		const statuses = [await report(1, 1), await report(1, 2), await report(2, 1)];
+		control.close();
+		assert.deepEqual(statuses, [200, 200, 200]);
+		assert.deepEqual(effects, ['new-life', 'updated', 'new-life']);
+	});
 });
