--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -17,6 +17,9 @@
 /** Time after which an order whose call has not come back is in doubt, in milliseconds. */
 const UNSETTLED_MS = 3000;
 
+/** Our time after which a lease that was given is certainly over, in milliseconds. */
+export const longestLeaseMs = (leaseMs: number): number => (leaseMs / SLOWEST_CLOCK) + LEASE_MARGIN_MS;
+
 /** One entry of a worker's list of running work units. */
 export type ActiveRun = {
 	unit: string;
@@ -81,7 +84,7 @@
 	let ackSeq = 0;
 	let contactMs = options.nowMs;
 	// An earlier leader gave leases of the same length, the last of them before this view began.
-	const inheritedUntilMs = options.inherited ? options.nowMs + (leaseMs / SLOWEST_CLOCK) + LEASE_MARGIN_MS : -Infinity;
+	const inheritedUntilMs = options.inherited ? options.nowMs + longestLeaseMs(leaseMs) : -Infinity;
 
 	const newRun = (attempt: number, phase: Phase, nowMs: number): RunProgress => ({
 		attempt, phase, startedMs: nowMs, percent: 0, percentMs: nowMs, load: 0, checkpoint: '', share: 100, isSeen: false,
@@ -281,7 +284,7 @@
 			}
 
 			// The worker read its clock at some time up to when we heard it.
-			const own = clock.heardMs + ((longestExpiryMs - clock.clockMs) / SLOWEST_CLOCK) + LEASE_MARGIN_MS;
+			const own = clock.heardMs + longestLeaseMs(longestExpiryMs - clock.clockMs);
 			return Math.max(own, inheritedUntilMs);
 		},
 	};
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -1,6 +1,6 @@
 /** The tasks of all workers that this leader deals with, and what it learns from them. */
 import {
-	createPaceKeeper, isOpen, RunEnds,
+	createPaceKeeper, isOpen, longestLeaseMs, RunEnds,
 	type Clock, type JobBook, type JobCommand, type JobOutcome, type RunOver, type RunStart, type WorkerDirectory, type WorkerLife, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
@@ -38,6 +38,8 @@
 export const createWorkerFleet = (options: WorkerFleetOptions) => {
 	const {book, clock, log, metrics, directory, watch, propose, isLeading, onChange} = options;
 	const runners = new Map<string, WorkerRunner>();
+	/** Lives that could not be connected to. */
+	const unreachable = new Set<string>();
 	let closed = false;
 	let looks = 0;
 	const isClosed = (): boolean => closed;
@@ -143,9 +145,23 @@
 		return runner;
 	};
 
+	/** Gives up a life that cannot be connected to; what an earlier leader may have started there runs until its lease is over. */
+	const abandon = (life: WorkerLife, inherited: boolean): void => {
+		unreachable.add(life.life);
+		directory.ended(life.life);
+		setTimeout(() => {
+			const over = [...book.runsOf(life.life).values()].map(({unit}): RunOver => ({
+				unit: unit.name, attempt: unit.attempt, how: RunEnds.lost, checkpoint: '',
+			}));
+			recordLost(life.life, over).catch((error: unknown) => {
+				log.error('Could not record lost runs.', {worker: life.life, cause: String(error)});
+			});
+		}, inherited ? longestLeaseMs(options.leaseMs) : 0);
+	};
+
 	/** Hands recorded work to the task of its life; where there can be none, the work is lost and the life gets no more. */
 	const entrust = (life: WorkerLife, inherited: boolean, hand: (runner: WorkerRunner) => void): void => {
-		if (closed) {
+		if (closed || unreachable.has(life.life)) {
 			return;
 		}
 
@@ -154,11 +170,7 @@
 			runner = runnerOf(life, inherited);
 		} catch (error) {
 			log.error('Cannot connect to a worker.', {worker: life.life, address: life.address, cause: String(error)});
-			directory.ended(life.life);
-			const over = [...book.runsOf(life.life).values()].map(({unit}): RunOver => ({
-				unit: unit.name, attempt: unit.attempt, how: RunEnds.lost, checkpoint: '',
-			}));
-			void recordLost(life.life, over);
+			abandon(life, inherited);
 			return;
 		}
 
--- a/tests/daemon/jobs/job-leader.spec.ts
+++ b/tests/daemon/jobs/job-leader.spec.ts
@@ -3,7 +3,7 @@
 import {
 	bookWith, lifeNamed, orderOf, stepOf,
 } from '../../fixtures/job-fixtures.js';
-import {createLeaderBench, settled} from '../../fixtures/leader-bench.js';
+import {createLeaderBench, LEASE_MS, settled} from '../../fixtures/leader-bench.js';
 
 describe('the work of a leader', () => {
 	it('should run a job whose starts were recorded while the leader had no lease for a moment', async () => {
@@ -55,4 +55,17 @@
 		bench.work.stop();
 		assert.equal(bench.running.size, 3);
 	});
+
+	it('should not give up the runs of an earlier leader before their lease is over', async () => {
+		const life = lifeNamed('bad');
+		const book = bookWith([orderOf('a')]);
+		const unit = `${'a'.padEnd(16, '0')}.0.0.0`;
+		book.apply({type: 'runs-start', lives: [life], runs: [{unit, attempt: 1, life: life.life}]});
+		const startedMs = performance.now();
+		const bench = createLeaderBench(book, {lives: [life, lifeNamed('good')], unreachable: 'bad'});
+		await settled(() => bench.running.size === 1);
+		bench.work.stop();
+		assert.ok(performance.now() - startedMs > LEASE_MS, `${performance.now() - startedMs}`);
+		assert.equal(bench.running.size, 1);
+	});
 });
