--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -90,8 +90,8 @@
 
 	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => unit.state === 'running' && unit.worker === life).length + (started.get(life) ?? 0);
 
-	/** A worker with room; a size that found none on any worker is not looked for again where that lasts. */
-	const findSeat = (step: JobStep, pool: PoolSeats, allows: ((seat: Seat) => boolean) | undefined, isLasting: boolean): Seat | undefined => {
+	/** A worker with room; a size that found none is not looked for again, unless room that was taken may be given back. */
+	const findSeat = (step: JobStep, pool: PoolSeats, allows: ((seat: Seat) => boolean) | undefined, isKept: boolean): Seat | undefined => {
 		const needed = neededBy(step);
 		if (isRefused(needed, pool)) {
 			return undefined;
@@ -99,7 +99,7 @@
 
 		pass.looked += pool.seats.length;
 		const seat = chooseSeat(step, pool.seats, allows ?? (() => true));
-		if (!seat && !allows && step.label === undefined && isLasting) {
+		if (!seat && !allows && step.label === undefined && isKept) {
 			pool.refused.push(needed);
 		}
 
@@ -138,8 +138,8 @@
 				&& (step.perWorker === undefined || countOn(units, started, candidate.life) < step.perWorker);
 			const mayStart = pass.starts.length + chosen.length < input.most && !isLimited;
 			// A gang that is not started whole gives back what it took.
-			const isLasting = !(step.gang && chosen.length > 0);
-			const seat = mayStart ? findSeat(step, pool, isBound ? allows : undefined, isLasting) : undefined;
+			const isKept = !(step.gang && chosen.length > 0);
+			const seat = mayStart ? findSeat(step, pool, isBound ? allows : undefined, isKept) : undefined;
 			if (!seat) {
 				// Units of a step are alike, so the others have no room either, unless this one avoids a worker.
 				if (step.gang || isLimited || avoided === undefined) {
