--- a/packages/daemon/src/jobs/job-desk.ts
+++ b/packages/daemon/src/jobs/job-desk.ts
@@ -44,16 +44,23 @@
 export const createJobDesk = (options: JobDeskOptions) => {
 	const {book, clock, log, metrics, propose} = options;
 	let backlogs = new Map<string, number>();
+	/** Capacities that were asked for since the backlogs were measured, by pool. */
+	let capacities = new Map<string, number | undefined>();
 	let measuredMs = -Infinity;
 
 	const backlogOf = (pool: string): Backlog => {
 		const nowMs = clock.monotonicMs();
 		if (nowMs - measuredMs > BACKLOG_AGE_MS) {
 			backlogs = measureBacklogs(book, options.estimates);
+			capacities = new Map();
 			measuredMs = nowMs;
 		}
 
-		return {coreMs: backlogs.get(pool) ?? 0, capacityCpu: options.capacityOf(pool)};
+		if (!capacities.has(pool)) {
+			capacities.set(pool, options.capacityOf(pool));
+		}
+
+		return {coreMs: backlogs.get(pool) ?? 0, capacityCpu: capacities.get(pool)};
 	};
 
 	const refused = (reason: 'no-manifest' | 'group-forming' | 'disk-full'): JobAnswer => ({
