--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -17,5 +17,6 @@
 export * from './jobs/job-metrics.js';
 export * from './jobs/machine-keeper.js';
 export type * from './jobs/ports.js';
+export * from './jobs/process-load.js';
 export * from './jobs/worker-runner.js';
 export * from './utils/bounded-log.js';
--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -40,6 +40,9 @@
 		orderSeconds: new Histogram({
 			name: 'bronzebend_worker_order_seconds', help: 'Time of an order to a worker', labelNames: ['order'], buckets: LATENCY_BUCKETS, registers,
 		}),
+		workerCalls: new Counter({
+			name: 'bronzebend_worker_calls_total', help: 'Calls to workers that this process made itself, by call', labelNames: ['call'], registers,
+		}),
 		ends: new Counter({
 			name: 'bronzebend_runs_over_total', help: 'Runs that ended, by how', labelNames: ['how'], registers,
 		}),
--- a/packages/daemon/src/jobs/leader-reports.ts
+++ b/packages/daemon/src/jobs/leader-reports.ts
@@ -1,11 +1,10 @@
 /** What the leader tells at fixed pauses: usage, long waits and its own pace to the log, and reports of workers to the other keepers. */
-import {performance} from 'node:perf_hooks';
-import process from 'node:process';
 import {
 	findLongWaits, groupBy, type Clock, type JobBook, type SchedulableWorker, type WorkerDirectory, type WorkerHeard,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
 import type {JobMetrics} from './job-metrics.js';
+import {createLoadMeter} from './process-load.js';
 import type {UnattendedRun} from './worker-fleet.js';
 
 /** Pause between two messages to the other keepers on workers, in milliseconds; a third of a worker's pause. */
@@ -46,8 +45,7 @@
 	let paceToldMs = clock.monotonicMs();
 	let looksTold = 0;
 	let passes: PassReport[] = [];
-	let loop = performance.eventLoopUtilization();
-	let processor = process.cpuUsage();
+	const meter = createLoadMeter();
 
 	/** What should not be: recorded runs that no task looks after, and jobs that have waited long. */
 	const tellTrouble = (): void => {
@@ -101,8 +99,6 @@
 			return;
 		}
 
-		const loopNow = performance.eventLoopUtilization();
-		const used = process.cpuUsage(processor);
 		const sum = (amount: (pass: PassReport) => number): number => Math.round(passes.reduce((total, pass) => total + amount(pass), 0));
 		const longest = (amount: (pass: PassReport) => number): number => Math.round(Math.max(0, ...passes.map(pass => amount(pass))));
 		log.info('Scheduling pace.', {
@@ -115,14 +111,11 @@
 			commitMs: sum(pass => pass.commitMs),
 			longestCommitMs: longest(pass => pass.commitMs),
 			looks: looks() - looksTold,
-			loopBusy: Math.round(100 * performance.eventLoopUtilization(loopNow, loop).utilization) / 100,
-			processorMs: Math.round((used.user + used.system) / 1000),
+			...meter.read(),
 		});
 		paceToldMs = nowMs;
 		looksTold = looks();
 		passes = [];
-		loop = loopNow;
-		processor = process.cpuUsage();
 	};
 
 	const tellHeard = (): void => {
