Tell the other keepers of a commit with the next entries or the next tick

Each commit that no entries followed was told in a message of its own to every other keeper, and each of those was answered: with five keepers eight of sixteen messages a commit. Followers act on a commit only when they come to lead, so it can wait for the next entries, at most a tick of 25 ms.

--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -108,8 +108,8 @@
 	let transferUntilMs = 0;
 	let progress = new Map<string, Progress>();
 	let output: RaftOutput;
-	/** Entries are proposed next, and tell the others of a commit. */
-	let entriesFollow = false;
+	/** The others have not been told of the latest commit; the next message to them, at most a tick later, does. */
+	let isCommitUntold = false;
 
 	const voters = (): Member[] => log.members().filter(member => member.voter);
 	const isVoter = (id: string): boolean => voters().some(member => member.replica === id);
@@ -174,6 +174,7 @@
 
 	const broadcast = (nowMs: number): void => {
 		heartbeatAtMs = nowMs + timings.heartbeatMs;
+		isCommitUntold = false;
 		for (const member of peers()) {
 			if (!progress.has(member.replica)) {
 				progress.set(member.replica, createProgress(log.lastIndex() + 1, -Infinity));
@@ -204,9 +205,7 @@
 				return;
 			}
 
-			if (!entriesFollow) {
-				broadcast(nowMs);
-			}
+			isCommitUntold = true;
 		}
 	};
 
@@ -496,7 +495,7 @@
 			return;
 		}
 
-		if (nowMs >= heartbeatAtMs) {
+		if (isCommitUntold || nowMs >= heartbeatAtMs) {
 			broadcast(nowMs);
 		}
 	};
@@ -538,12 +537,11 @@
 
 	return {
 		/**
-		Reacts to one event; where entries wait to be proposed, their message tells the others what this event commits.
+		Reacts to one event.
 
 		@throws {MembershipError} A proposed change of members is not allowed now.
 		*/
-		handle(event: RaftEvent, nowMs: number, willPropose = false): RaftOutput {
-			entriesFollow = willPropose;
+		handle(event: RaftEvent, nowMs: number): RaftOutput {
 			output = {
 				append: [], now: [], afterSync: [], committed: [],
 			};
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -168,7 +168,7 @@
 
 		let output: RaftOutput;
 		try {
-			output = raft.handle(event, clock.monotonicMs(), proposals.length > 0);
+			output = raft.handle(event, clock.monotonicMs());
 		} catch (error) {
 			if (event.type !== 'propose') {
 				throw error;
@@ -274,7 +274,7 @@
 			return {index, term: raft.termAt(index)!};
 		},
 		onSynced({index, term}) {
-			collect(raft.handle({type: 'synced', index, term}, clock.monotonicMs(), proposals.length > 0));
+			collect(raft.handle({type: 'synced', index, term}, clock.monotonicMs()));
 		},
 		deliver,
 		onDiskFull: refuseProposals,
--- a/tests/replica/storage.spec.ts
+++ b/tests/replica/storage.spec.ts
@@ -164,6 +164,8 @@
 		await group.run(1500);
 		group.kill('b');
 		await publishSome(10);
+		// A follower hears of a commit at most a tick later.
+		await group.run(50);
 		assert.deepEqual(group.fatal, []);
 		for (const name of ['a', 'c']) {
 			assert.deepEqual(acknowledged.filter(instance => !group.of(name).placed().includes(instance)), []);
