Encode each log entry once, for the disk and for all other keepers

An entry was encoded anew for each of four keepers and for the disk, and again for the disk of each keeper that received it. It is now bytes on the wire and in the log's records; logs of earlier versions are still read.

Tests: the same bytes go to two keepers (two encodings before), an older log is read, bytes that hold no entry are refused.

--- a/packages/replica/src/storage.ts
+++ b/packages/replica/src/storage.ts
@@ -6,7 +6,9 @@
 */
 import {randomBytes} from 'node:crypto';
 import {BronzebendError} from '@bronzebend/core';
-import type {LogEntry, Member, Snapshot} from '@bronzebend/wire';
+import {
+	decodeEntry, encodeEntry, forgetEncoded, type LogEntry, type Member, type Snapshot,
+} from '@bronzebend/wire';
 import type {Disk} from './disk.js';
 import {CorruptFileError, decodeFile, encodeFrame} from './frames.js';
 import type {HardState, RestoredState} from './raft.js';
@@ -23,6 +25,9 @@
 	| {type: 'hard-state'; hardState: HardState}
 	| {type: 'append'; entries: LogEntry[]};
 
+/** An operation as a record holds it; logs of earlier versions hold entries that are not bytes. */
+type RecordedOperation = Exclude<StorageOperation, {type: 'append'}> | {type: 'append'; entries: Array<LogEntry | Uint8Array>};
+
 /** No room is left on the disk; nothing was accepted. */
 export class DiskFullError extends BronzebendError {
 	override readonly name = 'DiskFullError';
@@ -59,14 +64,16 @@
 	let hardState: HardState = {term: snapshot?.term ?? 0, votedFor: undefined};
 	let entries: LogEntry[] = [];
 	const base = {index: snapshot?.index ?? 0, term: snapshot?.term ?? 0, members: snapshot?.members ?? []};
-	for (const operation of records.flat() as StorageOperation[]) {
+	for (const operation of records.flat() as RecordedOperation[]) {
 		if (operation.type === 'hard-state') {
 			hardState = {term: operation.hardState.term, votedFor: operation.hardState.votedFor};
 			continue;
 		}
 
-		const first = operation.entries[0]!.index;
-		entries = [...entries.filter(entry => entry.index < first), ...operation.entries];
+		const read = operation.entries.map(entry => (entry instanceof Uint8Array ? decodeEntry(entry) : entry));
+		forgetEncoded(read);
+		const first = read[0]!.index;
+		entries = [...entries.filter(entry => entry.index < first), ...read];
 	}
 
 	// A crash between a received snapshot and the cut of the log leaves entries of another history.
@@ -105,6 +112,16 @@
 	};
 };
 
+const encodeOperations = (operations: readonly StorageOperation[]): Uint8Array => encodeFrame(operations.map((operation): RecordedOperation => {
+	if (operation.type !== 'append') {
+		return operation;
+	}
+
+	const recorded = {...operation, entries: operation.entries.map(entry => encodeEntry(entry))};
+	forgetEncoded(operation.entries);
+	return recorded;
+}));
+
 const writeAside = async (disk: Disk, name: string, frame: Uint8Array): Promise<void> => {
 	await disk.write(`${name}${ASIDE}`, frame);
 	await disk.sync(`${name}${ASIDE}`);
@@ -163,7 +180,7 @@
 			operations.push({type: 'append', entries});
 		}
 
-		const frame = encodeFrame(operations);
+		const frame = encodeOperations(operations);
 		await writeAside(disk, LOG_FILE, frame);
 		logBytes = frame.length;
 	};
@@ -182,7 +199,7 @@
 		@throws {SyncFailedError} The disk failed; this process must stop.
 		*/
 		async save(operations: readonly StorageOperation[]): Promise<void> {
-			await appendRecord(encodeFrame(operations));
+			await appendRecord(encodeOperations(operations));
 			const states = operations.filter(operation => operation.type === 'hard-state');
 			hardState = states.at(-1)?.hardState ?? hardState;
 			await syncLog();
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,4 +1,6 @@
 export * from './frame-codec.js';
 export * from './messages.js';
 export * from './peer-network.js';
+export * from './entry-codec.js';
+export * from './log-entry.js';
 export * from './raft-messages.js';
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -4,7 +4,9 @@
 	refusalReasons, ticketOutcomes,
 	type ControlCommand, type ControlOutcome, type Declaration, type GroupView, type JobAnswer, type JobCall, type Placement, type ViewUpdate, type WorkerHeard,
 } from '@bronzebend/core';
-import {memberSchema, raftMessageSchema} from './raft-messages.js';
+import {encodeEntry} from './entry-codec.js';
+import {memberSchema} from './log-entry.js';
+import {raftMessageSchema} from './raft-messages.js';
 
 const count = z.number().int().min(0);
 const name = z.string().max(200);
@@ -231,5 +233,10 @@
 /** One message between two processes. */
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 
+/** A message the way it goes over the wire. */
+export const toWireMessage = (message: PeerMessage): unknown => (message.type === 'raft' && message.message.type === 'append'
+	? {...message, message: {...message.message, entries: message.message.entries.map(entry => encodeEntry(entry))}}
+	: message);
+
 /** What applying a command gave, as calls return it. */
 export type CommandResult = ControlOutcome;
--- a/packages/wire/src/peer-network.ts
+++ b/packages/wire/src/peer-network.ts
@@ -12,7 +12,7 @@
 import {
 	clientProof, createNonce, handshakeSchema, sameProof, serverProof,
 } from './handshake.js';
-import {peerMessageSchema, type PeerMessage} from './messages.js';
+import {peerMessageSchema, toWireMessage, type PeerMessage} from './messages.js';
 
 /** Unsent bytes to one peer above which messages to it are dropped. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
@@ -172,7 +172,7 @@
 	const write = (connection: Outbound, message: PeerMessage): void => {
 		const {socket, writer} = connection;
 		connection.usedMs = clock.monotonicMs();
-		const frame = writer.encode(message);
+		const frame = writer.encode(toWireMessage(message));
 		stats.messagesSent += 1;
 		stats.bytesSent += frame.length;
 		socket.write(frame);
--- a/tests/replica/storage.spec.ts
+++ b/tests/replica/storage.spec.ts
@@ -5,9 +5,11 @@
 import {setImmediate} from 'node:timers/promises';
 import {describe, it} from 'node:test';
 import {
-	type CorruptFileError, createFileDisk, DiskFullError, FolderLockedError, lockFolder, openStorage, readFolder,
+	type CorruptFileError, createFileDisk, DiskFullError, encodeFrame, FolderLockedError, lockFolder, openStorage, readFolder,
 } from '@bronzebend/replica';
-import type {LogEntry} from '@bronzebend/wire';
+import {
+	BadFrameError, decodeEntry, encodeEntry, type LogEntry, toWireMessage,
+} from '@bronzebend/wire';
 import {CrashError, createMemoryDisk, type MemoryDisk} from '../fixtures/memory-disk.js';
 import {createReplicaGroup} from '../fixtures/replica-group.js';
 
@@ -141,6 +143,38 @@
 	});
 });
 
+describe('log entries', () => {
+	const append = (entries: LogEntry[]) => toWireMessage({
+		type: 'raft', from: 'r', to: 's', message: {
+			type: 'append', term: 1, prevIndex: 0, prevTerm: 0, entries, commit: 0, sentAtMs: 0,
+		},
+	}) as {message: {entries: Uint8Array[]}};
+
+	it('should be encoded once for all replicas', () => {
+		const one = entry(1);
+		const [first, second] = [append([one]), append([one])];
+		assert.equal(first.message.entries[0], second.message.entries[0]);
+		assert.deepEqual(decodeEntry(encodeEntry(one)), one);
+	});
+
+	it('should be read from a log of an earlier version, which holds no bytes of entries', async () => {
+		const memory = createMemoryDisk();
+		const storage = await openStorage(memory.disk);
+		await storage.form(members, new Uint8Array());
+		await memory.disk.append('log', encodeFrame([{type: 'hard-state', hardState: {term: 1, votedFor: 'r'}}, {type: 'append', entries: [entry(1), entry(2)]}]));
+		await memory.disk.sync('log');
+		const again = await openStorage(memory.disk);
+		await again.save([{type: 'append', entries: [entry(3)]}]);
+		const last = await openStorage(memory.disk);
+		assert.deepEqual(last.restored().entries, [entry(1), entry(2), entry(3)]);
+	});
+
+	it('should be refused where the bytes hold none', () => {
+		assert.throws(() => decodeEntry(new Uint8Array([0x01])), BadFrameError);
+		assert.throws(() => decodeEntry(new Uint8Array([0xA1, 0x61])), BadFrameError);
+	});
+});
+
 describe('replica', () => {
 	it('should keep acknowledged changes when a second replica is lost right after a repair', async () => {
 		const group = createReplicaGroup(11, 20);
