Let messages to a peer leave in one write for each turn of the event loop

Each message was a write of its own; with five keepers writes were 10 % of the leader's busy time (local profile, 1,459 starts a second). Expected: fewer writes, a less busy loop at the same starts.

--- a/packages/daemon/src/jobs/process-load.ts
+++ b/packages/daemon/src/jobs/process-load.ts
@@ -78,6 +78,7 @@
 			...meter.read(),
 			workerCalls: calls - callsTold,
 			messagesOut: network.messagesSent - networkTold.messagesSent,
+			writes: network.writes - networkTold.writes,
 			bytesOut: network.bytesSent - networkTold.bytesSent,
 			bytesIn: network.bytesReceived - networkTold.bytesReceived,
 		});
--- a/packages/wire/src/peer-network.ts
+++ b/packages/wire/src/peer-network.ts
@@ -47,7 +47,7 @@
 };
 
 /** Counts of what went over the wire. */
-export type NetworkStats = {bytesSent: number; bytesReceived: number; messagesSent: number; dropped: number; rejected: number};
+export type NetworkStats = {bytesSent: number; bytesReceived: number; messagesSent: number; writes: number; dropped: number; rejected: number};
 
 type Outbound = {
 	socket: net.Socket;
@@ -76,7 +76,7 @@
 	const retryAtMs = new Map<string, number>();
 	const inbound = new Set<net.Socket>();
 	const stats: NetworkStats = {
-		bytesSent: 0, bytesReceived: 0, messagesSent: 0, dropped: 0, rejected: 0,
+		bytesSent: 0, bytesReceived: 0, messagesSent: 0, writes: 0, dropped: 0, rejected: 0,
 	};
 	let closed = false;
 
@@ -175,6 +175,15 @@
 		const frame = writer.encode(toWireMessage(message));
 		stats.messagesSent += 1;
 		stats.bytesSent += frame.length;
+		if (socket.writableCorked === 0) {
+			// What is sent to a peer in one turn of the event loop leaves in one write.
+			socket.cork();
+			setImmediate(() => {
+				stats.writes += 1;
+				socket.uncork();
+			});
+		}
+
 		socket.write(frame);
 	};
 
