Let a keeper that stops hand its calls back to the leader

A keeper that was stopped in order left the calls of a quarter of the workers without a result until it was silent for 0.5 s, or 0.9 s had passed. It now answers further calls with that nobody made them, and the leader turns to another keeper at once. Found by reading, beside a planned stop of core machines; both tests failed before.

--- a/packages/daemon/src/jobs/call-carrier.ts
+++ b/packages/daemon/src/jobs/call-carrier.ts
@@ -49,6 +49,7 @@
 	const ports = new Map<string, {port: WorkerPort; usedMs: number}>();
 	let results: CarriedResult[] = [];
 	let addressee: {leader: string; term: number} | undefined;
+	let isDraining = false;
 
 	const flush = (): void => {
 		if (addressee && results.length > 0) {
@@ -58,8 +59,8 @@
 		results = [];
 	};
 
-	const report = (of: {term: number}, result: CarriedResult): void => {
-		if (of.term !== addressee?.term) {
+	const report = (callTerm: number, result: CarriedResult): void => {
+		if (callTerm !== addressee?.term) {
 			return;
 		}
 
@@ -77,6 +78,11 @@
 	};
 
 	const carry = async (callTerm: number, {id, worker, call}: CarriedCall): Promise<void> => {
+		if (isDraining) {
+			report(callTerm, {id, result: {type: 'unknown', cause: 'the keeper stops', isCarrierLost: true}});
+			return;
+		}
+
 		let result: HoldResult | OrderResult;
 		try {
 			result = await makeCall(portOf(worker), call);
@@ -84,7 +90,7 @@
 			result = {type: 'unknown', cause: String(error)};
 		}
 
-		report({term: callTerm}, {id, result});
+		report(callTerm, {id, result});
 	};
 
 	const timer = setInterval(() => {
@@ -116,6 +122,11 @@
 			}
 		},
 
+		/** Makes no further calls; the leader hears of it with the next one and turns to other keepers. */
+		drain(): void {
+			isDraining = true;
+		},
+
 		close(): void {
 			clearInterval(timer);
 			for (const {port} of ports.values()) {
--- a/packages/daemon/src/jobs/carried-calls.ts
+++ b/packages/daemon/src/jobs/carried-calls.ts
@@ -52,16 +52,21 @@
 	let usable: string[] = [];
 	let lastId = 0;
 
+	const avoid = (keeper: string, why: string): void => {
+		if (!avoidedUntilMs.has(keeper)) {
+			log.warn('A keeper gets no calls for a while.', {keeper, why, forMs: AVOID_MS});
+		}
+
+		avoidedUntilMs.set(keeper, clock.monotonicMs() + AVOID_MS);
+		usable = usable.filter(other => other !== keeper);
+	};
+
 	/** Ends calls whose keeper is gone or late. */
 	const endLostCalls = (live: readonly string[], nowMs: number): void => {
 		for (const [id, {keeper, dueMs, resolve}] of pending) {
 			const isOverdue = nowMs > dueMs;
 			if (isOverdue) {
-				if (!avoidedUntilMs.has(keeper)) {
-					log.warn('A keeper leaves calls without a result.', {keeper, avoidedMs: AVOID_MS});
-				}
-
-				avoidedUntilMs.set(keeper, nowMs + AVOID_MS);
+				avoid(keeper, 'calls without a result');
 			}
 
 			if (isOverdue || !live.includes(keeper)) {
@@ -168,6 +173,10 @@
 			for (const {id, result} of results) {
 				const call = pending.get(id);
 				pending.delete(id);
+				if (call && result.type === 'unknown' && result.isCarrierLost) {
+					avoid(call.keeper, result.cause);
+				}
+
 				call?.resolve(result);
 			}
 		},
--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -283,8 +283,9 @@
 			}
 		},
 
-		/** Hands leadership to the voter that is furthest along; true where there was something to hand over. */
+		/** Hands leadership to the voter that is furthest along, and calls to workers back; true where there was leadership to hand over. */
 		handOver(): boolean {
+			carrier.drain();
 			const heir = group.handOver();
 			if (heir) {
 				log.info('Handing leadership over.', {to: heir.node, term: replica?.raft.term()});
--- a/tests/daemon/jobs/carried-calls.spec.ts
+++ b/tests/daemon/jobs/carried-calls.spec.ts
@@ -143,6 +143,21 @@
 		await again;
 	});
 
+	it('should go on through another keeper at once where theirs stops in order', async () => {
+		const {calls, batches, worker} = setUp(['a', 'b']);
+		const port = worker(1);
+		const refused = port.stop(stopOf(1));
+		await pause(10);
+		const [first] = batches as [Batch];
+		calls.receive([{id: first.calls[0]!.id, result: {type: 'unknown', cause: 'the keeper stops', isCarrierLost: true}}]);
+		await refused;
+		const next = port.stop(stopOf(1));
+		await pause(10);
+		assert.deepEqual(batches.map(({to}) => to === first.to), [true, false]);
+		calls.close();
+		await next;
+	});
+
 	it('should give a keeper that comes back its share of the workers', async () => {
 		const {calls, batches, worker, state, answer} = setUp(['a']);
 		const ports = Array.from({length: 60}, (_, number) => worker(number));
@@ -249,6 +264,16 @@
 		carrier.close();
 	});
 
+	it('should hand calls back once it stops', async () => {
+		const calls: string[] = [];
+		const {sent, carrier, batch} = setUpCarrier(() => portOf(calls));
+		carrier.drain();
+		carrier.receive('leader', batch(3, 2));
+		await pause(30);
+		assert.deepEqual([calls.length, sent.flatMap(({message}) => resultsIn(message)).map(({result}) => result.type === 'unknown' && result.isCarrierLost)], [0, [true, true]]);
+		carrier.close();
+	});
+
 	it('should report a worker that cannot be connected to as unknown', async () => {
 		const {sent, carrier, batch} = setUpCarrier(() => {
 			throw new TypeError('Invalid URL');
