--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -16,6 +16,7 @@
 export * from './jobs/group-client.js';
 export * from './jobs/job-keeper.js';
 export * from './jobs/job-leader.js';
+export type * from './jobs/job-leader-options.js';
 export * from './jobs/job-metrics.js';
 export * from './jobs/machine-keeper.js';
 export type * from './jobs/ports.js';
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -1,18 +1,15 @@
 /** The leader's work during one term: answers calls, starts and stops work, and keeps waves going. */
 import {
 	createArrivalMeter, planStarts,
-	type CarriedResult, type Clock, type JobAnswer, type JobCall, type RunStart, type SchedulableWorker, type WorkerDirectory, type WorkerHeard,
+	type CarriedResult, type JobAnswer, type JobCall, type RunStart, type SchedulableWorker,
 } from '@bronzebend/core';
-import type {PeerMessage} from '@bronzebend/wire';
-import type {LogFactory} from '../utils/log.js';
 import {createAdviceDesk} from './advice-desk.js';
 import {createCarriedCalls} from './carried-calls.js';
 import {createJobDesk} from './job-desk.js';
 import type {LeaderContext, LeaderWork} from './job-keeper.js';
+import type {JobLeaderOptions} from './job-leader-options.js';
 import {createLeaderReports} from './leader-reports.js';
-import type {JobMetrics} from './job-metrics.js';
 import {createMachineKeeper} from './machine-keeper.js';
-import type {AdvicePort, MachinePort, WorkerConnector} from './ports.js';
 import {createRunWatch} from './run-watch.js';
 import {createWorkerFleet} from './worker-fleet.js';
 
@@ -33,31 +30,6 @@
 /** Liveness reports that may be missed before a worker gets no new work. */
 const MISSED_REPORTS = 3;
 
-/** What the leader's work is made of. */
-export type JobLeaderOptions = {
-	node: string;
-	clock: Clock;
-	logs: LogFactory;
-	metrics: JobMetrics;
-	/** What this process has heard of workers, also before it led. */
-	directory: WorkerDirectory;
-	connect: WorkerConnector;
-	machines?: MachinePort;
-	/** Orders to machines that the platform takes a second. */
-	machineOrdersPerS?: number;
-	advice?: AdvicePort;
-	/** Length of a worker's lease, in milliseconds. */
-	leaseMs: number;
-	/** Span after another holder's orders to machines, in milliseconds. */
-	holderLeaseMs: number;
-	/** Pause between two liveness reports of a worker, in milliseconds. */
-	reportMs: number;
-	/** Tells the other keepers what was heard of workers. */
-	tell(heard: WorkerHeard[]): void;
-	/** Sends calls to workers to the keeper that makes them. */
-	send(to: string, message: PeerMessage): void;
-};
-
 /** Starts the work of one term. */
 export const createJobLeader = (options: JobLeaderOptions, context: LeaderContext): LeaderWork => {
 	const {clock, metrics, directory} = options;
