--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,7 +32,7 @@
 export * from './jobs/upkeep.js';
 export * from './jobs/worker-directory.js';
 export * from './jobs/worker-health.js';
-export type * from './jobs/worker-calls.js';
+export * from './jobs/worker-calls.js';
 export * from './jobs/worker-track.js';
 export * from './limits/grant-planner.js';
 export * from './utils/canonical-json.js';
--- a/packages/core/src/jobs/worker-calls.ts
+++ b/packages/core/src/jobs/worker-calls.ts
@@ -52,5 +52,28 @@
 /** A call that another process makes for the leader. */
 export type CarriedCall = {id: number; worker: WorkerAddress; call: WorkerCall};
 
+/** Calls that go to another process together; the specs of starts are told once, at the place that a start's `spec` names. */
+export type CallBatch = {specs: string[]; calls: Array<{id: number; worker: WorkerAddress; call: Exclude<WorkerCall, {type: 'start'}> | {type: 'start'; order: Omit<StartOrder, 'spec'> & {spec: number}}}>};
+
+/** Puts calls into a batch. */
+export const packCalls = (calls: readonly CarriedCall[]): CallBatch => {
+	const places = new Map<string, number>();
+	const placeOf = (spec: string): number => {
+		const place = places.get(spec) ?? places.size;
+		places.set(spec, place);
+		return place;
+	};
+
+	const packed = calls.map(({id, worker, call}) => ({
+		id, worker, call: call.type === 'start' ? {...call, order: {...call.order, spec: placeOf(call.order.spec)}} : call,
+	}));
+	return {specs: [...places.keys()], calls: packed};
+};
+
+/** The calls of a batch. */
+export const unpackCalls = ({specs, calls}: CallBatch): CarriedCall[] => calls.map(({id, worker, call}) => ({
+	id, worker, call: call.type === 'start' ? {...call, order: {...call.order, spec: specs[call.order.spec]!}} : call,
+}));
+
 /** What became of a carried call. */
 export type CarriedResult = {id: number; result: HoldResult | OrderResult};
--- a/packages/daemon/src/jobs/call-carrier.ts
+++ b/packages/daemon/src/jobs/call-carrier.ts
@@ -1,6 +1,7 @@
 /** Makes calls to workers for the leader, which sends them in batches, and sends back what came of them. */
-import type {
-	CarriedCall, CarriedResult, Clock, HoldResult, OrderResult, WorkerAddress, WorkerCall,
+import {
+	unpackCalls,
+	type CarriedCall, type CarriedResult, type Clock, type HoldResult, type OrderResult, type WorkerAddress, type WorkerCall,
 } from '@bronzebend/core';
 import type {PeerMessage} from '@bronzebend/wire';
 import type {Log} from '../utils/log.js';
@@ -107,7 +108,7 @@
 		/** Takes a batch; one of a term that is over is dropped, as its leader must give no orders. */
 		receive(from: string, message: PeerMessage & {type: 'worker-calls'}): void {
 			if (message.term < Math.max(term(), addressee?.term ?? 0)) {
-				log.warn('Dropped calls of an earlier leader.', {leader: from, term: message.term, calls: message.calls.length});
+				log.warn('Dropped calls of an earlier leader.', {leader: from, term: message.term, calls: message.batch.calls.length});
 				return;
 			}
 
@@ -117,7 +118,7 @@
 				log.info('Making calls for the leader.', {leader: from, term: message.term});
 			}
 
-			for (const call of message.calls) {
+			for (const call of unpackCalls(message.batch)) {
 				void carry(message.term, call);
 			}
 		},
--- a/packages/daemon/src/jobs/carried-calls.ts
+++ b/packages/daemon/src/jobs/carried-calls.ts
@@ -6,8 +6,9 @@
 end of validity), so that a lost batch is the same as a lost call. Without another keeper the leader
 calls by itself.
 */
-import type {
-	CarriedCall, CarriedResult, Clock, HoldResult, OrderResult, UnknownOutcome, WorkerAddress, WorkerCall,
+import {
+	packCalls,
+	type CarriedCall, type CarriedResult, type Clock, type HoldResult, type OrderResult, type UnknownOutcome, type WorkerAddress, type WorkerCall,
 } from '@bronzebend/core';
 import type {PeerMessage} from '@bronzebend/wire';
 import type {Log} from '../utils/log.js';
@@ -121,7 +122,7 @@
 	const flush = (keeper: string): void => {
 		const calls = batches.get(keeper)!;
 		batches.delete(keeper);
-		send(keeper, {type: 'worker-calls', term, calls});
+		send(keeper, {type: 'worker-calls', term, batch: packCalls(calls)});
 	};
 
 	const enqueue = (keeper: string, call: CarriedCall): void => {
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import {
 	refusalReasons, ticketOutcomes,
-	type CarriedCall, type CarriedResult, type ControlCommand, type ControlOutcome, type Declaration, type GroupView, type JobAnswer, type JobCall, type Placement, type ViewUpdate, type WorkerHeard,
+	type CallBatch, type CarriedResult, type ControlCommand, type ControlOutcome, type Declaration, type GroupView, type JobAnswer, type JobCall, type Placement, type ViewUpdate, type WorkerHeard,
 } from '@bronzebend/core';
 import {encodeEntry} from './entry-codec.js';
 import {memberSchema} from './log-entry.js';
@@ -222,7 +222,7 @@
 	z.strictObject({type: z.literal('view-query')}),
 	z.strictObject({type: z.literal('view'), view: z.custom<GroupView>()}),
 	z.strictObject({type: z.literal('join'), replica: z.string()}),
-	z.strictObject({type: z.literal('worker-calls'), term: count, calls: z.custom<CarriedCall[]>()}),
+	z.strictObject({type: z.literal('worker-calls'), term: count, batch: z.custom<CallBatch>()}),
 	z.strictObject({type: z.literal('worker-results'), term: count, results: z.custom<CarriedResult[]>()}),
 	z.strictObject({type: z.literal('workers-heard'), heard: z.custom<WorkerHeard[]>()}),
 	z.strictObject({
--- a/tests/daemon/jobs/carried-calls.spec.ts
+++ b/tests/daemon/jobs/carried-calls.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	groupBy, type CarriedCall, type HoldResult, type OrderResult,
+	groupBy, unpackCalls, type CarriedCall, type HoldResult, type OrderResult,
 } from '@bronzebend/core';
 import {
 	createCallCarrier, createCarriedCalls, silentLogs, type WorkerPort,
@@ -43,6 +43,7 @@
 
 const setUp = (live: string[]) => {
 	const batches: Batch[] = [];
+	const specs: string[][] = [];
 	const own: string[] = [];
 	const state = {live, nowMs: 1000};
 	const calls = createCarriedCalls({
@@ -53,7 +54,8 @@
 		liveKeepers: () => state.live,
 		send(to, message) {
 			if (message.type === 'worker-calls') {
-				batches.push({to, calls: message.calls});
+				batches.push({to, calls: unpackCalls(message.batch)});
+				specs.push(message.batch.specs);
 			}
 		},
 	});
@@ -62,7 +64,7 @@
 	};
 
 	return {
-		calls, batches, own, state, answer, worker: (number: number) => calls.connect(lifeNamed(`w${number}`)),
+		calls, batches, specs, own, state, answer, worker: (number: number) => calls.connect(lifeNamed(`w${number}`)),
 	};
 };
 
@@ -82,6 +84,19 @@
 		calls.close();
 	});
 
+	it('should tell a job\'s spec once in a message, however many of its work units start', async () => {
+		const {calls, batches, specs, worker} = setUp(['a']);
+		const startOf = (spec: string) => ({
+			unit: 'unit', attempt: 1, spec, expiresMs: 1, fence: 3, checkpoint: '',
+		});
+		const results = [1, 2, 3, 4].map(async number => worker(number).start(startOf(number < 4 ? 'first' : 'second')));
+		await pause(10);
+		assert.deepEqual(specs, [['first', 'second']]);
+		assert.deepEqual(batches[0]!.calls.map(({call}) => call.type === 'start' && call.order.spec), ['first', 'first', 'first', 'second']);
+		calls.close();
+		await Promise.all(results);
+	});
+
 	it('should stay with one keeper for each worker', async () => {
 		const {calls, batches, worker, answer} = setUp(['a', 'b', 'c']);
 		const ports = [1, 2, 3, 4, 5, 6].map(number => worker(number));
@@ -219,7 +234,7 @@
 			},
 		});
 		const batch = (term: number, count: number): PeerMessage & {type: 'worker-calls'} => ({
-			type: 'worker-calls', term, calls: Array.from({length: count}, (_, id) => ({id, worker: lifeNamed(`w${id}`), call: {type: 'stop', order: stopOf(id)}})),
+			type: 'worker-calls', term, batch: {specs: [], calls: Array.from({length: count}, (_, id) => ({id, worker: lifeNamed(`w${id}`), call: {type: 'stop', order: stopOf(id)}}))},
 		});
 
 		return {
