--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -4,7 +4,7 @@
 	type RelayedResult, type Clock, type GroupView, type JobAnswer, type JobStore, type JobStoreSnapshot, type JobCall, type JobCommand, type JobOutcome,
 } from '@bronzebend/core';
 import {
-	createFileDisk, createReplica, decodeBytes, encodeBytes, openStorage, type RaftTimings, type Replica,
+	createFileDisk, createReplica, decodeBytes, DiskFullError, encodeBytes, openStorage, type RaftTimings, type Replica,
 } from '@bronzebend/replica';
 import type {Member, NotLeading, PeerMessage} from '@bronzebend/wire';
 import {decideGroupFormation} from '../keeper/bootstrap.js';
@@ -170,7 +170,17 @@
 			return;
 		}
 
-		await storage.form(decision.members, new Uint8Array());
+		try {
+			await storage.form(decision.members, new Uint8Array());
+		} catch (error) {
+			if (!(error instanceof DiskFullError)) {
+				throw error;
+			}
+
+			log.warn('Could not join the group yet.', {cause: error.message});
+			return;
+		}
+
 		log.info('Joined the group.', {members: decision.members.length, isMember: decision.members.some(member => member.replica === storage.replica)});
 		startReplica();
 	};
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -13,6 +13,7 @@
 	createRaft, type Outgoing, type Raft, type RaftEvent, type RaftOutput, type RaftTimings,
 } from './raft.js';
 import {NotLeaderError, OutcomeUnknownError} from './replica-errors.js';
+import {createSnapshotSaver} from './snapshot-saver.js';
 import {DiskFullError, type Storage} from './storage.js';
 
 /** Number of applied entries after which a snapshot is taken and the log truncated. */
@@ -66,12 +67,15 @@
 	}
 
 	let appliedIndex = initial?.index ?? 0;
-	let events: RaftEvent[] = [];
-	let proposals: Array<Proposal<Outcome>> = [];
+	const events: RaftEvent[] = [];
+	const proposals: Array<Proposal<Outcome>> = [];
 	const pending = new Map<number, Pending<Outcome>>();
 	let busy = false;
 	let stopped = false;
 	const isStopped = (): boolean => stopped;
+	const saver = createSnapshotSaver({
+		storage, clock, sleep: options.sleep, isStopped,
+	});
 
 	const deliver = (messages: readonly Outgoing[]): void => {
 		for (const {to, message} of messages) {
@@ -110,11 +114,10 @@
 		}
 	};
 
-	const rejectProposals = (): void => {
-		const rejected = proposals;
-		proposals = [];
-		for (const proposal of rejected) {
-			proposal.reject(new DiskFullError());
+	/** Rejects the proposals that are not in the log and never will be. */
+	const rejectProposals = (createError: () => BronzebendError): void => {
+		for (const proposal of proposals.splice(0)) {
+			proposal.reject(createError());
 		}
 	};
 
@@ -122,12 +125,11 @@
 		rejectPending();
 		stateMachine.restore(snapshot.data);
 		appliedIndex = snapshot.index;
-		await storage.saveSnapshot(snapshot, []);
+		await saver.install(snapshot);
 	};
 
 	const submitProposals = (): void => {
-		const batch = proposals;
-		proposals = [];
+		const batch = proposals.splice(0);
 		const first = batch[0];
 		if (!first) {
 			return;
@@ -174,9 +176,7 @@
 				throw error;
 			}
 
-			const batch = proposedBatch;
-			proposedBatch = [];
-			for (const proposal of batch) {
+			for (const proposal of proposedBatch.splice(0)) {
 				proposal.reject(error as BronzebendError);
 			}
 
@@ -189,6 +189,9 @@
 
 		if (output.snapshot) {
 			await installSnapshot(output.snapshot);
+			if (isStopped()) {
+				return;
+			}
 		}
 
 		applyOutput(output);
@@ -196,7 +199,7 @@
 
 	const takeSnapshot = async (): Promise<void> => {
 		const snapshotIndex = storage.snapshot()?.index ?? 0;
-		if (appliedIndex - snapshotIndex < snapshotInterval) {
+		if (appliedIndex - snapshotIndex < snapshotInterval || !saver.mayTake()) {
 			return;
 		}
 
@@ -211,13 +214,8 @@
 			members: raft.membersAt(appliedIndex),
 			data: stateMachine.snapshot(),
 		};
-		try {
-			await storage.saveSnapshot(snapshot, raft.entriesAfter(appliedIndex));
+		if (await saver.take(snapshot, raft.entriesAfter(appliedIndex))) {
 			raft.handle({type: 'compacted', index: appliedIndex}, clock.monotonicMs());
-		} catch (error) {
-			if (!(error instanceof DiskFullError)) {
-				throw error;
-			}
 		}
 	};
 
@@ -227,8 +225,7 @@
 			submitProposals();
 		}
 
-		const batch = events;
-		events = [];
+		const batch = events.splice(0);
 		for (const event of batch) {
 			// Events are handled in order; only a received snapshot waits for the disk.
 			// eslint-disable-next-line no-await-in-loop
@@ -277,7 +274,9 @@
 			applyOutput(raft.handle({type: 'synced', index, term}, clock.monotonicMs()));
 		},
 		deliver,
-		onDiskFull: rejectProposals,
+		onDiskFull() {
+			rejectProposals(() => new DiskFullError());
+		},
 		onProgress: () => onProgress?.(),
 		onIdle() {
 			void processEvents();
@@ -307,7 +306,7 @@
 	return {
 		replica: storage.replica,
 		raft,
-		isDiskFull: writer.isDiskFull,
+		isDiskFull: () => writer.isDiskFull() || saver.isWaitingForRoom(),
 		appliedIndex: () => appliedIndex,
 
 		tick(): void {
@@ -344,7 +343,7 @@
 			stopped = true;
 			writer.stop();
 			rejectPending();
-			rejectProposals();
+			rejectProposals(() => new NotLeaderError(undefined));
 		},
 	};
 };
--- a/packages/replica/src/storage.ts
+++ b/packages/replica/src/storage.ts
@@ -122,6 +122,8 @@
 	return recorded;
 }));
 
+const isNoSpace = (error: unknown): boolean => (error as NodeJS.ErrnoException).code === 'ENOSPC';
+
 const replaceFile = async (disk: Disk, name: string, record: Uint8Array): Promise<void> => {
 	await disk.write(`${name}${TEMPORARY_SUFFIX}`, record);
 	await disk.sync(`${name}${TEMPORARY_SUFFIX}`);
@@ -129,16 +131,26 @@
 	await disk.syncFolder();
 };
 
+/** @throws {DiskFullError} The disk is full; the file is as it was. */
+const createFile = async (disk: Disk, name: string, record: Uint8Array): Promise<void> => {
+	try {
+		await replaceFile(disk, name, record);
+	} catch (error) {
+		throw isNoSpace(error) ? new DiskFullError() : error;
+	}
+};
+
 /**
 Opens a folder, creates a replica ID if it has none, and truncates a torn record at the end of its log.
 
 @throws {CorruptFileError} A file is corrupt, other than by a torn record at its end.
+@throws {DiskFullError} The folder has no replica ID yet, and the disk is full.
 */
 export const openStorage = async (disk: Disk) => {
 	const content = await readFolder(disk);
 	const replica = content.replica ?? randomBytes(REPLICA_ID_BYTES).toString('base64url');
 	if (content.replica === undefined) {
-		await replaceFile(disk, IDENTITY_FILE, encodeRecord({replica, format: 1} satisfies Identity));
+		await createFile(disk, IDENTITY_FILE, encodeRecord({replica, format: 1} satisfies Identity));
 	}
 
 	if (content.tornBytes > 0) {
@@ -150,6 +162,8 @@
 	let {hardState} = restored;
 	let logBytes = content.validBytes;
 	let folderSynced = false;
+	/** The log ends with part of a record that a full disk refused to take and to remove. */
+	let hasPartialRecord = false;
 
 	const syncLog = async (): Promise<void> => {
 		try {
@@ -163,15 +177,37 @@
 		}
 	};
 
+	const removePartialRecord = async (): Promise<void> => {
+		try {
+			await disk.truncate(LOG_FILE, logBytes);
+			hasPartialRecord = false;
+		} catch (error) {
+			// A full disk may refuse to create the log; then there is nothing to remove.
+			const isMissing = (error as NodeJS.ErrnoException).code === 'ENOENT';
+			hasPartialRecord = !isMissing;
+			if (!isMissing && !isNoSpace(error)) {
+				throw new SyncFailedError(error);
+			}
+		}
+	};
+
 	const appendRecord = async (record: Uint8Array): Promise<void> => {
+		if (hasPartialRecord) {
+			await removePartialRecord();
+		}
+
+		if (hasPartialRecord) {
+			throw new DiskFullError();
+		}
+
 		try {
 			await disk.append(LOG_FILE, record);
 		} catch (error) {
-			if ((error as NodeJS.ErrnoException).code !== 'ENOSPC') {
+			if (!isNoSpace(error)) {
 				throw new SyncFailedError(error);
 			}
 
-			await disk.truncate(LOG_FILE, logBytes);
+			await removePartialRecord();
 			throw new DiskFullError();
 		}
 
@@ -187,6 +223,7 @@
 		const record = encodeOperations(operations);
 		await replaceFile(disk, LOG_FILE, record);
 		logBytes = record.length;
+		hasPartialRecord = false;
 	};
 
 	return {
@@ -221,7 +258,7 @@
 				snapshot = next;
 				await rewriteLog(entriesAfter);
 			} catch (error) {
-				if ((error as NodeJS.ErrnoException).code === 'ENOSPC') {
+				if (isNoSpace(error)) {
 					await Promise.all([SNAPSHOT_FILE, LOG_FILE].map(async name => disk.remove(`${name}${TEMPORARY_SUFFIX}`)));
 					throw new DiskFullError();
 				}
@@ -230,12 +267,17 @@
 			}
 		},
 
-		/** Stores the first members of a group, as a snapshot before the first entry. */
+		/**
+		Stores the first members of a group, as a snapshot before the first entry.
+
+		@throws {DiskFullError} The disk is full; the replica has not joined and may try again.
+		*/
 		async form(members: Member[], data: Uint8Array<ArrayBuffer>): Promise<void> {
-			snapshot = {
+			const first: Snapshot = {
 				index: 0, term: 0, members, data,
 			};
-			await replaceFile(disk, SNAPSHOT_FILE, encodeRecord(snapshot));
+			await createFile(disk, SNAPSHOT_FILE, encodeRecord(first));
+			snapshot = first;
 			restored = {hardState, base: {index: 0, term: 0, members}, entries: []};
 		},
 
