Place no work on a life that an order to its machine may have ended

Cause: a leader knows the workers from their reports, which say nothing about an order that a former leader gave after them. Likewise, an order without an answer that was carried out left the life in use after 0.8 s. Ways weighed: reading the list of machines before any placement (every unit waits for a platform that may be slow), or a record in the log. Built: the record that every order already commits now names the life that it ends, so only such lives wait, until a list requested after the last moment of sending shows that they go on; and no life gets work that a list newer than its last report contradicts.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,6 +30,7 @@
 export * from './jobs/run-estimates.js';
 export * from './jobs/scheduler.js';
 export * from './jobs/upkeep.js';
+export * from './jobs/life-doubt.js';
 export * from './jobs/worker-directory.js';
 export * from './jobs/worker-health.js';
 export * from './jobs/worker-calls.js';
--- a/packages/core/src/jobs/job-store.ts
+++ b/packages/core/src/jobs/job-store.ts
@@ -276,7 +276,7 @@
 			}
 
 			case 'machine-order': {
-				machineOrders.set(command.machine, {holder: command.holder, atMs: command.atMs});
+				machineOrders.set(command.machine, {holder: command.holder, atMs: command.atMs, life: command.life});
 				return {type: 'applied'};
 			}
 
--- /dev/null
+++ b/packages/core/src/jobs/life-doubt.ts
@@ -0,0 +1,34 @@
+/** Decides whether a worker's life may have been ended through its machine, so that work placed on it would be lost. */
+import type {MachineOrder} from './job-commands.js';
+import {hasEndedLife, type Machine, MachineStates} from './upkeep.js';
+import type {WorkerEntry} from './worker-directory.js';
+
+/** What is known about the machine of a life. */
+export type LifeEvidence = {
+	/** The machine in the latest list; undefined if it is not listed. */
+	listed: Machine | undefined;
+	/** When that list was requested, in milliseconds; -Infinity before the first list. */
+	listReadMs: number;
+	/** The last order on record to the machine, unless this term gave it. */
+	order: MachineOrder | undefined;
+	/** Time from which on that order cannot be sent any more, in milliseconds. */
+	orderSettledMs: number;
+};
+
+/**
+Returns true if the life must get no new work.
+
+The announcements that a process received say nothing about an order that was given later. Two facts
+do: the list of machines, if it was requested after the latest announcement, and the record of an
+order that names the life, until a list requested after the last moment of sending it shows that the
+life goes on.
+*/
+export const mayHaveEnded = (entry: Pick<WorkerEntry, 'life' | 'receivedMs'>, {listed, listReadMs, order, orderSettledMs}: LifeEvidence): boolean => {
+	// A machine that is up may be listed before its worker is known.
+	const namesWorker = listed !== undefined && (listed.state !== MachineStates.up || listed.workerId !== undefined);
+	if (namesWorker && entry.receivedMs < listReadMs && hasEndedLife(listed, entry.life)) {
+		return true;
+	}
+
+	return order?.life === entry.life && listReadMs < orderSettledMs;
+};
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -104,13 +104,10 @@
 
 	const workers = (): SchedulableWorker[] => {
 		const nowMs = clock.monotonicMs();
-		return directory.list().filter(entry => {
-			const machine = entry.machine ?? machines?.machineOfWorker(entry.id);
-			return !entry.draining && !entry.left && fleet.isReachable(entry.life)
-				&& nowMs - entry.receivedMs < MAX_MISSED_REPORTS * options.reportMs
-				&& monitor.mayStart(entry.life, nowMs)
-				&& (machine === undefined || machines?.isLeaving(machine) !== true);
-		}).map(entry => ({
+		return directory.list().filter(entry => !entry.draining && !entry.left && fleet.isReachable(entry.life)
+			&& nowMs - entry.receivedMs < MAX_MISSED_REPORTS * options.reportMs
+			&& monitor.mayStart(entry.life, nowMs)
+			&& machines?.mayTakeWork(entry) !== false).map(entry => ({
 			life: entry.life, id: entry.id, pool: entry.pool, capacity: entry.capacity, labels: entry.labels, slowness: monitor.slowness(entry.life),
 		}));
 	};
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -1,10 +1,11 @@
 /** Gives orders to machines during one term: upkeep for waves, and moves between pools. Each machine has at most one order at a time. */
 import {
-	createFleetBalancer, createUpkeepPlanner, groupBy, hasEndedLife, keepsBudgets, lifeOnMachine, MachineStates, measureDemand, unitToEvacuate,
+	createFleetBalancer, createUpkeepPlanner, groupBy, hasEndedLife, keepsBudgets, lifeOnMachine, MachineStates, mayHaveEnded, measureDemand, unitToEvacuate,
 	type ArrivalMeter, type Clock, type JobStore, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MachineOrderKind, type MovableMachine,
-	type RunEstimates, type UpkeepInput, type UpkeepWave, type WorkerDirectory, type WorkerTrack,
+	type RunEstimates, type UpkeepInput, type UpkeepWave, type WorkerDirectory, type WorkerEntry, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
+import {createForeignOrders, SEND_TIMEOUT_MS} from './foreign-orders.js';
 import type {MachineHolder, MachinePort, MachineResult} from './ports.js';
 
 /** Interval of the control steps, in milliseconds. */
@@ -17,12 +18,6 @@
 const IDLE_LIST_MAX_AGE_MS = 1500;
 /** Time before an order without a clear answer may be repeated, in milliseconds. */
 const REPEAT_DELAY_MS = 800;
-/** Time after its commit within which an order must be sent, in milliseconds; a later one is withheld. */
-const SEND_TIMEOUT_MS = 500;
-/** Added to the wait after the commit of another holder's order, in milliseconds; that order may have been sent at the last allowed moment. */
-const HOLDER_MARGIN_MS = SEND_TIMEOUT_MS + 250;
-/** Largest difference between the wall clocks of two nodes, in milliseconds; a clock may be stepped by seconds. */
-const MAX_CLOCK_DIFFERENCE_MS = 4000;
 
 /** Options of a machine controller. */
 export type MachineControllerOptions = {
@@ -56,17 +51,6 @@
 	isLeading(): boolean;
 };
 
-/** The last order to a machine, if another holder gave it. */
-type ForeignOrder = {
-	lastHolder: string;
-	/** Lower bound of its age, on the steady clock, in milliseconds. */
-	lastAgeMs: number;
-	/** Start of that age: the moment this process applied the order's record, or the start of this term. */
-	lastAgeSince: 'record' | 'term';
-	/** Its age by the wall clocks of both holders, in milliseconds; wrong by the difference between them. */
-	lastWallAgeMs: number;
-};
-
 /** An order that may still be in progress; an `unanswered` one got no clear answer and may still be carried out. */
 type PendingOrder = {atMs: number; state: 'sent' | 'done' | 'unanswered'; kind: MachineOrderKind; life?: string};
 
@@ -76,7 +60,10 @@
 	const planner = createUpkeepPlanner();
 	const balancer = createFleetBalancer();
 	const pendingOrders = new Map<string, PendingOrder>();
+	/** Machines to which this term has given an order. */
+	const ordered = new Set<string>();
 	const startedMs = clock.monotonicMs();
+	const foreignOrders = createForeignOrders(options);
 	/** Waves whose completion is being committed. */
 	const completing = new Set<number>();
 	let machines = new Map<string, Machine>();
@@ -121,13 +108,14 @@
 		machines = new Map(list.map(machine => [machine.name, machine]));
 		machineByWorker = new Map(list.toReversed().flatMap(({workerId, name}) => (workerId === undefined ? [] : [[workerId, name] as const])));
 		for (const [name, order] of pendingOrders) {
-			const isListedSince = order.state === 'done' && order.atMs < requestedMs;
+			const isListedSince = order.state !== 'sent' && order.atMs < requestedMs;
 			if (isListedSince && order.life !== undefined && hasEndedLife(machines.get(name), order.life)) {
 				options.onEnded(order.life);
 				order.life = undefined;
+				order.state = 'done';
 			}
 
-			const isUpAgain = isListedSince && machines.get(name)?.state === MachineStates.up;
+			const isUpAgain = isListedSince && order.state === 'done' && machines.get(name)?.state === MachineStates.up;
 			if (isUpAgain || (order.state === 'unanswered' && requestedMs - order.atMs > REPEAT_DELAY_MS)) {
 				pendingOrders.delete(name);
 			}
@@ -136,30 +124,6 @@
 		return true;
 	};
 
-	const lastForeignOrder = (machine: string): ForeignOrder | undefined => {
-		const last = store.machineOrder(machine);
-		if (!last || last.holder === options.holder) {
-			return undefined;
-		}
-
-		// The other holder applied the record before this process did, and sent the order within SEND_TIMEOUT_MS of that or not at all.
-		const appliedMs = options.orderAppliedMs(machine);
-		return {
-			lastHolder: last.holder,
-			lastAgeMs: Math.round(clock.monotonicMs() - (appliedMs ?? startedMs)),
-			lastAgeSince: appliedMs === undefined ? 'term' : 'record',
-			lastWallAgeMs: Math.round(clock.wallMs() - last.atMs),
-		};
-	};
-
-	/** Returns true if no other holder can have given this machine an order recently. */
-	const isClearOfOtherHolders = (machine: string): boolean => {
-		const last = lastForeignOrder(machine);
-		const spanMs = options.holderLeaseMs + HOLDER_MARGIN_MS;
-		// Wall clocks of two nodes are compared only if this process has not applied the record itself.
-		return last === undefined || last.lastAgeMs > spanMs || (last.lastAgeSince === 'term' && Math.abs(last.lastWallAgeMs) > spanMs + MAX_CLOCK_DIFFERENCE_MS);
-	};
-
 	const isIdle = (life: string | undefined): boolean => life === undefined || (store.runsOf(life).size === 0 && !options.isBeingUsed(life));
 
 	/**
@@ -168,12 +132,13 @@
 	*/
 	const giveOrder = async (machine: string, life: string | undefined, isStillAllowed: () => boolean, call: (holder: MachineHolder) => Promise<MachineResult>, fields: Record<string, string | number> & {order: MachineOrderKind}): Promise<MachineResult> => {
 		const kind = fields.order;
-		const last = lastForeignOrder(machine);
+		const last = foreignOrders.last(machine);
 		const proposedMs = clock.monotonicMs();
+		ordered.add(machine);
 		pendingOrders.set(machine, {atMs: proposedMs, state: 'sent', kind});
 		try {
 			await options.propose({
-				type: 'machine-order', machine, holder: options.holder, atMs: clock.wallMs(),
+				type: 'machine-order', machine, holder: options.holder, atMs: clock.wallMs(), life,
 			});
 		} catch (error) {
 			pendingOrders.delete(machine);
@@ -203,7 +168,10 @@
 				mustRefresh = true;
 			}
 		} else if (result.type === 'unknown') {
-			pendingOrders.set(machine, {atMs: clock.monotonicMs(), state: 'unanswered', kind});
+			pendingOrders.set(machine, {
+				atMs: clock.monotonicMs(), state: 'unanswered', kind, life,
+			});
+			mustRefresh ||= life !== undefined;
 		} else {
 			pendingOrders.delete(machine);
 		}
@@ -226,7 +194,7 @@
 
 	/** Begins one machine's upkeep if the wave's cap and the budgets still allow it; checked for each order, as each changes what the next may do. */
 	const beginUpkeep = async (wave: UpkeepWave, machine: Machine, life: string | undefined): Promise<void> => {
-		if (!options.isLeading() || !isClearOfOtherHolders(machine.name) || !planner.mayBegin(input(), wave, life)) {
+		if (!options.isLeading() || !foreignOrders.isClear(machine.name) || !planner.mayBegin(input(), wave, life)) {
 			return;
 		}
 
@@ -253,7 +221,7 @@
 		await Promise.all([completeWaves(), ...orders]);
 	};
 
-	const movable = (): MovableMachine[] => [...machines.values()].filter(machine => machine.state === MachineStates.up && !pendingOrders.has(machine.name) && isClearOfOtherHolders(machine.name)).map(machine => ({
+	const movable = (): MovableMachine[] => [...machines.values()].filter(machine => machine.state === MachineStates.up && !pendingOrders.has(machine.name) && foreignOrders.isClear(machine.name)).map(machine => ({
 		name: machine.name, pool: machine.pool, capacity: machine.capacity, kind: machine.labels[0] ?? '', isIdle: isIdle(lifeOf(machine)),
 	}));
 
@@ -325,9 +293,16 @@
 	}, STEP_INTERVAL_MS);
 
 	return {
-		/** Returns true if a machine takes no new work because it is about to go down or to move. */
-		isLeaving: (machine: string): boolean => pendingOrders.has(machine) || planner.emptying().has(machine),
-		machineOfWorker: (id: string): string | undefined => machineByWorker.get(id),
+		/** Returns true if a life may take new work: its machine is not about to go down or to move, and no order is known that may have ended it. */
+		mayTakeWork(entry: WorkerEntry): boolean {
+			const machine = entry.machine ?? machineByWorker.get(entry.id);
+			return machine === undefined || !(pendingOrders.has(machine) || planner.emptying().has(machine) || mayHaveEnded(entry, {
+				listed: machines.get(machine),
+				listReadMs,
+				order: ordered.has(machine) ? undefined : store.machineOrder(machine),
+				orderSettledMs: foreignOrders.settledMs(machine),
+			}));
+		},
 		/** Capacity that a pool has or can get within seconds, in thousandths of a core: its own machines and those in standby pools, even if their workers have not announced themselves yet; undefined before the first list. */
 		reachableCpu(pool: string): number | undefined {
 			if (machines.size === 0) {
