Do not refuse a job that an earlier call with its ID may still get accepted

Cause: while the first call's commit was under way (its caller had lost the answer and sent the job again), the leader did not know the ID yet and could answer the second call with 429 or 503, which say that the job never runs; then the first call was committed and the job ran. Change: calls with one ID share one commit and its answer.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,6 +15,7 @@
 export * from './jobs/relayed-calls.js';
 export * from './jobs/group-client.js';
 export * from './jobs/job-keeper.js';
+export * from './jobs/job-call-handler.js';
 export * from './jobs/job-leader.js';
 export type * from './jobs/job-leader-options.js';
 export * from './jobs/job-metrics.js';
--- a/packages/daemon/src/jobs/job-call-handler.ts
+++ b/packages/daemon/src/jobs/job-call-handler.ts
@@ -2,7 +2,7 @@
 import {
 	checkOrder, JobOrderError, measureBacklogs, retryAfterMs, UnreachableError,
 	type Backlog, type CallTarget, type Clock, type JobAnswer, type JobStore, type JobCall, type JobCommand, type JobDescription,
-	type Job, type JobOutcome, type JobQueue, type RunEstimates,
+	type Job, type JobOrder, type JobOutcome, type JobQueue, type RunEstimates,
 } from '@bronzebend/core';
 import {DiskFullError, NotLeaderError} from '@bronzebend/replica';
 import type {Log} from '../utils/log.js';
@@ -43,6 +43,8 @@
 /** Creates the call handler of one term. */
 export const createJobCallHandler = (options: JobCallHandlerOptions) => {
 	const {store, clock, log, metrics, propose} = options;
+	/** Answers to come for jobs whose acceptance is being committed, by job ID. */
+	const submitting = new Map<string, Promise<JobAnswer>>();
 	let backlogs = new Map<string, number>();
 	/** Capacities looked up since the backlogs were measured, by pool. */
 	let capacities = new Map<string, number | undefined>();
@@ -111,6 +113,32 @@
 		}
 	};
 
+	const commitSubmit = async (order: JobOrder, queue: JobQueue): Promise<JobAnswer> => {
+		const {id: jobId, workspace} = order;
+		const startedMs = clock.monotonicMs();
+		const outcome = await commit({type: 'submit', order, atMs: clock.wallMs()});
+		if (outcome.type === 'no-queue') {
+			return unknownQueue;
+		}
+
+		if (outcome.type !== 'accepted' || !('isNew' in outcome)) {
+			log.warn('Job not committed.', {job: jobId, queue: queue.name, outcome: outcome.type});
+			return outcome as JobAnswer;
+		}
+
+		metrics.jobs.inc({queue: queue.name, outcome: 'accepted'});
+		metrics.acceptSeconds.observe((clock.monotonicMs() - startedMs) / 1000);
+		log.info('Job accepted.', {
+			job: jobId, queue: queue.name, workspace, version: store.manifest()?.manifest.version, units: order.steps.reduce((sum, step) => sum + step.count, 0),
+		});
+		const accepted = store.job(jobId);
+		if (accepted && outcome.isNew) {
+			options.onAccepted(accepted, queue.pool);
+		}
+
+		return {type: 'accepted'};
+	};
+
 	const submit = async (target: CallTarget, job: JobDescription): Promise<JobAnswer> => {
 		const resolved = resolveTarget(target);
 		if (isAnswer(resolved)) {
@@ -127,6 +155,12 @@
 			return {type: 'accepted'};
 		}
 
+		// An earlier call with this ID may still be accepted, so a refusal of this one could be false.
+		const earlier = submitting.get(jobId);
+		if (earlier) {
+			return earlier;
+		}
+
 		if (!store.isGroupWhole()) {
 			return refused('group-forming');
 		}
@@ -156,28 +190,13 @@
 			return {type: 'rejected', reason: 'backlog', retryAfterMs: retryMs};
 		}
 
-		const startedMs = clock.monotonicMs();
-		const outcome = await commit({type: 'submit', order, atMs: clock.wallMs()});
-		if (outcome.type === 'no-queue') {
-			return unknownQueue;
-		}
-
-		if (outcome.type !== 'accepted' || !('isNew' in outcome)) {
-			log.warn('Job not committed.', {job: jobId, queue: queue.name, outcome: outcome.type});
-			return outcome as JobAnswer;
-		}
-
-		metrics.jobs.inc({queue: queue.name, outcome: 'accepted'});
-		metrics.acceptSeconds.observe((clock.monotonicMs() - startedMs) / 1000);
-		log.info('Job accepted.', {
-			job: jobId, queue: queue.name, workspace, version: store.manifest()?.manifest.version, units: order.steps.reduce((sum, step) => sum + step.count, 0),
-		});
-		const accepted = store.job(jobId);
-		if (accepted && outcome.isNew) {
-			options.onAccepted(accepted, queue.pool);
+		const answer = commitSubmit(order, queue);
+		submitting.set(jobId, answer);
+		try {
+			return await answer;
+		} finally {
+			submitting.delete(jobId);
 		}
-
-		return {type: 'accepted'};
 	};
 
 	const lookUp = (target: CallTarget): JobAnswer => {
--- /dev/null
+++ b/tests/daemon/jobs/job-call-handler.spec.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createRunEstimates, type CallTarget, type JobOutcome} from '@bronzebend/core';
+import {createJobCallHandler, createJobMetrics, silentLogs} from '@bronzebend/daemon';
+import {orderOf, stepOf, storeWith} from '../../fixtures/job-fixtures.js';
+
+const ID = 'a'.repeat(16);
+const TARGET: CallTarget = {host: 'desk.example', path: `/quotes/${ID}`, key: 'key-north'};
+
+/** A call handler whose commits wait until `commitAll` is called, with a pool that has fallen short meanwhile. */
+const createHandler = () => {
+	const store = storeWith([]);
+	store.apply({type: 'group-whole'});
+	const waiting: Array<() => void> = [];
+	let capacity = 100_000_000;
+	let nowMs = 0;
+	const handler = createJobCallHandler({
+		store,
+		estimates: createRunEstimates(),
+		clock: {wallMs: () => nowMs, monotonicMs: () => nowMs},
+		log: silentLogs('test'),
+		metrics: createJobMetrics(),
+		propose: async command => new Promise<JobOutcome>(resolve => {
+			waiting.push(() => {
+				resolve(store.apply(command));
+			});
+		}),
+		isLeading: () => true,
+		capacityOf: () => capacity,
+		announce: () => undefined,
+		leave: () => undefined,
+		onAccepted: () => undefined,
+		requestPass: () => undefined,
+	});
+	const {steps, spec, times, startAtMs, intervalMs} = orderOf(ID, [stepOf({count: 4, estimateMs: 1000})]);
+	return {
+		store,
+		submit: async (path = TARGET.path) => handler.answer({
+			type: 'submit', target: {...TARGET, path}, job: {
+				steps, spec, times, startAtMs, intervalMs,
+			},
+		}),
+		/** Fills the pool with work that takes hours, so that new jobs are refused. */
+		overload(): void {
+			capacity = 1;
+			nowMs += 1000;
+			store.apply({type: 'submit', order: orderOf('b', [stepOf({count: 1000, estimateMs: 60_000})]), atMs: 0});
+		},
+		commitAll(): void {
+			for (const commit of waiting.splice(0)) {
+				commit();
+			}
+		},
+		proposals: () => waiting.length,
+	};
+};
+
+describe('a job that is submitted again while its acceptance is being committed', () => {
+	it('should not be refused as not accepted, as it may yet run', async () => {
+		const handler = createHandler();
+		const first = handler.submit();
+		handler.overload();
+		const other = await handler.submit(`/quotes/${'c'.repeat(16)}`);
+		assert.equal(other.type, 'rejected', 'the pool is overloaded');
+		const again = handler.submit();
+		handler.commitAll();
+		const answers = await Promise.all([first, again]);
+		assert.deepEqual(answers.map(answer => answer.type), ['accepted', 'accepted']);
+		assert.ok(handler.store.job(ID));
+	});
+
+	it('should be committed once', async () => {
+		const handler = createHandler();
+		const calls = [handler.submit(), handler.submit(), handler.submit()];
+		assert.equal(handler.proposals(), 1);
+		handler.commitAll();
+		const answers = await Promise.all(calls);
+		assert.deepEqual(answers.map(answer => answer.type), ['accepted', 'accepted', 'accepted']);
+	});
+});
