--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -135,6 +135,10 @@
 		if (step.dependsOn.some(other => !Number.isSafeInteger(other) || other < 0 || other >= number)) {
 			throw new JobOrderError(`step ${number} depends on a step that does not come before it`);
 		}
+
+		if (new Set(step.dependsOn).size < step.dependsOn.length) {
+			throw new JobOrderError(`step ${number} names a step that it depends on more than once`);
+		}
 	}
 
 	const units = order.times * order.steps.reduce((sum, step) => sum + step.count, 0);
@@ -167,13 +171,16 @@
 /** True if all steps that a step depends on are done. */
 export const isStepReady = (job: Job, occurrence: Occurrence, step: number): boolean => job.order.steps[step]!.dependsOn.every(other => occurrence.doneInStep[other] === job.order.steps[other]!.count);
 
+/** The largest of the numbers, at least 0; their count is not bounded by the stack, as that of arguments is. */
+const largest = (numbers: readonly number[]): number => numbers.reduce((most, number) => Math.max(most, number), 0);
+
 /** Length of the longest dependency chain over the remaining steps, by estimated durations, in milliseconds. */
 export const chainMs = (order: JobOrder, isLeft: (step: number) => boolean = () => true): number => {
 	const ends: number[] = [];
 	for (const [number, step] of order.steps.entries()) {
-		const before = Math.max(0, ...step.dependsOn.map(other => ends[other]!));
+		const before = largest(step.dependsOn.map(other => ends[other]!));
 		ends.push(before + (isLeft(number) ? step.estimateMs : 0));
 	}
 
-	return Math.max(0, ...ends);
+	return largest(ends);
 };
--- a/tests/platform/formats.spec.ts
+++ b/tests/platform/formats.spec.ts
@@ -2,9 +2,10 @@
 import {describe, it} from 'node:test';
 import {ManifestError} from '@bronzebend/core';
 import {decodeAnnouncement, decodeLeave} from '@bronzebend/platform/announcement-format';
+import {MessageError} from '@bronzebend/platform/decoding';
 import {replyTo} from '@bronzebend/platform/http-server';
 import {decodeJob} from '@bronzebend/platform/job-format';
-import {decodeManifest, MessageError} from '@bronzebend/platform/manifest-format';
+import {decodeManifest} from '@bronzebend/platform/manifest-format';
 import {parseSettings, PlatformSettingsError} from '@bronzebend/platform/settings';
 
 const route = {
