Tell the other keepers at once when a worker leaves, drains or is proven over

Cause: the leader passed on announcements every 0.5 s and never that a worker had left or that an order had ended its life. After a change of leader such a worker was in use again until three of its reports were missed, and one whose draining was acknowledged just before the change until its next report. The message keeps its type; its new field may be missing. Left: a keeper that restarted and hears of a left worker only by a report that was on its way.

--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -37,6 +37,14 @@
 	left: boolean;
 };
 
+/** What a directory learned since it was last asked, for keepers that may have to lead next. */
+export type DirectoryChanges = {
+	/** Latest announcement of each worker. */
+	heard: ReceivedAnnouncement[];
+	/** Lives that have left or are proven to be over. */
+	left: string[];
+};
+
 /** Effect of an announcement on the directory. */
 export type AnnounceEffect = 'new-life' | 'updated' | 'draining' | 'stale';
 
@@ -50,6 +58,18 @@
 	/** Latest life on each machine, including those that have left. */
 	const byMachine = new Map<string, WorkerEntry>();
 	let unsent = new Map<string, {announcement: WorkerAnnouncement; atMs: number}>();
+	let unsentLeft = new Set<string>();
+	/** The unsent changes take workers out of use. */
+	let isUrgent = false;
+
+	const markLeft = (entry: WorkerEntry): void => {
+		if (!entry.left) {
+			unsentLeft.add(entry.life);
+			isUrgent = true;
+		}
+
+		entry.left = true;
+	};
 
 	/** Applies the rule that a machine runs one life at a time: the latest one ends all earlier ones, whatever their worker IDs. */
 	const replaceOnMachine = (entry: WorkerEntry): void => {
@@ -122,14 +142,16 @@
 				return 'new-life';
 			}
 
-			return entry.draining && !known.draining ? 'draining' : 'updated';
+			const drainsNow = entry.draining && !known.draining;
+			isUrgent ||= drainsNow;
+			return drainsNow ? 'draining' : 'updated';
 		},
 
 		/** Records that a worker leaves; returns undefined if it is unknown or has begun another life. */
 		leave(id: string, bornMs: number | undefined): WorkerEntry | undefined {
 			const entry = byId.get(id);
 			if (entry && (bornMs === undefined || bornMs === entry.bornMs)) {
-				entry.left = true;
+				markLeft(entry);
 				return entry;
 			}
 
@@ -140,7 +162,7 @@
 		ended(life: string): void {
 			const entry = ofLife(life);
 			if (entry) {
-				entry.left = true;
+				markLeft(entry);
 			}
 		},
 
@@ -160,11 +182,28 @@
 			}
 		},
 
-		/** Returns the latest announcement of each worker received since the last call, for keepers that may have to lead next. */
-		takeReceived(nowMs: number): ReceivedAnnouncement[] {
-			const received = [...unsent.values()].map(({announcement, atMs}) => ({announcement, ageMs: nowMs - atMs}));
+		/** True if the changes that were not taken yet take workers out of use, so that they should not wait. */
+		hasUrgentChanges: () => isUrgent,
+
+		/** Returns what was learned since the last call, for keepers that may have to lead next. */
+		takeChanges(nowMs: number): DirectoryChanges {
+			const heard = [...unsent.values()].map(({announcement, atMs}) => ({announcement, ageMs: nowMs - atMs}));
+			const left = [...unsentLeft];
 			unsent = new Map();
-			return received;
+			unsentLeft = new Set();
+			isUrgent = false;
+			return {heard, left};
+		},
+
+		/** Applies what another keeper's directory learned. */
+		applyChanges({heard, left}: DirectoryChanges, nowMs: number): void {
+			for (const {announcement, ageMs} of heard) {
+				this.announce(announcement, nowMs - ageMs);
+			}
+
+			for (const life of left) {
+				this.ended(life);
+			}
 		},
 
 		find: (id: string): WorkerEntry | undefined => byId.get(id),
--- a/packages/daemon/src/jobs/job-leader-options.ts
+++ b/packages/daemon/src/jobs/job-leader-options.ts
@@ -1,5 +1,5 @@
 /** Options of the leader's work. */
-import type {Clock, WorkerDirectory, ReceivedAnnouncement} from '@bronzebend/core';
+import type {Clock, WorkerDirectory, DirectoryChanges} from '@bronzebend/core';
 import type {PeerMessage} from '@bronzebend/wire';
 import type {LogFactory} from '../utils/log.js';
 import type {JobMetrics} from './job-metrics.js';
@@ -24,8 +24,8 @@
 	holderLeaseMs: number;
 	/** Interval of a worker's announcements, in milliseconds. */
 	reportMs: number;
-	/** Sends announcements received from workers to the other keepers. */
-	shareAnnouncements(heard: ReceivedAnnouncement[]): void;
+	/** Sends what the directory learned of workers to the other keepers. */
+	shareWorkers(changes: DirectoryChanges): void;
 	/** Sends a message to another keeper, such as a batch of calls to relay. */
 	send(to: string, message: PeerMessage): void;
 };
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -277,7 +277,7 @@
 		directory,
 		metrics,
 		workers,
-		shareAnnouncements: options.shareAnnouncements,
+		shareWorkers: options.shareWorkers,
 		waiting: pool => waitingUnits.get(pool) ?? 0,
 		untracked: fleet.untracked,
 		looks: fleet.looks,
--- a/packages/daemon/src/jobs/leader-reports.ts
+++ b/packages/daemon/src/jobs/leader-reports.ts
@@ -1,13 +1,13 @@
-/** The leader's periodic reports: logs pool usage, long waits and scheduling throughput, and sends worker announcements to the other keepers. */
+/** The leader's periodic reports: logs pool usage, long waits and scheduling throughput, and passes what is known of workers on to the other keepers. */
 import {
-	findLongWaits, groupBy, type Clock, type JobStore, type SchedulableWorker, type WorkerDirectory, type ReceivedAnnouncement,
+	findLongWaits, groupBy, type Clock, type JobStore, type SchedulableWorker, type WorkerDirectory, type DirectoryChanges,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
 import type {JobMetrics} from './job-metrics.js';
 import {createLoadMeter} from './process-load.js';
 import type {UntrackedRun} from './worker-fleet.js';
 
-/** Interval of the messages that pass worker announcements on to the other keepers, in milliseconds; a third of a worker's announcement interval. */
+/** Interval of the messages that pass worker announcements on to the other keepers, in milliseconds; a third of a worker's announcement interval. Workers that go out of use are passed on at once. */
 const SHARE_INTERVAL_MS = 500;
 /** Interval of the log lines on pool usage and on the scheduling pace, in milliseconds. */
 const LOG_INTERVAL_MS = 1000;
@@ -28,7 +28,7 @@
 	clock: Clock;
 	log: Log;
 	directory: WorkerDirectory;
-	shareAnnouncements(announcements: ReceivedAnnouncement[]): void;
+	shareWorkers(changes: DirectoryChanges): void;
 	/** Number of a pool's work units for which no worker had room. */
 	waiting(pool: string): number;
 	/** Workers that may take work. */
@@ -39,9 +39,9 @@
 	/** Polls of worker lists since the term began. */
 	looks(): number;
 }) => {
-	const {store, clock, log, directory, shareAnnouncements, waiting, looks, metrics} = options;
+	const {store, clock, log, directory, shareWorkers, waiting, looks, metrics} = options;
 	let usageLoggedMs = -Infinity;
-	let announcementsSharedMs = -Infinity;
+	let sharedMs = -Infinity;
 	let paceLoggedMs = clock.monotonicMs();
 	let pollsLogged = 0;
 	let passes: PassReport[] = [];
@@ -120,14 +120,14 @@
 
 	const shareReceived = (): void => {
 		const nowMs = clock.monotonicMs();
-		if (nowMs - announcementsSharedMs < SHARE_INTERVAL_MS) {
+		if (nowMs - sharedMs < SHARE_INTERVAL_MS && !directory.hasUrgentChanges()) {
 			return;
 		}
 
-		announcementsSharedMs = nowMs;
-		const announcements = directory.takeReceived(nowMs);
-		if (announcements.length > 0) {
-			shareAnnouncements(announcements);
+		sharedMs = nowMs;
+		const changes = directory.takeChanges(nowMs);
+		if (changes.heard.length > 0 || changes.left.length > 0) {
+			shareWorkers(changes);
 		}
 	};
 
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -224,7 +224,7 @@
 	z.strictObject({type: z.literal('join'), replica: z.string()}),
 	z.strictObject({type: z.literal('worker-calls'), term: count, batch: z.custom<CallBatch>()}),
 	z.strictObject({type: z.literal('worker-results'), term: count, results: z.custom<RelayedResult[]>()}),
-	z.strictObject({type: z.literal('workers-heard'), heard: z.custom<ReceivedAnnouncement[]>()}),
+	z.strictObject({type: z.literal('workers-heard'), heard: z.custom<ReceivedAnnouncement[]>(), left: z.array(z.string()).default([])}),
 	z.strictObject({
 		type: z.literal('dispatch'), pool: name, epoch: count, request: dispatchRequestSchema,
 	}),
--- a/tests/core/jobs/workers.spec.ts
+++ b/tests/core/jobs/workers.spec.ts
@@ -140,7 +140,7 @@
 		const directory = createWorkerDirectory();
 		directory.announce(announcementOf({seq: 1}), 100);
 		directory.announce(announcementOf({seq: 2}), 200);
-		assert.deepEqual(directory.takeReceived(250), [{announcement: announcementOf({seq: 2}), ageMs: 50}]);
-		assert.deepEqual(directory.takeReceived(300), []);
+		assert.deepEqual(directory.takeChanges(250), {heard: [{announcement: announcementOf({seq: 2}), ageMs: 50}], left: []});
+		assert.deepEqual(directory.takeChanges(300), {heard: [], left: []});
 	});
 });
--- a/tests/daemon/jobs/leader-pace.spec.ts
+++ b/tests/daemon/jobs/leader-pace.spec.ts
@@ -48,7 +48,7 @@
 		leaseMs: 4000,
 		holderLeaseMs: 3000,
 		reportMs: 60_000,
-		shareAnnouncements: ignore,
+		shareWorkers: ignore,
 		send: ignore,
 	}, {
 		term: 1, store, propose: async command => store.apply(command), isLeading: () => true, liveKeepers: () => [], orderAppliedMs: () => undefined,
--- a/utils/leader-passes.ts
+++ b/utils/leader-passes.ts
@@ -58,7 +58,7 @@
 		leaseMs: 4000,
 		holderLeaseMs: 3000,
 		reportMs: 1500,
-		shareAnnouncements: ignore,
+		shareWorkers: ignore,
 		send: ignore,
 	}, {
 		term,
