--- a/tests/daemon/jobs/group-client.spec.ts
+++ b/tests/daemon/jobs/group-client.spec.ts
@@ -96,3 +96,37 @@
 		client.close();
 	});
 });
+
+describe('a group client whose seeds are exchanged', () => {
+	it('should find the leader through the new seeds after all former ones are gone, and send a pending call to it once', async () => {
+		let seeds = ['gone-1', 'gone-2', 'gone-3'];
+		const calls: string[] = [];
+		const client = createGroupClient({
+			node: 'me',
+			seeds: () => seeds,
+			clock: systemClock,
+			log: silentLogs('test'),
+			send(to: string, message: PeerMessage) {
+				setImmediate(() => {
+					if (to.startsWith('gone')) {
+						return;
+					}
+
+					if (message.type === 'view-query') {
+						client.receive(to, {type: 'view', view: {leader: 'leader', members: ['leader', 'other'], leading: to === 'leader'}});
+					} else if (message.type === 'job-call') {
+						calls.push(to);
+						client.receive(to, {type: 'job-answer', id: message.id, answer: manifest});
+					}
+				});
+			},
+		});
+		const answer = client.call(call, 5000);
+		setTimeout(() => {
+			seeds = ['other', 'gone-4', 'gone-5'];
+		}, 300);
+		assert.deepEqual(await answer, manifest);
+		assert.deepEqual(calls, ['leader']);
+		client.close();
+	});
+});
