Compare the balancer with an oracle and with all machines on, at 40, 250 and 400 workers

The experiment had no yardstick for machine-seconds, which are the largest price on every site. The oracle gives a pool a machine when work waits there and takes it back when nothing runs on it, with no time for moves; always on divides all machines among the pools.

--- a/utils/experiment.ts
+++ b/utils/experiment.ts
@@ -19,13 +19,15 @@
 
 /** The strategies that are compared. */
 const strategies: Strategy[] = [
-	{name: 'ours', moves: true, refuses: true},
-	{name: 'no moves', moves: false, refuses: true},
+	{name: 'ours', capacity: 'balancer', refuses: true},
+	{name: 'no moves', capacity: 'fixed', refuses: true},
+	{name: 'always on', capacity: 'always-on', refuses: true},
+	{name: 'oracle', capacity: 'oracle', refuses: true},
 	{
-		name: 'first come, first served', moves: true, refuses: true, compare: firstCome,
+		name: 'first come, first served', capacity: 'balancer', refuses: true, compare: firstCome,
 	},
 	{
-		name: 'first come, no moves', moves: false, refuses: false, compare: firstCome,
+		name: 'first come, no moves', capacity: 'fixed', refuses: false, compare: firstCome,
 	},
 ];
 
--- a/utils/experiment/load.ts
+++ b/utils/experiment/load.ts
@@ -90,6 +90,20 @@
 
 const withDoubledRate = (load: Load): Load => ({...load, name: `${load.name}-twice`, queues: load.queues.map(queue => ({...queue, perSecond: queue.perSecond * 2}))});
 
+/** The load of a fleet that has grown by a factor, with as many machines and jobs a second more. */
+const scaled = (load: Load, workers: number): Load => {
+	const {inPool, spare, ...machine} = load.machines;
+	const factor = workers / ((load.queues.length * inPool) + spare);
+	return {
+		...load,
+		name: `${load.name}-${workers}`,
+		// Prices are shares of the worth of all jobs, which grows with the load.
+		prices: {machineSecond: load.prices.machineSecond / factor, move: load.prices.move / factor},
+		queues: load.queues.map(queue => ({...queue, perSecond: queue.perSecond * factor})),
+		machines: {inPool: Math.round(inPool * factor), spare: Math.round(spare * factor), ...machine},
+	};
+};
+
 /** All loads by name. */
 export const loads: Load[] = [
 	schaumwerk,
@@ -98,6 +112,8 @@
 	withDoubledRate(udrtina),
 	{...schaumwerk, name: 'schaumwerk-poison', poisonShare: 0.1},
 	{...schaumwerk, name: 'schaumwerk-crashes', crashedMachines: 6},
+	scaled(schaumwerk, 250),
+	scaled(schaumwerk, 400),
 ];
 
 /** Number of work units of a lasting job. */
--- a/utils/experiment/model.ts
+++ b/utils/experiment/model.ts
@@ -4,6 +4,7 @@
 	type Job, type JobStore, type JobQueue, type JobRank, type MovableMachine, type WorkerLife,
 } from '@bronzebend/core';
 import type {Load, SimulatedJob} from './load.js';
+import {followDemand} from './oracle.js';
 
 /** Step of the virtual clock, in milliseconds; about the duration of one commit. */
 const STEP_MS = 10;
@@ -16,12 +17,18 @@
 /** Time after the load in which jobs may still end, in milliseconds; the users query their states after it. */
 const GRACE_PERIOD_MS = 14_000;
 
+/** How machines come to pools: by our balancer, not at all, all of them from the start, or without delay by an oracle that knows the demand. */
+export type Capacity = 'balancer' | 'fixed' | 'always-on' | 'oracle';
+
+/** Pool of the machines that are switched off. */
+const SPARE_POOL = 'spare';
+
 /** A scheduling strategy. */
 export type Strategy = {
 	name: string;
 	/** Order of jobs; the scheduler's default order if undefined. */
 	compare?: (left: JobRank, right: JobRank) => number;
-	moves: boolean;
+	capacity: Capacity;
 	/** Whether jobs are rejected while the backlog of their queue is too large. */
 	refuses: boolean;
 };
@@ -44,7 +51,7 @@
 		type: 'publish-fleet', manifest: {
 			version: 1,
 			queues: load.queues.map(queue => queueOf(queue.name)),
-			pools: [...load.queues.map(queue => ({name: queue.name, guardsCapacity: true, standby: false})), {name: 'spare', guardsCapacity: true, standby: true}],
+			pools: [...load.queues.map(queue => ({name: queue.name, guardsCapacity: true, standby: false})), {name: SPARE_POOL, guardsCapacity: true, standby: true}],
 			workspaces: Array.from({length: load.workspaces}, (_, index) => ({
 				name: `team-${index}`, keys: [`key-${index}`], weight: 1 + index, cap: {cpu: 0, memoryMb: 0, gpu: 0},
 			})),
@@ -72,13 +79,20 @@
 	let lostCoreSeconds = 0;
 	let nextJob = 0;
 
-	const machines: ModelMachine[] = [...load.queues.map(queue => queue.name).flatMap(pool => Array.from({length: load.machines.inPool}, () => pool)), ...Array.from({length: load.machines.spare}, () => 'spare')]
+	const initialPools = (): string[] => {
+		const pools = load.queues.map(queue => queue.name);
+		const inPools = pools.flatMap(pool => Array.from({length: load.machines.inPool}, () => pool));
+		const spares = Array.from({length: load.machines.spare}, (_, index) => (strategy.capacity === 'always-on' ? pools[index % pools.length]! : SPARE_POOL));
+		return [...inPools, ...spares];
+	};
+
+	const machines: ModelMachine[] = initialPools()
 		.map((pool, index) => ({
 			name: `m${index}`, pool, upAtMs: 0, lives: 0, isCrashed: false,
 		}));
 
 	const startLife = (machine: ModelMachine, nowMs: number): void => {
-		if (machine.life !== undefined || machine.isCrashed || machine.pool === 'spare' || nowMs < machine.upAtMs) {
+		if (machine.life !== undefined || machine.isCrashed || machine.pool === SPARE_POOL || nowMs < machine.upAtMs) {
 			return;
 		}
 
@@ -136,13 +150,14 @@
 		}
 	};
 
-	const startRuns = (nowMs: number): void => {
+	/** Starts what fits; returns the number of work units that found no room, by pool. */
+	const startRuns = (nowMs: number): ReadonlyMap<string, number> => {
 		const workers = machines.flatMap(({life}) => (life ? [{...life, slowness: 1}] : []));
-		const {starts} = planStarts({
+		const {starts, waiting} = planStarts({
 			store, manifest, workers, estimates, wallMs: nowMs, avoided: () => undefined, approved: () => undefined, maxStarts: 200, compare: strategy.compare,
 		});
 		if (starts.length === 0) {
-			return;
+			return waiting;
 		}
 
 		store.apply({type: 'runs-start', lives: workers, runs: starts});
@@ -154,16 +169,34 @@
 				unit, attempt, life, startMs: nowMs, endMs: nowMs + played.runMs.get(unit)!, cpu: job.order.steps[step]!.resources.cpu,
 			});
 		}
+
+		return waiting;
+	};
+
+	const isIdle = (machine: ModelMachine): boolean => machine.life === undefined || store.runsOf(machine.life.life).size === 0;
+
+	const followOracle = (nowMs: number): void => {
+		followDemand({
+			machines,
+			sparePool: SPARE_POOL,
+			isIdle,
+			assign(machine, pool) {
+				endLife(machine, nowMs);
+				machine.pool = pool;
+				startLife(machine, nowMs);
+			},
+			startRuns: () => startRuns(nowMs),
+		});
 	};
 
 	const move = (nowMs: number): void => {
-		const up = machines.filter(machine => !machine.isCrashed && (machine.life !== undefined || (machine.pool === 'spare' && nowMs >= machine.upAtMs)));
+		const up = machines.filter(machine => !machine.isCrashed && (machine.life !== undefined || (machine.pool === SPARE_POOL && nowMs >= machine.upAtMs)));
 		const decided = balancer.step({
 			pools: manifest.manifest.pools,
 			demands: measureDemand(store, arrivals, estimates, {wallMs: nowMs, nowMs}),
 			workers: new Map([...groupBy(up, machine => machine.pool)].map(([pool, list]) => [pool, list.length])),
 			machines: up.map((machine): MovableMachine => ({
-				name: machine.name, pool: machine.pool, capacity, kind: 'a', isIdle: machine.life === undefined || store.runsOf(machine.life.life).size === 0,
+				name: machine.name, pool: machine.pool, capacity, kind: 'a', isIdle: isIdle(machine),
 			})),
 			poolOfMachine: new Map(machines.flatMap(machine => (machine.life ? [[machine.name, machine.life.pool] as const] : []))),
 			fleetSize: machines.length,
@@ -198,13 +231,18 @@
 		}
 
 		endRuns(nowMs);
-		startRuns(nowMs);
-		if (strategy.moves && nowMs % BALANCE_INTERVAL_MS === 0) {
+		if (strategy.capacity === 'oracle') {
+			followOracle(nowMs);
+		} else {
+			startRuns(nowMs);
+		}
+
+		if (strategy.capacity === 'balancer' && nowMs % BALANCE_INTERVAL_MS === 0) {
 			move(nowMs);
 		}
 
 		if (nowMs < load.lengthMs) {
-			machineSeconds += machines.filter(machine => machine.pool !== 'spare' && !machine.isCrashed).length * STEP_MS / 1000;
+			machineSeconds += machines.filter(machine => machine.pool !== SPARE_POOL && !machine.isCrashed).length * STEP_MS / 1000;
 		}
 	}
 
