Add a soak of the job programs: real processes under drawn faults

npm run faults plays the product's own interface; the programs that run on the platform had no such run. The stand-ins of the platform moved from the tests to utils, as both use them, and keep leases.

--- a/tests/platform/control-server.spec.ts
+++ b/tests/platform/control-server.spec.ts
@@ -4,7 +4,7 @@
 import {createGroupClient, silentLogs} from '@bronzebend/daemon';
 import {listenControl} from '@bronzebend/platform/control-server';
 import type {PeerMessage} from '@bronzebend/wire';
-import {request} from '../fixtures/fake-platform.js';
+import {request} from '@bronzebend/utils/platform-stand-ins';
 
 const HOST = '127.0.91.31';
 const PORT = 17_431;
