Keep the runs of a worker that refuses connections until its lease is over

Cause: the worker client read a refused connection as the end of the worker's life, so the session recorded its runs as lost and the directory marked it as left. A refused connection proves only that this caller reaches no listener.

Change: a call may be 'unsent', which has certainly had no effect and proves nothing. An unsent start is placed elsewhere at once, an unsent poll stops new work on the worker, and its runs wait for the end of the lease or a proof. A lease whose call was not sent is not counted. An unexpected error in a poll, which also ended a session, now counts as a lost answer.

Ruled out: a lease that was over; the second runs began 0.1 s after the cut.

--- a/packages/core/src/jobs/worker-calls.ts
+++ b/packages/core/src/jobs/worker-calls.ts
@@ -13,18 +13,26 @@
 	isCarrierLost?: boolean;
 };
 
+/**
+The call was never written to a connection and never will be, so it certainly has no effect. This
+proves nothing about the worker: a refused connection may come from the network between.
+*/
+export type UnsentOutcome = {type: 'unsent'; cause: string};
+
 /** Outcome of an order to a worker. */
 export type OrderResult =
 	| {type: 'done'}
 	| {type: 'rejected'; reason: OrderRejection}
 	/** The addressed life is over. */
 	| {type: 'gone'}
+	| UnsentOutcome
 	| UnknownOutcome;
 
 /** Outcome of polling a worker's lists. */
 export type HoldResult =
 	| {type: 'lists'; lists: WorkerLists}
 	| {type: 'gone'}
+	| UnsentOutcome
 	| UnknownOutcome;
 
 /** Polls a worker's lists: renews the lease if `expiresMs` is given, acknowledges ended runs up to `ackSeq`, and waits up to `waitMs` milliseconds for a run to end. */
--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -82,7 +82,10 @@
 	const {life, store, leaseMs} = options;
 	const runs = new Map<string, RunProgress>();
 	let {clock} = options;
+	/** Longest expiry of a call that has reached the worker or may have. */
 	let longestExpiryMs = 0;
+	/** Expiries of calls in flight, with their numbers. */
+	const expiriesInFlight = new Map<number, number>();
 	let ackSeq = 0;
 	let contactMs = options.nowMs;
 	// An earlier leader granted leases of the same length, the last of them before this view was created.
@@ -268,17 +271,31 @@
 			return nowMs - contactMs > MAX_RENEWAL_SILENCE_MS ? undefined : this.leaseExpiry(nowMs);
 		},
 
-		/** Expiry, on the worker's clock, of a lease granted now; undefined if the clock is unknown. */
+		/** Expiry, on the worker's clock, of a lease granted now, to be reported to `leaseCallEnded`; undefined if the clock is unknown. */
 		leaseExpiry(nowMs: number): number | undefined {
 			if (!clock) {
 				return undefined;
 			}
 
 			const expiry = Math.floor(clock.clockMs + (nowMs - clock.receivedMs) + leaseMs);
-			longestExpiryMs = Math.max(longestExpiryMs, expiry);
+			expiriesInFlight.set(expiry, (expiriesInFlight.get(expiry) ?? 0) + 1);
 			return expiry;
 		},
 
+		/** Records the end of a call with an expiry; one that was not sent extends no lease. */
+		leaseCallEnded(expiryMs: number, wasSent: boolean): void {
+			const others = (expiriesInFlight.get(expiryMs) ?? 0) - 1;
+			if (others > 0) {
+				expiriesInFlight.set(expiryMs, others);
+			} else {
+				expiriesInFlight.delete(expiryMs);
+			}
+
+			if (wasSent) {
+				longestExpiryMs = Math.max(longestExpiryMs, expiryMs);
+			}
+		},
+
 		/** Time on the leader's clock after which no run can be active unless another lease is granted. */
 		leaseEndMs(): number {
 			if (!clock) {
@@ -286,7 +303,7 @@
 			}
 
 			// The worker may have read its clock at any time until the reading was received.
-			const ownEndMs = clock.receivedMs + longestLeaseMs(longestExpiryMs - clock.clockMs);
+			const ownEndMs = clock.receivedMs + longestLeaseMs(Math.max(longestExpiryMs, ...expiriesInFlight.keys()) - clock.clockMs);
 			return Math.max(ownEndMs, inheritedUntilMs);
 		},
 	};
--- a/packages/daemon/src/jobs/run-monitor.ts
+++ b/packages/daemon/src/jobs/run-monitor.ts
@@ -47,10 +47,10 @@
 		avoided: (unit: string): ReadonlySet<string> | undefined => avoided.get(unit),
 		mayStart: (life: string, nowMs: number): boolean => !health.isSuspect(life, nowMs) && nowMs >= (pausedUntil.get(life) ?? -Infinity),
 
-		/** Records that a start was rejected or got no answer. */
+		/** Records that a start was rejected, not sent or got no answer. */
 		startFailed(start: RunStart, reason: string): void {
 			const nowMs = clock.monotonicMs();
-			pausedUntil.set(start.life, nowMs + (reason === 'no-answer' ? SILENT_PAUSE_MS : REJECTED_PAUSE_MS));
+			pausedUntil.set(start.life, nowMs + (reason === 'no-answer' || reason === 'unsent' ? SILENT_PAUSE_MS : REJECTED_PAUSE_MS));
 			if (reason === 'unhealthy') {
 				recordFailure(start.life, reason);
 			}
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -138,6 +138,9 @@
 			onStartFailed(start, reason) {
 				monitor.startFailed(start, reason);
 			},
+			onUnreachable(unreachableLife) {
+				monitor.contactLost(unreachableLife);
+			},
 			onEnded,
 			isLeading,
 		});
--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -32,8 +32,10 @@
 	recordEnds(life: string, over: EndedRun[]): Promise<boolean>;
 	/** Called after each poll of the lists. */
 	onPolled(track: WorkerTrack): void;
-	/** Called when the worker rejected a start or did not answer it. */
+	/** Called when a start had no effect or got no answer. */
 	onStartFailed(start: RunStart, reason: string): void;
+	/** Called when a poll could not be sent to the worker. */
+	onUnreachable(life: string): void;
 	/** Called once, when the life has ended or its lease has expired without contact. */
 	onEnded(life: string, cause: string): void;
 	/** Returns false while this process must not give orders. */
@@ -134,13 +136,38 @@
 		await Promise.all(unlisted.map(async ([unit, run]) => timed('stop', port.stop({unit, attempt: run.attempt, fence}))));
 	};
 
+	/** After a poll without an answer: ends the session if the lease is over, and pauses otherwise. */
+	const endOrRetry = async (cause: string): Promise<void> => {
+		if (clock.monotonicMs() > track.leaseEndMs()) {
+			end(`no contact until the lease expired: ${cause}`);
+			return;
+		}
+
+		await pause(POLL_RETRY_MS);
+	};
+
+	/** Handles an unexpected error of a poll like a lost answer, since it says nothing about the worker's runs. */
+	const pollSafely = async (): Promise<void> => {
+		try {
+			await pollOnce();
+		} catch (error) {
+			log.error('A poll of a worker failed.', {worker: life.id, cause: String(error)});
+			await endOrRetry(String(error));
+		}
+	};
+
 	const pollOnce = async (): Promise<void> => {
 		const sentMs = clock.monotonicMs();
 		const ackSeq = track.ackSeq();
 		const isIdle = track.runs.size === 0;
+		const expiresMs = isIdle ? undefined : track.renewedExpiry(sentMs);
 		const result: HoldResult = await timed('hold', port.hold({
-			expiresMs: isIdle ? undefined : track.renewedExpiry(sentMs), fence, ackSeq, waitMs: isIdle || !isFenced ? 0 : POLL_WAIT_MS,
+			expiresMs, fence, ackSeq, waitMs: isIdle || !isFenced ? 0 : POLL_WAIT_MS,
 		}));
+		if (expiresMs !== undefined) {
+			track.leaseCallEnded(expiresMs, result.type !== 'unsent');
+		}
+
 		if (!mayAct()) {
 			return;
 		}
@@ -164,13 +191,14 @@
 				return;
 			}
 
-			case 'unknown': {
-				if (clock.monotonicMs() > track.leaseEndMs()) {
-					end(`no contact until the lease expired: ${result.cause}`);
-					return;
-				}
+			case 'unsent': {
+				options.onUnreachable(life.life);
+				await endOrRetry(result.cause);
+				return;
+			}
 
-				await pause(POLL_RETRY_MS);
+			case 'unknown': {
+				await endOrRetry(result.cause);
 			}
 		}
 	};
@@ -181,7 +209,7 @@
 			while (!hasEnded() && (track.runs.size > 0 || acknowledged < track.ackSeq())) {
 				// Polls run one after another, so that lists are never read out of order.
 				// eslint-disable-next-line no-await-in-loop
-				await (mayAct() ? pollOnce() : pause(POLL_RETRY_MS));
+				await (mayAct() ? pollSafely() : pause(POLL_RETRY_MS));
 			}
 		} finally {
 			isPolling = false;
@@ -190,15 +218,13 @@
 
 	const ensurePolling = (): void => {
 		if (!isPolling && !isOver) {
-			pollWhileNeeded().catch((error: unknown) => {
-				log.error('Worker session failed.', {worker: life.id, cause: String(error)});
-				end('its session failed');
-			});
+			void pollWhileNeeded();
 		}
 	};
 
-	const rejectStart = async (start: RunStart, reason: string): Promise<void> => {
-		log.info('Start rejected by the worker.', {
+	/** Records a start that certainly had no effect as lost, so that the work unit is placed again. */
+	const giveUpStart = async (start: RunStart, reason: string): Promise<void> => {
+		log.info('Start had no effect.', {
 			unit: start.unit, attempt: start.attempt, worker: life.id, reason,
 		});
 		options.onStartFailed(start, reason);
@@ -220,7 +246,12 @@
 			}
 
 			case 'rejected': {
-				void rejectStart(start, result.reason);
+				void giveUpStart(start, result.reason);
+				return;
+			}
+
+			case 'unsent': {
+				void giveUpStart(start, 'unsent');
 				return;
 			}
 
@@ -253,14 +284,16 @@
 		}
 
 		if (expiresMs === undefined) {
-			await rejectStart(start, 'clock-unknown');
+			await giveUpStart(start, 'clock-unknown');
 			return;
 		}
 
 		log.debug('Start ordered.', {unit: start.unit, attempt: start.attempt, worker: life.id});
-		onStartResult(start, await timed('start', port.start({
+		const result = await timed('start', port.start({
 			unit: start.unit, attempt: start.attempt, spec: found.job.order.spec, expiresMs, fence, checkpoint: found.unit.checkpoint, ticket,
-		})));
+		}));
+		track.leaseCallEnded(expiresMs, result.type !== 'unsent');
+		onStartResult(start, result);
 	};
 
 	if (track.runs.size > 0) {
--- a/tests/core/jobs/worker-track.spec.ts
+++ b/tests/core/jobs/worker-track.spec.ts
@@ -38,6 +38,18 @@
 		assert.ok(overMs < 100 + leaseMs + 1000);
 	});
 
+	it('should not count a lease that was not sent', () => {
+		const {track} = setUp();
+		track.reconcile({...noLists, active: [active]}, 90, 100);
+		const sent = track.renewedExpiry(100)!;
+		track.leaseCallEnded(sent, true);
+		const overMs = track.leaseEndMs();
+		const unsent = track.renewedExpiry(900)!;
+		assert.ok(track.leaseEndMs() > overMs, 'a call in flight may still reach the worker');
+		track.leaseCallEnded(unsent, false);
+		assert.equal(track.leaseEndMs(), overMs);
+	});
+
 	it('should allow for a worker clock that is two percent slow', () => {
 		const {track} = setUp();
 		track.reconcile({...noLists, active: [active]}, 90, 100);
--- a/tests/daemon/jobs/worker-session.spec.ts
+++ b/tests/daemon/jobs/worker-session.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	type JobStore, type OrderResult, type StartOrder, type WorkerLists,
+	type HoldResult, type JobStore, type OrderResult, type StartOrder, type WorkerLists,
 } from '@bronzebend/core';
 import {
 	createJobMetrics, createWorkerSession, silentLogs, type WorkerPort, type WorkerSession,
@@ -25,11 +25,17 @@
 };
 
 const started: OrderResult = {type: 'done'};
+const active = {
+	unit, attempt: 1, checkpoint: '', percent: 100, load: 0,
+};
+
+/** Lists of a worker, or the whole result of a poll. */
+type Polled = Partial<WorkerLists> | Exclude<HoldResult, {type: 'lists'}>;
 
-const setUp = (lists: () => Partial<WorkerLists>, startResult: OrderResult = started) => {
+const setUp = (lists: () => Polled, startResult: OrderResult = started) => {
 	const store: JobStore = storeWith([orderOf('a', [stepOf({lasting: true})])]);
 	const calls = {
-		holds: 0, starts: [] as StartOrder[], stops: 0, failed: [] as string[],
+		holds: 0, starts: [] as StartOrder[], stops: 0, failed: [] as string[], unreachable: 0, ended: [] as string[],
 	};
 	let leads = true;
 	let nowMs = 1000;
@@ -41,9 +47,14 @@
 			await new Promise(resolve => {
 				setTimeout(resolve, 2);
 			});
+			const polled = lists();
+			if ('type' in polled) {
+				return polled;
+			}
+
 			return {
 				type: 'lists', lists: {
-					clockMs: nowMs, active: [], finished: [], ...lists(),
+					clockMs: nowMs, active: [], finished: [], ...polled,
 				},
 			};
 		},
@@ -79,7 +90,12 @@
 		onStartFailed(_start, reason) {
 			calls.failed.push(reason);
 		},
-		onEnded: () => undefined,
+		onUnreachable() {
+			calls.unreachable += 1;
+		},
+		onEnded(_life, cause) {
+			calls.ended.push(cause);
+		},
 		isLeading: () => leads,
 	});
 	const begin = (): void => {
@@ -91,6 +107,10 @@
 		store, calls, session, begin, lead(value: boolean): void {
 			leads = value;
 		},
+		/** Lets time pass on the session's clock, in milliseconds. */
+		pass(milliseconds: number): void {
+			nowMs += milliseconds;
+		},
 	};
 };
 
@@ -127,6 +147,47 @@
 		assert.ok(calls.stops > 0);
 	});
 
+	// Its runs were started elsewhere at once, while they went on behind a cut that refuses connections.
+	it('should keep the runs of a worker that refuses connections until its lease is over', async () => {
+		let isCut = false;
+		const {calls, session, begin, pass} = setUp(() => (isCut ? {type: 'unsent', cause: 'connection refused'} : {active: [active]}));
+		begin();
+		await waitUntil(() => calls.holds > 2);
+		isCut = true;
+		await waitUntil(() => calls.unreachable > 3);
+		pass(3500);
+		await waitUntil(() => calls.unreachable > 6);
+		assert.deepEqual([calls.ended, session.isOver()], [[], false]);
+		pass(1000);
+		await waitUntil(() => session.isOver());
+		assert.deepEqual(calls.ended, ['no contact until the lease expired: connection refused']);
+	});
+
+	it('should keep renewing leases after an unexpected error of a poll', async () => {
+		let errors = 0;
+		const {calls, session, begin} = setUp(() => {
+			errors += 1;
+			if (errors === 3) {
+				throw new TypeError('an error of this test');
+			}
+
+			return {active: [active]};
+		});
+		begin();
+		await waitUntil(() => calls.holds > 6);
+		session.close();
+		assert.ok(calls.holds > 6);
+		assert.deepEqual(calls.ended, []);
+	});
+
+	it('should give up a start that was not sent at once', async () => {
+		const {store, calls, session, begin} = setUp(() => ({}), {type: 'unsent', cause: 'connection refused'});
+		begin();
+		await waitUntil(() => store.find(unit)!.unit.state === 'idle');
+		session.close();
+		assert.deepEqual([store.find(unit)!.unit.state, calls.failed, calls.stops], ['idle', ['unsent'], 0]);
+	});
+
 	it('should not report a failed start if the call was lost by its relay', async () => {
 		for (const isCarrierLost of [true, false]) {
 			const {store, calls, session, begin} = setUp(() => ({}), {type: 'unknown', cause: 'no result', isCarrierLost});
--- /dev/null
+++ b/tests/platform/worker-client.spec.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {describe, it} from 'node:test';
+import {connectWorker} from '@bronzebend/platform/worker-client';
+import {lifeNamed} from '../fixtures/job-fixtures.js';
+
+const hold = {fence: 1, ackSeq: 0, waitMs: 0};
+const order = {unit: 'a.0.0.0', attempt: 1, fence: 1};
+
+const listen = async (server: http.Server): Promise<string> => new Promise(resolve => {
+	server.listen(0, '127.0.0.1', () => {
+		resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	});
+});
+
+describe('worker client', () => {
+	// A cut link may refuse connections while the worker and its runs go on.
+	it('should not take a refused connection for the end of the worker\'s life', async () => {
+		const server = http.createServer();
+		const address = await listen(server);
+		server.close();
+		const worker = connectWorker(lifeNamed('w1', {address}));
+		const results = [await worker.hold(hold), await worker.stop(order), await worker.start({
+			...order, spec: '', expiresMs: 1, checkpoint: '',
+		})];
+		worker.close();
+		assert.deepEqual(results.map(result => result.type), ['unsent', 'unsent', 'unsent']);
+	});
+
+	it('should take the rejection of another worker at the address for the end of the life', async context => {
+		const server = http.createServer((_req, res) => {
+			res.writeHead(421).end('{"clock-ms":1}');
+		});
+		context.after(() => {
+			server.closeAllConnections();
+			server.close();
+		});
+		const worker = connectWorker(lifeNamed('w1', {address: await listen(server)}));
+		const results = [await worker.hold(hold), await worker.stop(order)];
+		worker.close();
+		assert.deepEqual(results, [{type: 'gone'}, {type: 'gone'}]);
+	});
+});
