Keep old start orders from a worker's next life

What callers saw: a worker that lost power for 3 s and started again under its ID carried out start orders of before, beside the new runs of their work units (TWICE).

Cause: a queued call had no time limit until it was sent, so it outlived its caller; on a report of the next life the runs were recorded as lost without a stop there; and a paused relaying keeper made calls of any age.

Ruled out: that the expiry of the order protects; the next life's clock starts anew, so the expiry lies ahead of it.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -23,4 +23,5 @@
 export type * from './jobs/ports.js';
 export * from './jobs/process-load.js';
 export * from './jobs/worker-session.js';
+export type * from './jobs/worker-session-options.js';
 export * from './utils/bounded-log.js';
--- a/packages/daemon/src/jobs/call-relay.ts
+++ b/packages/daemon/src/jobs/call-relay.ts
@@ -1,9 +1,10 @@
 /** Relays calls to workers for the leader: takes them in batches, makes them, and sends the results back in batches. */
+import {randomUUID} from 'node:crypto';
 import {
 	unpackCalls,
 	type RelayedCall, type RelayedResult, type Clock, type HoldResult, type OrderResult, type WorkerAddress, type WorkerCall,
 } from '@bronzebend/core';
-import type {PeerMessage} from '@bronzebend/wire';
+import type {ClockReading, PeerMessage} from '@bronzebend/wire';
 import type {Log} from '../utils/log.js';
 import type {WorkerConnector, WorkerPort} from './ports.js';
 
@@ -45,18 +46,27 @@
 	}
 };
 
+/** The leader whose calls are relayed. */
+type Caller = {leader: string; term: number};
+
 /** Creates the call relay of one process. */
 export const createCallRelay = ({clock, log, connect, term, send}: CallRelayOptions) => {
 	const ports = new Map<string, {port: WorkerPort; usedMs: number}>();
 	let results: RelayedResult[] = [];
-	let caller: {leader: string; term: number} | undefined;
+	let caller: Caller | undefined;
 	let isDraining = false;
+	const process = randomUUID();
 
 	const flush = (): void => {
 		if (caller && results.length > 0) {
-			send(caller.leader, {type: 'worker-results', term: caller.term, results});
+			sendResults(caller);
 		}
+	};
 
+	const sendResults = ({leader, term: callTerm}: Caller): void => {
+		send(leader, {
+			type: 'worker-results', term: callTerm, results, reading: {process, clockMs: clock.monotonicMs()},
+		});
 		results = [];
 	};
 
@@ -78,6 +88,9 @@
 		return entry.port;
 	};
 
+	/** True if calls must not be made any more, or were meant for an earlier process at this node. A process that was paused gets old calls. */
+	const isExpired = (sendBy: ClockReading | undefined): boolean => !(sendBy?.process === process && clock.monotonicMs() <= sendBy.clockMs);
+
 	const relay = async (callTerm: number, {id, worker, call}: RelayedCall): Promise<void> => {
 		if (isDraining) {
 			report(callTerm, {id, result: {type: 'unknown', cause: 'the keeper is shutting down', isCarrierLost: true}});
@@ -118,7 +131,23 @@
 				log.info('Relaying worker calls for a new leader.', {leader: from, term: message.term});
 			}
 
-			for (const call of unpackCalls(message.batch)) {
+			const calls = unpackCalls(message.batch);
+			if (calls.length === 0) {
+				// The leader asks for a reading of this process's clock.
+				sendResults(caller);
+				return;
+			}
+
+			if (isExpired(message.sendBy)) {
+				log.warn('Dropped worker calls that arrived too late.', {leader: from, term: message.term, calls: calls.length});
+				for (const {id} of calls) {
+					report(message.term, {id, result: {type: 'unsent', cause: 'arrived too late at the relaying keeper'}});
+				}
+
+				return;
+			}
+
+			for (const call of calls) {
 				void relay(message.term, call);
 			}
 		},
--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -6,7 +6,9 @@
 import {
 	createFileDisk, createReplica, decodeBytes, DiskFullError, encodeBytes, openStorage, type RaftTimings, type Replica,
 } from '@bronzebend/replica';
-import type {Member, NotLeading, PeerMessage} from '@bronzebend/wire';
+import type {
+	ClockReading, Member, NotLeading, PeerMessage,
+} from '@bronzebend/wire';
 import {decideGroupFormation} from '../keeper/bootstrap.js';
 import {createGroupMessages} from '../keeper/group-messages.js';
 import type {Log, LogFactory} from '../utils/log.js';
@@ -30,7 +32,7 @@
 export type LeaderWork = {
 	answer(call: JobCall): Promise<JobAnswer>;
 	/** Takes the results of calls relayed by another keeper. */
-	receiveResults(results: readonly RelayedResult[]): void;
+	receiveResults(from: string, results: readonly RelayedResult[], reading: ClockReading): void;
 	stop(): void;
 };
 
@@ -281,7 +283,7 @@
 
 				case 'worker-results': {
 					if (message.term === workTerm) {
-						work?.receiveResults(message.results);
+						work?.receiveResults(from, message.results, message.reading);
 					}
 
 					return true;
--- a/packages/daemon/src/jobs/job-leader-options.ts
+++ b/packages/daemon/src/jobs/job-leader-options.ts
@@ -20,6 +20,8 @@
 	advice?: AdvicePort;
 	/** Length of a worker's lease, in milliseconds. */
 	leaseMs: number;
+	/** Longest lease that a worker grants, in milliseconds. */
+	maxLeaseMs: number;
 	/** Time after another holder's last order to a machine in which this process gives it none, in milliseconds. */
 	holderLeaseMs: number;
 	/** Interval of a worker's announcements, in milliseconds. */
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -1,7 +1,7 @@
 /** The leader's work during one term: answers calls, starts and stops runs, and gives orders to machines. */
 import {
 	createArrivalMeter, planStarts,
-	type RelayedResult, type JobAnswer, type JobCall, type RunStart, type SchedulableWorker,
+	type JobAnswer, type JobCall, type RunStart, type SchedulableWorker,
 } from '@bronzebend/core';
 import {createAdviceCache} from './advice-cache.js';
 import {createRelayedCalls} from './relayed-calls.js';
@@ -63,6 +63,7 @@
 		connect: calls.connect,
 		fence: term,
 		leaseMs: options.leaseMs,
+		maxLeaseMs: options.maxLeaseMs,
 		propose,
 		isLeading: leads,
 		onChange() {
@@ -235,7 +236,7 @@
 
 		if (effect === 'new-life') {
 			if (before) {
-				fleet.declareEnded(before.life, 'the worker restarted');
+				fleet.declareRestarted(before.life);
 			}
 
 			requestPass();
@@ -306,8 +307,8 @@
 			return answer;
 		},
 
-		receiveResults(results: readonly RelayedResult[]): void {
-			calls.receive(results);
+		receiveResults(from, results, reading): void {
+			calls.receive(from, results, reading);
 		},
 
 		stop(): void {
--- a/packages/daemon/src/jobs/relayed-calls.ts
+++ b/packages/daemon/src/jobs/relayed-calls.ts
@@ -3,16 +3,19 @@
 
 The leader makes the decisions. Each worker's calls go in batches to one keeper that answered
 recently, and the results come back in batches. Each call carries its fencing token, attempt and
-expiry, so it is safe if it arrives late or not at all, and losing a batch is no worse than losing
-single calls. Without another live keeper the leader calls the workers itself.
+expiry, so it is safe if it is made late or not at all on the life that it is meant for, and losing a
+batch is no worse than losing single calls. A later life of a worker with the same ID would accept it,
+so a keeper makes no call that the leader has given up. Without another live keeper the leader calls
+the workers itself.
 */
 import {
 	packCalls,
 	type RelayedCall, type RelayedResult, type Clock, type HoldResult, type OrderResult, type UnknownOutcome, type WorkerAddress, type WorkerCall,
 } from '@bronzebend/core';
-import type {PeerMessage} from '@bronzebend/wire';
+import type {ClockReading, PeerMessage} from '@bronzebend/wire';
 import type {Log} from '../utils/log.js';
 import {makeCall} from './call-relay.js';
+import {createKeeperClocks} from './keeper-clocks.js';
 import type {WorkerConnector, WorkerPort} from './ports.js';
 
 /** Time for which calls are collected into one message, in milliseconds. */
@@ -23,6 +26,8 @@
 const CHECK_INTERVAL_MS = 50;
 /** Time for which a keeper gets no calls after it failed to return a result, in milliseconds. */
 const AVOID_KEEPER_MS = 1000;
+/** Time that a new leader waits for the other keepers' clocks before it calls workers itself, in milliseconds. */
+const FIRST_READING_TIMEOUT_MS = 150;
 /** Workers beyond an even share that a keeper may serve before some are moved to other keepers. */
 const MAX_EXCESS_WORKERS = 8;
 
@@ -50,8 +55,15 @@
 	const keeperByLife = new Map<string, string>();
 	const workerCounts = new Map<string, number>();
 	const avoidedUntilMs = new Map<string, number>();
+	const clocks = createKeeperClocks(clock);
 	let usable: string[] = [];
 	let lastId = 0;
+	let startRelaying: () => void = () => undefined;
+	/** Resolves when calls can be relayed, or when there is nothing to wait for. */
+	const mayBegin = new Promise<void>(resolve => {
+		startRelaying = resolve;
+	});
+	const beginTimer = setTimeout(startRelaying, FIRST_READING_TIMEOUT_MS);
 
 	const avoid = (keeper: string, why: string): void => {
 		if (!avoidedUntilMs.has(keeper)) {
@@ -87,7 +99,15 @@
 		}
 
 		endLostCalls(live, nowMs);
-		usable = live.filter(keeper => !avoidedUntilMs.has(keeper));
+		usable = live.filter(keeper => clocks.isKnown(keeper) && !avoidedUntilMs.has(keeper));
+		for (const keeper of live.filter(each => !clocks.isKnown(each))) {
+			// A batch without calls asks for a reading.
+			send(keeper, {type: 'worker-calls', term, batch: packCalls([])});
+		}
+
+		if (live.length === 0 || usable.length > 0) {
+			startRelaying();
+		}
 	};
 
 	refreshKeepers();
@@ -120,9 +140,16 @@
 	};
 
 	const flush = (keeper: string): void => {
-		const calls = batches.get(keeper)!;
+		const calls = batches.get(keeper);
+		if (!calls) {
+			return;
+		}
+
 		batches.delete(keeper);
-		send(keeper, {type: 'worker-calls', term, batch: packCalls(calls)});
+		const least = clocks.least(keeper);
+		send(keeper, {
+			type: 'worker-calls', term, batch: packCalls(calls), sendBy: least && {...least, clockMs: least.clockMs + RESULT_TIMEOUT_MS},
+		});
 	};
 
 	const enqueue = (keeper: string, call: RelayedCall): void => {
@@ -153,6 +180,7 @@
 		connect(worker: WorkerAddress): WorkerPort {
 			const directPort = direct(worker);
 			const make = async (call: WorkerCall): Promise<HoldResult | OrderResult> => {
+				await mayBegin;
 				const keeper = chooseKeeper(worker.life);
 				return keeper === undefined ? makeCall(directPort, call) : relay(keeper, worker, call);
 			};
@@ -170,7 +198,12 @@
 		},
 
 		/** Takes results from a relaying keeper; results of calls already resolved have no effect. */
-		receive(results: readonly RelayedResult[]): void {
+		receive(from: string, results: readonly RelayedResult[], reading: ClockReading): void {
+			clocks.read(from, reading);
+			if (results.length === 0) {
+				refreshKeepers();
+			}
+
 			for (const {id, result} of results) {
 				const call = pending.get(id);
 				pending.delete(id);
@@ -184,6 +217,9 @@
 
 		close(): void {
 			clearInterval(timer);
+			clearTimeout(beginTimer);
+			startRelaying();
+			batches.clear();
 			for (const {keeper, resolve} of pending.values()) {
 				resolve(relayLost(keeper));
 			}
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -25,6 +25,8 @@
 	connect: WorkerConnector;
 	fence: number;
 	leaseMs: number;
+	/** Longest lease that a worker grants, in milliseconds. */
+	maxLeaseMs: number;
 	propose(command: JobCommand): Promise<JobOutcome>;
 	isLeading(): boolean;
 	/** Called when work or free capacity may have become available. */
@@ -113,10 +115,10 @@
 		}
 	};
 
-	/** Returns the session of a life; starts one if there is none. */
+	/** Returns the session of a life; starts one if there is none. One whose life is over gives no orders, and its runs are recorded as lost when it ends. */
 	const sessionOf = (life: WorkerLife, inherited: boolean): WorkerSession => {
 		const existing = sessions.get(life.life);
-		if (existing && !existing.isOver()) {
+		if (existing && !existing.hasEnded()) {
 			return existing;
 		}
 
@@ -128,6 +130,7 @@
 			port: options.connect(life),
 			fence: options.fence,
 			leaseMs: options.leaseMs,
+			maxLeaseMs: options.maxLeaseMs,
 			inherited,
 			announcedClock: clockMs === undefined || inherited ? undefined : {clockMs, receivedMs: entry!.receivedMs},
 			clock,
@@ -141,6 +144,7 @@
 			onUnreachable(unreachableLife) {
 				monitor.contactLost(unreachableLife);
 			},
+			onLifeOver: directory.ended,
 			onEnded,
 			isLeading,
 		});
@@ -251,6 +255,11 @@
 			sessions.get(life)?.declareEnded(cause);
 		},
 
+		/** Ends the session of a life whose worker has begun another one. */
+		declareRestarted(life: string): void {
+			sessions.get(life)?.declareRestarted('the worker restarted');
+		},
+
 		close(): void {
 			closed = true;
 			for (const session of sessions.values()) {
--- /dev/null
+++ b/packages/daemon/src/jobs/worker-session-options.ts
@@ -0,0 +1,37 @@
+/** Options of the leader's session with one life of a worker. */
+import type {
+	Clock, EndedRun, JobStore, RunStart, WorkerLife, WorkerTrack,
+} from '@bronzebend/core';
+import type {Log} from '../utils/log.js';
+import type {JobMetrics} from './job-metrics.js';
+import type {WorkerPort} from './ports.js';
+
+/** Options of a worker session. */
+export type WorkerSessionOptions = {
+	life: WorkerLife;
+	store: JobStore;
+	port: WorkerPort;
+	fence: number;
+	leaseMs: number;
+	/** Longest lease that a worker grants, in milliseconds. */
+	maxLeaseMs: number;
+	inherited: boolean;
+	announcedClock?: {clockMs: number; receivedMs: number};
+	clock: Clock;
+	log: Log;
+	metrics: JobMetrics;
+	/** Commits ended runs before they are acknowledged to the worker; returns false if that failed. */
+	recordEnds(life: string, over: EndedRun[]): Promise<boolean>;
+	/** Called after each poll of the lists. */
+	onPolled(track: WorkerTrack): void;
+	/** Called when a start had no effect or got no answer. */
+	onStartFailed(start: RunStart, reason: string): void;
+	/** Called when a poll could not be sent to the worker. */
+	onUnreachable(life: string): void;
+	/** Called once the life is known to be over, before `onEnded`. */
+	onLifeOver(life: string): void;
+	/** Called once, when none of the runs can be active or start any more: the life is over, or its lease has expired without contact. */
+	onEnded(life: string, cause: string): void;
+	/** Returns false while this process must not give orders. */
+	isLeading(): boolean;
+};
--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -1,11 +1,11 @@
 /** The leader's session with one life of a worker: renews its lease, polls its lists of runs, and sends it orders. */
 import {
-	createWorkerTrack,
-	type Clock, type HoldResult, type JobStore, type OrderResult, type ReconcileResult, type EndedRun, type RunStart, type WorkerLife, type WorkerTrack,
+	createWorkerTrack, longestLeaseMs,
+	type HoldResult, type OrderResult, type ReconcileResult, type EndedRun, type RunStart,
 } from '@bronzebend/core';
-import type {Log} from '../utils/log.js';
-import type {JobMetrics} from './job-metrics.js';
-import type {WorkerPort} from './ports.js';
+import {pause} from '../utils/pause.js';
+import {fenceLateStarts} from './late-orders.js';
+import type {WorkerSessionOptions} from './worker-session-options.js';
 
 /** Longest wait of a poll of the lists, in milliseconds; a lost poll delays the detection of ended runs by as much. */
 const POLL_WAIT_MS = 400;
@@ -16,39 +16,9 @@
 /** Pause after a poll that listed ended runs, in milliseconds; runs that end meanwhile are read together. */
 const ENDS_BATCH_MS = 12;
 
-/** Options of a worker session. */
-export type WorkerSessionOptions = {
-	life: WorkerLife;
-	store: JobStore;
-	port: WorkerPort;
-	fence: number;
-	leaseMs: number;
-	inherited: boolean;
-	announcedClock?: {clockMs: number; receivedMs: number};
-	clock: Clock;
-	log: Log;
-	metrics: JobMetrics;
-	/** Commits ended runs before they are acknowledged to the worker; returns false if that failed. */
-	recordEnds(life: string, over: EndedRun[]): Promise<boolean>;
-	/** Called after each poll of the lists. */
-	onPolled(track: WorkerTrack): void;
-	/** Called when a start had no effect or got no answer. */
-	onStartFailed(start: RunStart, reason: string): void;
-	/** Called when a poll could not be sent to the worker. */
-	onUnreachable(life: string): void;
-	/** Called once, when the life has ended or its lease has expired without contact. */
-	onEnded(life: string, cause: string): void;
-	/** Returns false while this process must not give orders. */
-	isLeading(): boolean;
-};
-
 /** A running session. */
 export type WorkerSession = ReturnType<typeof createWorkerSession>;
 
-const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
-	setTimeout(resolve, milliseconds);
-});
-
 /** Starts a session. */
 export const createWorkerSession = (options: WorkerSessionOptions) => {
 	const {life, store, port, fence, clock, log, metrics} = options;
@@ -57,6 +27,8 @@
 	});
 	const stopping = new Set<string>();
 	let isOver = false;
+	/** The life is over; orders to it that are under way may still reach the worker's next life. */
+	let isRetiring = false;
 	let isPolling = false;
 	let acknowledged = 0;
 	/** True once the worker has this leader's fencing token. No start is sent before that, so until then polls return at once. */
@@ -64,7 +36,7 @@
 
 	const hasEnded = (): boolean => isOver;
 	/** A leader may lose its lease briefly; the session continues once the lease is back, unless the term has ended. */
-	const mayAct = (): boolean => !isOver && options.isLeading();
+	const mayAct = (): boolean => !isOver && !isRetiring && options.isLeading();
 
 	const end = (cause: string): void => {
 		if (isOver) {
@@ -76,6 +48,38 @@
 		options.onEnded(life.life, cause);
 	};
 
+	/** Ends the session of a life that is over, once no order to it that is under way can take effect on the worker's next life. */
+	const retire = async (cause: string): Promise<void> => {
+		if (isOver || isRetiring) {
+			return;
+		}
+
+		isRetiring = true;
+		options.onLifeOver(life.life);
+		const certain = track.lostRuns().filter(({unit}) => track.runs.get(unit)?.isListed);
+		log.info('Worker life is over.', {
+			worker: life.life, cause, runs: track.runs.size, listed: certain.length,
+		});
+		await Promise.all([
+			certain.length > 0 && options.recordEnds(life.life, certain),
+			fenceLateStarts({
+				track,
+				clock,
+				untilMs: clock.monotonicMs() + longestLeaseMs(options.maxLeaseMs),
+				stop: async (unit, attempt) => timed('stop', port.stop({unit, attempt, fence})),
+				isCancelled: hasEnded,
+			}),
+		]);
+		end(cause);
+	};
+
+	const beginRetiring = (cause: string): void => {
+		retire(cause).catch((error: unknown) => {
+			log.error('Could not end a worker session in order.', {worker: life.id, cause: String(error)});
+			end(cause);
+		});
+	};
+
 	const timed = async <Result extends {type: string}>(order: string, call: Promise<Result>): Promise<Result> => {
 		const sentMs = clock.monotonicMs();
 		const result = await call;
@@ -106,7 +110,7 @@
 			}
 
 			if (result.type === 'gone') {
-				end('another life of the worker answered a stop');
+				beginRetiring('another life of the worker answered a stop');
 				break;
 			}
 
@@ -130,12 +134,6 @@
 		track.recorded(reconciled.endedRuns, reconciled.ackSeq);
 	};
 
-	/** Stops runs that this life never listed: their orders may have reached its successor, where they must not run. */
-	const stopUnlistedRuns = async (): Promise<void> => {
-		const unlisted = [...track.runs].filter(([, run]) => !run.isListed);
-		await Promise.all(unlisted.map(async ([unit, run]) => timed('stop', port.stop({unit, attempt: run.attempt, fence}))));
-	};
-
 	/** After a poll without an answer: ends the session if the lease is over, and pauses otherwise. */
 	const endOrRetry = async (cause: string): Promise<void> => {
 		if (clock.monotonicMs() > track.leaseEndMs()) {
@@ -186,8 +184,7 @@
 			}
 
 			case 'gone': {
-				await stopUnlistedRuns();
-				end('another life of the worker answered a poll');
+				await retire('another life of the worker answered a poll');
 				return;
 			}
 
@@ -245,18 +242,14 @@
 				return;
 			}
 
-			case 'rejected': {
-				void giveUpStart(start, result.reason);
-				return;
-			}
-
+			case 'rejected':
 			case 'unsent': {
-				void giveUpStart(start, 'unsent');
+				void giveUpStart(start, result.type === 'rejected' ? result.reason : 'unsent');
 				return;
 			}
 
 			case 'gone': {
-				end('another life of the worker answered a start');
+				beginRetiring('another life of the worker answered a start');
 				return;
 			}
 
@@ -303,7 +296,9 @@
 	return {
 		track,
 		life,
-		isOver: hasEnded,
+		/** True once the life is over, even while orders to it are under way. */
+		isOver: () => isOver || isRetiring,
+		hasEnded,
 
 		/** Orders the start of a recorded run. */
 		start(start: RunStart, ticket: string | undefined): void {
@@ -338,9 +333,12 @@
 			}
 		},
 
-		/** Ends the session because the platform or the worker reported that this life has ended. */
+		/** Ends the session because the platform reported that this life has ended and no other has begun. */
 		declareEnded: end,
 
+		/** Ends the session because the worker has begun another life. */
+		declareRestarted: beginRetiring,
+
 		close(): void {
 			isOver = true;
 			port.close();
--- /dev/null
+++ b/packages/daemon/src/utils/pause.ts
@@ -0,0 +1,4 @@
+/** Waits for a time, in milliseconds. */
+export const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, milliseconds);
+});
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -204,6 +204,10 @@
 /** Answer of a keeper that cannot act as the group's leader now. */
 export type NotLeading = {type: 'not-leading'; leader?: string};
 
+/** A reading of a process's own monotonic clock, in milliseconds, with the ID of that process. */
+const clockReading = z.strictObject({process: z.string(), clockMs: z.number()});
+export type ClockReading = z.infer<typeof clockReading>;
+
 /** One message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('type', [
 	z.strictObject({
@@ -222,8 +226,12 @@
 	z.strictObject({type: z.literal('view-query')}),
 	z.strictObject({type: z.literal('view'), view: z.custom<GroupView>()}),
 	z.strictObject({type: z.literal('join'), replica: z.string()}),
-	z.strictObject({type: z.literal('worker-calls'), term: count, batch: z.custom<CallBatch>()}),
-	z.strictObject({type: z.literal('worker-results'), term: count, results: z.custom<RelayedResult[]>()}),
+	z.strictObject({
+		type: z.literal('worker-calls'), term: count, batch: z.custom<CallBatch>(), sendBy: clockReading.optional(),
+	}),
+	z.strictObject({
+		type: z.literal('worker-results'), term: count, results: z.custom<RelayedResult[]>(), reading: clockReading,
+	}),
 	z.strictObject({type: z.literal('workers-heard'), heard: z.custom<ReceivedAnnouncement[]>(), left: z.array(z.string()).default([])}),
 	z.strictObject({
 		type: z.literal('dispatch'), pool: name, epoch: count, request: dispatchRequestSchema,
--- a/tests/daemon/jobs/leader-pace.spec.ts
+++ b/tests/daemon/jobs/leader-pace.spec.ts
@@ -46,6 +46,7 @@
 			list: async () => listed, move: async () => ({type: 'rejected', reason: 'busy'}), upkeep: async () => ({type: 'rejected', reason: 'busy'}),
 		},
 		leaseMs: 4000,
+		maxLeaseMs: 10_000,
 		holderLeaseMs: 3000,
 		reportMs: 60_000,
 		shareWorkers: ignore,
--- a/tests/daemon/jobs/relayed-calls.spec.ts
+++ b/tests/daemon/jobs/relayed-calls.spec.ts
@@ -1,16 +1,19 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	groupBy, unpackCalls, type RelayedCall, type HoldResult, type OrderResult,
+	groupBy, unpackCalls, type RelayedCall, type RelayedResult, type HoldResult, type OrderResult,
 } from '@bronzebend/core';
 import {
 	createCallRelay, createRelayedCalls, silentLogs, type WorkerPort,
 } from '@bronzebend/daemon';
-import type {PeerMessage} from '@bronzebend/wire';
+import type {ClockReading, PeerMessage} from '@bronzebend/wire';
 import fc from 'fast-check';
 import {lifeNamed} from '../../fixtures/job-fixtures.js';
 
-type Batch = {to: string; calls: RelayedCall[]};
+type Batch = {to: string; calls: RelayedCall[]; sendBy?: ClockReading};
+
+/** Amount by which the other keepers' clocks are ahead of the leader's, in milliseconds. */
+const KEEPER_AHEAD_MS = 5000;
 
 const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
 	setTimeout(resolve, milliseconds);
@@ -53,18 +56,32 @@
 		direct: () => portOf(directCalls),
 		liveKeepers: () => state.live,
 		send(to, message) {
-			if (message.type === 'worker-calls') {
-				batches.push({to, calls: unpackCalls(message.batch)});
-				specs.push(message.batch.specs);
+			if (message.type !== 'worker-calls') {
+				return;
+			}
+
+			if (message.batch.calls.length === 0) {
+				queueMicrotask(() => {
+					calls.receive(to, [], readingOf(to));
+				});
+				return;
 			}
+
+			batches.push({to, calls: unpackCalls(message.batch), sendBy: message.sendBy});
+			specs.push(message.batch.specs);
 		},
 	});
+	const readingOf = (keeper: string): ClockReading => ({process: `process of ${keeper}`, clockMs: state.nowMs + KEEPER_AHEAD_MS});
+	const receive = (from: string, results: RelayedResult[]): void => {
+		calls.receive(from, results, readingOf(from));
+	};
+
 	const answer = (batch: Batch): void => {
-		calls.receive(batch.calls.map(({id, call}) => ({id, result: call.type === 'hold' ? lists : done})));
+		receive(batch.to, batch.calls.map(({id, call}) => ({id, result: call.type === 'hold' ? lists : done})));
 	};
 
 	return {
-		calls, batches, specs, directCalls, state, answer, worker: (number: number) => calls.connect(lifeNamed(`w${number}`)),
+		calls, batches, specs, directCalls, state, answer, receive, worker: (number: number) => calls.connect(lifeNamed(`w${number}`)),
 	};
 };
 
@@ -116,6 +133,20 @@
 		calls.close();
 	});
 
+	it('should expire on their keeper\'s clock before the leader gives them up', async () => {
+		const {calls, batches, worker, state, answer} = setUp(['a']);
+		const port = worker(1);
+		const results = [port.stop(stopOf(1))];
+		await pause(10);
+		state.nowMs += 100;
+		answer(batches[0]!);
+		results.push(port.stop(stopOf(2)));
+		await pause(10);
+		assert.deepEqual(batches.map(({sendBy}) => sendBy), [1000, 1100].map(nowMs => ({process: 'process of a', clockMs: nowMs + KEEPER_AHEAD_MS + 900})));
+		calls.close();
+		await Promise.all(results);
+	});
+
 	it('should be made by the leader itself if no other keeper answers', async () => {
 		const {calls, batches, worker, directCalls} = setUp([]);
 		assert.deepEqual(await worker(1).stop(stopOf(1)), done);
@@ -159,12 +190,12 @@
 	});
 
 	it('should go through another keeper at once after theirs shuts down cleanly', async () => {
-		const {calls, batches, worker} = setUp(['a', 'b']);
+		const {calls, batches, worker, receive} = setUp(['a', 'b']);
 		const port = worker(1);
 		const refused = port.stop(stopOf(1));
 		await pause(10);
 		const [first] = batches as [Batch];
-		calls.receive([{id: first.calls[0]!.id, result: {type: 'unknown', cause: 'the keeper is shutting down', isCarrierLost: true}}]);
+		receive(first.to, [{id: first.calls[0]!.id, result: {type: 'unknown', cause: 'the keeper is shutting down', isCarrierLost: true}}]);
 		await refused;
 		const next = port.stop(stopOf(1));
 		await pause(10);
@@ -200,13 +231,13 @@
 
 	it('should each be resolved once, with its own result or as unknown, despite lost, late and duplicate results', async () => {
 		await fc.assert(fc.asyncProperty(fc.array(fc.record({fate: fc.constantFrom('carried', 'lost', 'late', 'twice'), worker: fc.nat(5)}), {minLength: 1, maxLength: 40}), async plan => {
-			const {calls, batches, worker, state} = setUp(['a', 'b']);
+			const {calls, batches, worker, state, receive} = setUp(['a', 'b']);
 			const results = plan.map(async (entry, number) => worker(entry.worker).stop(stopOf(number)));
 			await pause(10);
 			const fateOf = ({call}: RelayedCall) => plan[Number(call.type === 'stop' && call.order.unit.slice('unit-'.length))]!.fate;
 			const sent = batches.flatMap(batch => batch.calls);
 			const report = (...fates: string[]): void => {
-				calls.receive(sent.filter(call => fates.includes(fateOf(call))).map(({id}) => ({id, result: done})));
+				receive('a', sent.filter(call => fates.includes(fateOf(call))).map(({id}) => ({id, result: done})));
 			};
 
 			report('carried', 'twice');
@@ -223,9 +254,9 @@
 describe('a keeper that relays calls for the leader', () => {
 	const setUpRelay = (connect: () => WorkerPort) => {
 		const sent: Array<{to: string; message: PeerMessage}> = [];
-		const state = {term: 3};
+		const state = {term: 1, nowMs: 0};
 		const relay = createCallRelay({
-			clock: {wallMs: () => 0, monotonicMs: () => 0},
+			clock: {wallMs: () => 0, monotonicMs: () => state.nowMs},
 			log: silentLogs('test'),
 			connect,
 			term: () => state.term,
@@ -233,8 +264,13 @@
 				sent.push({to, message});
 			},
 		});
+		// A batch without calls asks the relay for a reading of its clock.
+		relay.receive('first', {type: 'worker-calls', term: 1, batch: {specs: [], calls: []}});
+		const {message} = sent.pop()!;
+		const {process, clockMs} = (message as PeerMessage & {type: 'worker-results'}).reading;
+		state.term = 3;
 		const batch = (term: number, count: number): PeerMessage & {type: 'worker-calls'} => ({
-			type: 'worker-calls', term, batch: {specs: [], calls: Array.from({length: count}, (_, id) => ({id, worker: lifeNamed(`w${id}`), call: {type: 'stop', order: stopOf(id)}}))},
+			type: 'worker-calls', term, sendBy: {process, clockMs: clockMs + 900}, batch: {specs: [], calls: Array.from({length: count}, (_, id) => ({id, worker: lifeNamed(`w${id}`), call: {type: 'stop', order: stopOf(id)}}))},
 		});
 
 		return {
@@ -279,6 +315,20 @@
 		relay.close();
 	});
 
+	// Orders that waited in a paused keeper reached the next life of a worker with the same ID.
+	it('should make no call that arrives after its leader has given it up, or that was meant for an earlier process', async () => {
+		const calls: string[] = [];
+		const {sent, relay, batch, state} = setUpRelay(() => portOf(calls));
+		const late = batch(3, 2);
+		const misdirected = {...batch(3, 1), sendBy: {process: 'an earlier process', clockMs: Infinity}};
+		state.nowMs = 901;
+		relay.receive('leader', late);
+		relay.receive('leader', misdirected);
+		await pause(30);
+		assert.deepEqual([calls, sent.flatMap(({message}) => resultsIn(message)).map(({result}) => result.type)], [[], ['unsent', 'unsent', 'unsent']]);
+		relay.close();
+	});
+
 	it('should return calls without making them once it is draining', async () => {
 		const calls: string[] = [];
 		const {sent, relay, batch} = setUpRelay(() => portOf(calls));
--- a/tests/daemon/jobs/worker-session.spec.ts
+++ b/tests/daemon/jobs/worker-session.spec.ts
@@ -32,10 +32,10 @@
 /** Lists of a worker, or the whole result of a poll. */
 type Polled = Partial<WorkerLists> | Exclude<HoldResult, {type: 'lists'}>;
 
-const setUp = (lists: () => Polled, startResult: OrderResult = started) => {
+const setUp = (lists: () => Polled, startResult: OrderResult = started, stopResult: () => OrderResult = () => ({type: 'done'})) => {
 	const store: JobStore = storeWith([orderOf('a', [stepOf({lasting: true})])]);
 	const calls = {
-		holds: 0, starts: [] as StartOrder[], stops: 0, failed: [] as string[], unreachable: 0, ended: [] as string[],
+		holds: 0, starts: [] as StartOrder[], stops: 0, failed: [] as string[], unreachable: 0, livesOver: 0, ended: [] as string[],
 	};
 	let leads = true;
 	let nowMs = 1000;
@@ -64,7 +64,7 @@
 		},
 		async stop() {
 			calls.stops += 1;
-			return {type: 'done'};
+			return stopResult();
 		},
 		pace: async () => ({type: 'done'}),
 		close: () => undefined,
@@ -75,6 +75,7 @@
 		port,
 		fence: 1,
 		leaseMs: 4000,
+		maxLeaseMs: 10_000,
 		inherited: false,
 		announcedClock: {clockMs: 1000, receivedMs: 1000},
 		clock: {wallMs: () => nowMs, monotonicMs: () => nowMs},
@@ -93,6 +94,9 @@
 		onUnreachable() {
 			calls.unreachable += 1;
 		},
+		onLifeOver() {
+			calls.livesOver += 1;
+		},
 		onEnded(_life, cause) {
 			calls.ended.push(cause);
 		},
@@ -188,6 +192,39 @@
 		assert.deepEqual([store.find(unit)!.unit.state, calls.failed, calls.stops], ['idle', ['unsent'], 0]);
 	});
 
+	// Starts under way to a worker reached its next life, which has the same ID, while their work units ran elsewhere.
+	for (const [what, restart] of [
+		['reports', (session: WorkerSession) => {
+			session.declareRestarted('the worker restarted');
+		}],
+		['answers a poll', () => undefined],
+	] as const) {
+		it(`should free a run that was never listed only after the worker's next life has confirmed its stop, if that life ${what}`, async () => {
+			let isRestarted = false;
+			let stopResult: OrderResult = {type: 'unknown', cause: 'no answer'};
+			const lists = (): Polled => (isRestarted && what === 'answers a poll' ? {type: 'gone'} : {});
+			const {store, calls, session, begin} = setUp(lists, {type: 'unknown', cause: 'no answer'}, () => stopResult);
+			begin();
+			await waitUntil(() => calls.holds > 1);
+			isRestarted = true;
+			restart(session);
+			await waitUntil(() => calls.stops > 3);
+			assert.deepEqual([session.isOver(), calls.livesOver, calls.ended, store.find(unit)!.unit.state], [true, 1, [], 'running']);
+			stopResult = {type: 'done'};
+			await waitUntil(() => calls.ended.length > 0);
+			assert.equal(calls.ended.length, 1);
+		});
+	}
+
+	it('should free a run that was listed as soon as the worker has begun another life', async () => {
+		const {store, calls, session, begin} = setUp(() => ({active: [active]}), started, () => ({type: 'unknown', cause: 'no answer'}));
+		begin();
+		await waitUntil(() => session.track.runs.get(unit)?.isListed === true);
+		session.declareRestarted('the worker restarted');
+		await waitUntil(() => calls.ended.length > 0);
+		assert.deepEqual([calls.ended, calls.stops, store.find(unit)!.unit.state], [['the worker restarted'], 0, 'idle']);
+	});
+
 	it('should not report a failed start if the call was lost by its relay', async () => {
 		for (const isCarrierLost of [true, false]) {
 			const {store, calls, session, begin} = setUp(() => ({}), {type: 'unknown', cause: 'no result', isCarrierLost});
--- a/tests/platform/worker-client.spec.ts
+++ b/tests/platform/worker-client.spec.ts
@@ -28,6 +28,32 @@
 		assert.deepEqual(results.map(result => result.type), ['unsent', 'unsent', 'unsent']);
 	});
 
+	// Starts that waited for a connection to a silent worker reached its next life.
+	it('should never send an order that waited for a connection until its caller gave it up', async context => {
+		let arrived = 0;
+		let isSilent = true;
+		const server = http.createServer((_req, res) => {
+			arrived += 1;
+			if (!isSilent) {
+				res.writeHead(200).end('{}');
+			}
+		});
+		context.after(() => {
+			server.closeAllConnections();
+			server.close();
+		});
+		const worker = connectWorker(lifeNamed('w1', {address: await listen(server)}));
+		const results = await Promise.all(Array.from({length: 20}, async () => worker.stop(order)));
+		const sent = arrived;
+		isSilent = false;
+		assert.deepEqual(await worker.stop(order), {type: 'done'});
+		worker.close();
+		assert.ok(sent > 0 && sent < 20);
+		assert.equal(results.filter(result => result.type === 'unknown').length, sent);
+		assert.equal(results.filter(result => result.type === 'unsent').length, 20 - sent);
+		assert.equal(arrived, sent + 1);
+	});
+
 	it('should take the rejection of another worker at the address for the end of the life', async context => {
 		const server = http.createServer((_req, res) => {
 			res.writeHead(421).end('{"clock-ms":1}');
--- a/utils/leader-passes.ts
+++ b/utils/leader-passes.ts
@@ -56,6 +56,7 @@
 			upkeep: async () => ({type: 'rejected', reason: 'busy'}),
 		},
 		leaseMs: 4000,
+		maxLeaseMs: 10_000,
 		holderLeaseMs: 3000,
 		reportMs: 1500,
 		shareWorkers: ignore,
