Ask the advice service about all workers of a large pool

What callers saw: in a pool of 40 workers, a job whose policy allows two that are idle stayed queued for good (LOST).

Cause: each call for advice named the first 30 workers of the pool, also after the policy had allowed none of them; and once one was allowed, no other was asked about.

Change: the cache keeps the decision on each life for each step and names the workers that are not known yet; the planner asks about workers with room while those that are known to be allowed have none. Tickets are kept by life, and unused steps are removed.

Ruled out: that the service gives no answer; it answered every call, for 30 workers.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -7,7 +7,9 @@
 	isOpen, isStepReady, type Job, type JobStep, type Occurrence, type WorkUnit,
 } from './job.js';
 import {compareRanks, type JobRank, rankJob} from './job-ranking.js';
-import {chooseWorker, reserveResources, type CandidateWorker} from './placement.js';
+import {
+	chooseWorker, fits, reserveResources, type CandidateWorker,
+} from './placement.js';
 import type {RunEstimates} from './run-estimates.js';
 import {createQuotaLedger} from './quota-ledger.js';
 
@@ -23,7 +25,7 @@
 	wallMs: number;
 	/** Returns the lives on which a work unit must not start now. */
 	avoided: (unit: string) => ReadonlySet<string> | undefined;
-	/** Returns the lives that a step's policy approves; undefined if the queue has no policy, or while the advice is not known. */
+	/** Returns the lives that a step's policy is known to approve; undefined if the queue has no policy, or while nothing is known. */
 	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
 	/** Upper limit on runs started in one pass. */
 	maxStarts: number;
@@ -36,8 +38,8 @@
 	starts: RunStart[];
 	/** Number of work units that found no room, by pool; those held back by their workspace's limit do not count. */
 	waiting: Map<string, number>;
-	/** Steps that wait for the advice of their queue's policy. */
-	unadvised: Array<{job: Job; occurrence: number; step: number}>;
+	/** Steps for which the decisions of their queue's policy on more workers would help, with these workers, the most useful first. */
+	unadvised: Array<{job: Job; occurrence: number; step: number; workers: CandidateWorker[]}>;
 	/** Number of times a worker was checked for room; the cost of a pass grows with it. */
 	workersExamined: number;
 };
@@ -50,6 +52,12 @@
 	avoided && pool.some(worker => !avoided.has(worker.life)) ? avoided : undefined
 );
 
+/** Workers of a pool that a step's policy may be asked about, those with room first. */
+const advisable = (step: JobStep, {workers}: PoolWorkers): CandidateWorker[] => {
+	const labelled = workers.filter(worker => step.label === undefined || worker.labels.has(step.label));
+	return [...labelled.filter(worker => fits(step, worker)), ...labelled.filter(worker => !fits(step, worker))];
+};
+
 /** Work units of a step that can start now. */
 const idleUnits = (units: readonly WorkUnit[]): WorkUnit[] => units.filter(unit => unit.state === 'idle');
 
@@ -119,7 +127,9 @@
 
 		const approved = input.approved(job, occurrence.number, number);
 		if (approved === undefined && manifest.queue(job.order.queue)?.recommendation) {
-			pass.unadvised.push({job, occurrence: occurrence.number, step: number});
+			pass.unadvised.push({
+				job, occurrence: occurrence.number, step: number, workers: advisable(step, pool),
+			});
 			return idle.length;
 		}
 
@@ -157,6 +167,16 @@
 			placements.push({unit, worker});
 		}
 
+		const isFull = pass.starts.length + placements.length >= input.maxStarts;
+		if (approved !== undefined && placements.length < idle.length && !isAtLimit && !isFull) {
+			const others = advisable(step, pool).filter(worker => fits(step, worker) && !approved.has(worker.life));
+			if (others.length > 0) {
+				pass.unadvised.push({
+					job, occurrence: occurrence.number, step: number, workers: others,
+				});
+			}
+		}
+
 		if (step.gang && placements.length < idle.length) {
 			for (const {worker} of placements) {
 				reserveResources(step, worker, -1);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -11,6 +11,7 @@
 export * from './serve.js';
 export * from './settings.js';
 export * from './utils/log.js';
+export * from './jobs/advice-cache.js';
 export * from './jobs/call-relay.js';
 export * from './jobs/relayed-calls.js';
 export * from './jobs/group-client.js';
--- a/packages/daemon/src/jobs/advice-cache.ts
+++ b/packages/daemon/src/jobs/advice-cache.ts
@@ -1,6 +1,7 @@
-/** Caches the advice service's tickets for each step, and requests missing ones, one call at a time. */
+/** Caches the advice service's decisions for each step, and requests missing ones, one call at a time. */
 import type {Clock, Job} from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
+import {pause} from '../utils/pause.js';
 import type {AdvicePort} from './ports.js';
 
 /** Workers named in one call at most; each one makes the call take longer. */
@@ -11,8 +12,21 @@
 const MAX_WAITING = 64;
 /** Pause after a call that got no answer, in milliseconds. */
 const RETRY_MS = 300;
+/** Number of cached steps above which those that were not used for a while are removed. */
+const MAX_STEPS = 1000;
+/** Time without use after which a step may be removed, in milliseconds. */
+const UNUSED_STEP_MS = 10_000;
 
-type CachedAdvice = {tickets: Map<string, string>; untilMs: number};
+/** A worker that advice may be requested for, in one of its lives. */
+export type AdvisableWorker = {life: string; id: string};
+
+/** The decisions for one step, by the worker's life. */
+type StepAdvice = {
+	tickets: Map<string, {ticket: string; untilMs: number}>;
+	/** Lives that the policy does not allow; a decision does not change. */
+	denied: Set<string>;
+	usedMs: number;
+};
 
 /** A cache of advice by step. */
 export type AdviceCache = ReturnType<typeof createAdviceCache>;
@@ -20,68 +34,128 @@
 /** Creates an empty cache; `onAdvice` is called after each answer of the advice service. */
 export const createAdviceCache = (options: {port: AdvicePort | undefined; clock: Clock; log: Log; onAdvice(): void}) => {
 	const {port, clock, log} = options;
-	const adviceByStep = new Map<string, CachedAdvice>();
-	const waiting = new Map<string, string[]>();
+	const adviceByStep = new Map<string, StepAdvice>();
+	/** Requests by step; those for steps without any valid ticket go first. */
+	const waiting = new Map<string, readonly AdvisableWorker[]>();
+	let askedStep: string | undefined;
 	let isBusy = false;
 	let isClosed = false;
 	const isOpen = (): boolean => !isClosed;
 
 	const key = (job: Job, occurrence: number, step: number): string => `${job.order.id}.${occurrence}.${step}`;
 
-	const fetchAdvice = async (step: string, workers: string[]): Promise<void> => {
-		const advice = await port!.advise(step, workers);
-		if (!advice) {
-			log.warn('The advice service gave no answer for a step.', {step, workers: workers.length});
-			await new Promise(resolve => {
-				setTimeout(resolve, RETRY_MS);
-			});
+	const removeUnused = (): void => {
+		if (adviceByStep.size <= MAX_STEPS) {
 			return;
 		}
 
-		log.debug('Received advice for a step.', {step, asked: workers.length, approved: advice.tickets.size});
-		const before = adviceByStep.get(step);
-		const tickets = before && before.untilMs > clock.monotonicMs() ? new Map([...before.tickets, ...advice.tickets]) : advice.tickets;
-		adviceByStep.set(step, {tickets, untilMs: clock.monotonicMs() + (advice.validityMs * USABLE_VALIDITY_SHARE)});
+		for (const [step, {usedMs}] of adviceByStep) {
+			if (clock.monotonicMs() - usedMs > UNUSED_STEP_MS) {
+				adviceByStep.delete(step);
+			}
+		}
+	};
+
+	const adviceOf = (step: string): StepAdvice => {
+		const advice = adviceByStep.get(step) ?? {tickets: new Map(), denied: new Set(), usedMs: 0};
+		advice.usedMs = clock.monotonicMs();
+		adviceByStep.set(step, advice);
+		return advice;
+	};
+
+	const validTicket = (advice: StepAdvice | undefined, life: string): string | undefined => {
+		const found = advice?.tickets.get(life);
+		return found && clock.monotonicMs() < found.untilMs ? found.ticket : undefined;
+	};
+
+	const hasValidTicket = (step: string): boolean => {
+		const advice = adviceByStep.get(step);
+		return advice !== undefined && [...advice.tickets.keys()].some(life => validTicket(advice, life) !== undefined);
+	};
+
+	/** The next workers to name: known to be allowed first, then unknown ones, in the order of the request. */
+	const choose = (step: string, workers: readonly AdvisableWorker[]): AdvisableWorker[] => {
+		const advice = adviceOf(step);
+		const open = workers.filter(({life}) => !advice.denied.has(life) && validTicket(advice, life) === undefined);
+		const isKnown = ({life}: AdvisableWorker): boolean => advice.tickets.has(life);
+		return [...open.filter(worker => isKnown(worker)), ...open.filter(worker => !isKnown(worker))].slice(0, MAX_WORKERS_PER_CALL);
+	};
+
+	const fetchAdvice = async (step: string, workers: readonly AdvisableWorker[]): Promise<void> => {
+		const asked = choose(step, workers);
+		if (asked.length === 0) {
+			return;
+		}
+
+		const answer = await port!.advise(step, asked.map(({id}) => id));
+		if (!answer) {
+			log.warn('The advice service gave no answer for a step.', {step, workers: asked.length});
+			await pause(RETRY_MS);
+			return;
+		}
+
+		log.debug('Received advice for a step.', {step, asked: asked.length, approved: answer.tickets.size});
+		const advice = adviceOf(step);
+		const untilMs = clock.monotonicMs() + (answer.validityMs * USABLE_VALIDITY_SHARE);
+		for (const {life, id} of asked) {
+			const ticket = answer.tickets.get(id);
+			if (ticket === undefined) {
+				advice.denied.add(life);
+			} else {
+				advice.tickets.set(life, {ticket, untilMs});
+			}
+		}
+
+		removeUnused();
 		options.onAdvice();
 	};
 
+	const nextStep = (): string => {
+		const steps = [...waiting.keys()];
+		return steps.find(step => !hasValidTicket(step)) ?? steps[0]!;
+	};
+
 	const processQueue = async (): Promise<void> => {
 		isBusy = true;
 		try {
 			while (waiting.size > 0 && isOpen()) {
-				const [step, workers] = [...waiting][0]!;
+				const step = nextStep();
+				const workers = waiting.get(step)!;
 				waiting.delete(step);
+				askedStep = step;
 				// The service handles one call at a time.
 				// eslint-disable-next-line no-await-in-loop
 				await fetchAdvice(step, workers);
+				askedStep = undefined;
 			}
 		} finally {
+			askedStep = undefined;
 			isBusy = false;
 		}
 	};
 
-	const current = (step: string): CachedAdvice | undefined => {
-		const advice = adviceByStep.get(step);
-		return advice && clock.monotonicMs() < advice.untilMs ? advice : undefined;
-	};
-
 	return {
-		/** Workers that a step may run on; undefined if there is no valid advice. */
+		/** Lives that a step may run on; undefined if nothing is known yet, or no ticket is valid although the policy allows some. */
 		approved(job: Job, occurrence: number, step: number): ReadonlySet<string> | undefined {
-			const advice = current(key(job, occurrence, step));
-			return advice && new Set(advice.tickets.keys());
+			const advice = adviceByStep.get(key(job, occurrence, step));
+			if (!advice) {
+				return undefined;
+			}
+
+			const lives = [...advice.tickets.keys()].filter(life => validTicket(advice, life) !== undefined);
+			return lives.length === 0 && (advice.tickets.size > 0 || advice.denied.size === 0) ? undefined : new Set(lives);
 		},
 
-		ticket: (job: string, occurrence: number, step: number, worker: string): string | undefined => current(`${job}.${occurrence}.${step}`)?.tickets.get(worker),
+		ticket: (job: string, occurrence: number, step: number, life: string): string | undefined => validTicket(adviceByStep.get(`${job}.${occurrence}.${step}`), life),
 
-		/** Queues a call for a step, unless one is waiting already, the queue is full or there is no advice service. */
-		request(job: Job, occurrence: number, step: number, workers: string[]): void {
+		/** Requests decisions on workers for a step, the most useful workers first; does nothing if all are known, the step's call is under way, the queue is full or there is no advice service. */
+		request(job: Job, occurrence: number, step: number, workers: readonly AdvisableWorker[]): void {
 			const name = key(job, occurrence, step);
-			if (!port || waiting.has(name) || waiting.size >= MAX_WAITING || workers.length === 0) {
+			if (!port || name === askedStep || (!waiting.has(name) && waiting.size >= MAX_WAITING) || choose(name, workers).length === 0) {
 				return;
 			}
 
-			waiting.set(name, workers.slice(0, MAX_WORKERS_PER_CALL));
+			waiting.set(name, workers);
 			if (!isBusy) {
 				processQueue().catch((error: unknown) => {
 					log.error('Processing the queue of advice requests failed.', {cause: String(error)});
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -129,7 +129,7 @@
 		log.info('Run placed.', {
 			unit: start.unit, attempt: start.attempt, worker: start.life, queue: job.order.queue, workspace: job.order.workspace, heardMsAgo: entry && Math.round(clock.monotonicMs() - entry.receivedMs), waitedMs: Math.round(clock.wallMs() - job.acceptedAtMs),
 		});
-		fleet.start(life, start, advice.ticket(job.order.id, occurrence, step, life.id));
+		fleet.start(life, start, advice.ticket(job.order.id, occurrence, step, start.life));
 	};
 
 	/** Runs one scheduling pass; returns the time that planning took, in milliseconds. */
@@ -141,25 +141,21 @@
 			return 0;
 		}
 
-		const list = workers();
-		const lifeById = new Map(list.map(worker => [worker.id, worker.life]));
 		const {starts, unadvised, waiting} = planStarts({
 			store,
 			manifest,
-			workers: list,
+			workers: workers(),
 			estimates: monitor.estimates,
 			wallMs: clock.wallMs(),
 			avoided: monitor.avoided,
 			approved(job, occurrence, step) {
-				const ids = manifest.queue(job.order.queue)?.recommendation ? advice.approved(job, occurrence, step) : undefined;
-				return ids && new Set([...ids].flatMap(id => lifeById.get(id) ?? []));
+				return manifest.queue(job.order.queue)?.recommendation ? advice.approved(job, occurrence, step) : undefined;
 			},
 			maxStarts: MAX_STARTS_PER_PASS,
 		});
 		waitingUnits = waiting;
-		for (const {job, occurrence, step} of unadvised) {
-			const {pool} = manifest.queue(job.order.queue)!;
-			advice.request(job, occurrence, step, list.filter(worker => worker.pool === pool).map(worker => worker.id));
+		for (const {job, occurrence, step, workers: candidates} of unadvised) {
+			advice.request(job, occurrence, step, candidates);
 		}
 
 		const tookMs = clock.monotonicMs() - startedMs;
--- a/tests/core/jobs/scheduler.spec.ts
+++ b/tests/core/jobs/scheduler.spec.ts
@@ -132,9 +132,24 @@
 	it('should wait for advice if the queue has a policy', () => {
 		const store = storeWith([orderOf('a')], manifestOf({queues: [queueOf({recommendation: {decisionMs: 1, periodMs: 1, validityMs: 1}})]}));
 		const without = plan(store, [workerOf('w1')]);
-		assert.deepEqual([without.starts.length, without.unadvised.length], [0, 1]);
+		assert.deepEqual([without.starts.length, without.unadvised.map(({workers}) => workers.map(({id}) => id))], [0, [['w1']]]);
 		const approved = plan(store, [workerOf('w1'), workerOf('w2')], {approved: () => new Set([lifeNamed('w2').life])});
-		assert.deepEqual(approved.starts.map(start => start.life), [lifeNamed('w2').life]);
+		assert.deepEqual([approved.starts.map(start => start.life), approved.unadvised], [[lifeNamed('w2').life], []]);
+	});
+
+	// Work waited for good where the policy allowed none of the workers that were asked about first.
+	it('should ask about more workers with room if those that the policy is known to allow have none', () => {
+		const store = storeWith([orderOf('a', [stepOf({count: 6})])], manifestOf({queues: [queueOf({recommendation: {decisionMs: 1, periodMs: 1, validityMs: 1}})]}));
+		const full = {...workerOf('w3'), capacity: {cpu: 0, memoryMb: 0, gpu: 0}};
+		const input = [workerOf('w1'), workerOf('w2'), full];
+		const asked = (lives: string[]) => {
+			const {starts, unadvised} = plan(store, input, {approved: () => new Set(lives)});
+			return [starts.length, unadvised.flatMap(({workers}) => workers.map(({id}) => id))];
+		};
+
+		assert.deepEqual(asked([]), [0, ['w1', 'w2']]);
+		assert.deepEqual(asked([lifeNamed('w1').life]), [4, ['w2']]);
+		assert.deepEqual(asked([lifeNamed('w1').life, lifeNamed('w2').life]), [6, []]);
 	});
 });
 
