Let starts wait longer for a connection to their worker

What callers would see: of 640 starts on one worker at once, those that waited for one of its five connections for over 0.5 s were given up and placed again, as a second attempt.

Cause: the time limit of a call, which now holds before it is sent as well, was that of the response.

Change: the wait for a connection has its own limit, 1.5 s for starts. The leader waits as long for their results from a keeper that returns others.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -21,7 +21,7 @@
 export type * from './jobs/job-leader-options.js';
 export * from './jobs/job-metrics.js';
 export * from './jobs/machine-controller.js';
-export type * from './jobs/ports.js';
+export * from './jobs/ports.js';
 export * from './jobs/process-load.js';
 export * from './jobs/worker-session.js';
 export type * from './jobs/worker-session-options.js';
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -14,6 +14,9 @@
 	close(): void;
 };
 
+/** Longest time for which a start may wait for a connection to its worker, in milliseconds; hundreds may start on one worker at once. */
+export const MAX_START_QUEUE_MS = 1500;
+
 /** Connects to a life of a worker. */
 export type WorkerConnector = (worker: WorkerAddress) => WorkerPort;
 
--- a/packages/daemon/src/jobs/relayed-calls.ts
+++ b/packages/daemon/src/jobs/relayed-calls.ts
@@ -16,11 +16,11 @@
 import type {Log} from '../utils/log.js';
 import {makeCall} from './call-relay.js';
 import {createKeeperClocks} from './keeper-clocks.js';
-import type {WorkerConnector, WorkerPort} from './ports.js';
+import {MAX_START_QUEUE_MS, type WorkerConnector, type WorkerPort} from './ports.js';
 
 /** Time for which calls are collected into one message, in milliseconds. */
 const CALL_BATCH_MS = 4;
-/** Time limit for a call's result beyond the call's own wait, in milliseconds; longer than the time limit of the relaying keeper. */
+/** Time limit for a call's result beyond the call's own waits, in milliseconds; longer than the time limit of the relaying keeper. */
 const RESULT_TIMEOUT_MS = 900;
 /** Interval of the check for overdue calls, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
@@ -43,7 +43,14 @@
 	send(to: string, message: PeerMessage): void;
 };
 
-type Pending = {keeper: string; dueMs: number; resolve(result: HoldResult | OrderResult): void};
+type Pending = {
+	keeper: string;
+	/** Time from which the call is lost if its keeper returns no results at all, in milliseconds. */
+	dueMs: number;
+	/** Time from which the call is lost in any case, in milliseconds. */
+	latestMs: number;
+	resolve(result: HoldResult | OrderResult): void;
+};
 
 const relayLost = (keeper: string): UnknownOutcome => ({type: 'unknown', cause: `no result from ${keeper}`, isCarrierLost: true});
 
@@ -56,6 +63,8 @@
 	const workerCounts = new Map<string, number>();
 	const avoidedUntilMs = new Map<string, number>();
 	const clocks = createKeeperClocks(clock);
+	/** When each keeper last returned results. */
+	const heardMs = new Map<string, number>();
 	let usable: string[] = [];
 	let lastId = 0;
 	let startRelaying: () => void = () => undefined;
@@ -76,8 +85,9 @@
 
 	/** Resolves calls as lost if their keeper is gone or the result is overdue. */
 	const endLostCalls = (live: readonly string[], nowMs: number): void => {
-		for (const [id, {keeper, dueMs, resolve}] of pending) {
-			const isOverdue = nowMs > dueMs;
+		for (const [id, {keeper, dueMs, latestMs, resolve}] of pending) {
+			const isSilent = nowMs - (heardMs.get(keeper) ?? -Infinity) > RESULT_TIMEOUT_MS;
+			const isOverdue = nowMs > latestMs || (nowMs > dueMs && isSilent);
 			if (isOverdue) {
 				avoid(keeper, 'no result in time');
 			}
@@ -165,8 +175,9 @@
 
 	const relay = async (keeper: string, {life, id, bornMs, address}: WorkerAddress, call: WorkerCall): Promise<HoldResult | OrderResult> => new Promise(resolve => {
 		lastId += 1;
+		const dueMs = clock.monotonicMs() + RESULT_TIMEOUT_MS + (call.type === 'hold' ? call.request.waitMs : 0);
 		pending.set(lastId, {
-			keeper, resolve, dueMs: clock.monotonicMs() + RESULT_TIMEOUT_MS + (call.type === 'hold' ? call.request.waitMs : 0),
+			keeper, resolve, dueMs, latestMs: dueMs + (call.type === 'start' ? MAX_START_QUEUE_MS : 0),
 		});
 		enqueue(keeper, {
 			id: lastId, call, worker: {
@@ -200,6 +211,7 @@
 		/** Takes results from a relaying keeper; results of calls already resolved have no effect. */
 		receive(from: string, results: readonly RelayedResult[], reading: ClockReading): void {
 			clocks.read(from, reading);
+			heardMs.set(from, clock.monotonicMs());
 			if (results.length === 0) {
 				refreshKeepers();
 			}
