Do not take runs for missing while a worker's list of ends is cut

What callers saw: after the leader was killed, 272 of 1,272 work units that had ended done were started again; their first ends were acknowledged afterwards (TWICE).

Cause: a worker lists 500 ended runs at a time. A run in neither list that no order could start any more counted as one that never began, also where the list was cut.

Two tests of worker-track.spec.ts (inherited and ordered runs) fail without the check.

Ruled out: an expired lease; no lease lapsed in the run.

--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -3,8 +3,8 @@
 to start.
 
 A run counts as lost only if the worker can neither be running it nor start it later: the worker's
-lists, polled after it accepted a stop of the run or a higher fencing token, show the run neither
-active nor finished.
+lists, complete and polled after it accepted a stop of the run or a higher fencing token, show the run
+neither active nor finished.
 */
 import type {JobStore} from './job-store.js';
 import type {EndedRun} from './job-commands.js';
@@ -36,7 +36,14 @@
 export type FinishedRun = {seq: number; unit: string; attempt: number; how: RunEnd; checkpoint: string};
 
 /** A worker's lists of active and finished runs, with the reading of its monotonic clock in milliseconds. */
-export type WorkerLists = {clockMs: number; active: ActiveRun[]; finished: FinishedRun[]};
+export type WorkerLists = {
+	clockMs: number;
+	active: ActiveRun[];
+	/** Finished runs that were not acknowledged, the earliest first. */
+	finished: FinishedRun[];
+	/** True if there may be more finished runs than are listed. */
+	isCut: boolean;
+};
 
 /** What is known about an ordered run. */
 type Phase =
@@ -242,6 +249,11 @@
 				handleActive(active, receivedMs, result);
 			}
 
+			if (lists.isCut) {
+				// A run in neither list may be among the finished runs that the next polls list.
+				return result;
+			}
+
 			for (const [unit, run] of runs) {
 				if (!listed.has(`${unit}#${run.attempt}`)) {
 					handleMissing(unit, run, sentMs, result);
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -151,7 +151,7 @@
 		});
 		track.reconcile({
 			clockMs: 1,
-			finished: [],
+			finished: [], isCut: false,
 			active: runs.filter(other => other.life === run.life).map(other => ({
 				unit: other.unit, attempt: 1, checkpoint: '', percent, load: 0,
 			})),
--- a/tests/core/jobs/worker-track.spec.ts
+++ b/tests/core/jobs/worker-track.spec.ts
@@ -6,7 +6,9 @@
 const leaseMs = 4000;
 const life = lifeNamed('w1');
 const unit = `${'a'.padEnd(16, '0')}.0.0.0`;
-const noLists: WorkerLists = {clockMs: 50_000, active: [], finished: []};
+const noLists: WorkerLists = {
+	clockMs: 50_000, active: [], finished: [], isCut: false,
+};
 const active = {
 	unit, attempt: 1, checkpoint: '', percent: 10, load: 0,
 };
@@ -91,6 +93,28 @@
 		assert.deepEqual(track.reconcile(noLists, 10, 20).endedRuns.map(run => run.how), ['lost']);
 	});
 
+	// Runs that had ended beyond the 500 that a worker lists at once were started again.
+	for (const inherited of [true, false]) {
+		it(`should not treat ${inherited ? 'inherited' : 'ordered'} runs as missing while the list of ends is cut`, () => {
+			const {track} = setUp({inherited});
+			track.confirmed(unit, 1, 10);
+			track.stopped(unit, 1, 20);
+			const cut: WorkerLists = {
+				...noLists, isCut: true, finished: [{
+					seq: 1, unit: `${'b'.padEnd(16, '0')}.0.0.0`, attempt: 1, how: 'done', checkpoint: '',
+				}],
+			};
+			for (const atMs of [30, 50, 70]) {
+				assert.deepEqual(track.reconcile(cut, atMs, atMs + 10), {endedRuns: [], runsToStop: [], ackSeq: 1});
+			}
+
+			const end = {
+				seq: 501, unit, attempt: 1, how: 'done' as const, checkpoint: '',
+			};
+			assert.deepEqual(track.reconcile({...noLists, finished: [end]}, 90, 100).endedRuns, [end]);
+		});
+	}
+
 	it('should keep inherited runs that the first lists show', () => {
 		const {track} = setUp({inherited: true});
 		assert.deepEqual(track.reconcile({...noLists, active: [active]}, 10, 20), {endedRuns: [], runsToStop: [], ackSeq: 0});
--- a/tests/core/jobs/workers.spec.ts
+++ b/tests/core/jobs/workers.spec.ts
@@ -94,7 +94,7 @@
 		});
 		const poll = (load: number, nowMs: number) => {
 			track.reconcile({
-				clockMs: nowMs, finished: [], active: [{
+				clockMs: nowMs, finished: [], isCut: false, active: [{
 					unit: units[0]!, attempt: 1, checkpoint: '', percent: 100, load,
 				}, {
 					unit: units[1]!, attempt: 1, checkpoint: '', percent: 100, load: 900,
--- a/tests/daemon/jobs/worker-session.spec.ts
+++ b/tests/daemon/jobs/worker-session.spec.ts
@@ -54,7 +54,7 @@
 
 			return {
 				type: 'lists', lists: {
-					clockMs: nowMs, active: [], finished: [], ...polled,
+					clockMs: nowMs, active: [], finished: [], isCut: false, ...polled,
 				},
 			};
 		},
