Keep one odd entry from ending or stopping its readers

Cause: a deeply nested message was parsed before it was checked, which takes tens of times its length in memory; one invalid machine made the platform's whole list invalid; reports were not checked for ports, far future starts of a life and absurd amounts.

--- a/tests/platform/formats.spec.ts
+++ b/tests/platform/formats.spec.ts
@@ -41,6 +41,34 @@
 	}
 });
 
+describe('liveness report format', () => {
+	const report = {
+		service: 'bench', addr: '10.0.0.9:8080', zone: 'a', state: 'ready', capacity: {cpu: 4000, 'mem-mb': 100, gpu: 0}, labels: ['a'], 'clock-ms': 5000, seq: 4, born: 1_700_000_000_000,
+	};
+	const decodeChanged = (changes: Record<string, unknown>) => decodeAnnouncement('i-1', JSON.stringify({...report, ...changes}), 1_800_000_000_000);
+
+	it('should decode the largest and smallest ports', () => {
+		assert.deepEqual([1, 65_535].map(port => decodeChanged({addr: `10.0.0.9:${port}`}).address), ['10.0.0.9:1', '10.0.0.9:65535']);
+	});
+
+	// An odd entry of another writer took over a worker's ID, or drew work to an address that no connection can be made to.
+	const odd: Array<[string, Record<string, unknown>]> = [
+		...['10.0.0.9:0', '10.0.0.9:65536', '10.0.0.9:99999999999999999999', '10.0.0.9:-1', '10.0.0.9', '10.0.0.256:80', '999.0.0.1:80', '10.0.0.9:80:80', '10.0.0.9:8e1', ''].map((addr): [string, Record<string, unknown>] => [`the address "${addr}"`, {addr}]),
+		['a life from the future', {born: 1_800_000_000_000 + (2 * 3600 * 1000)}],
+		['a life that is the largest integer', {born: Number.MAX_SAFE_INTEGER}],
+		['a life before 1970', {born: -1}],
+		['a clock that is too large', {'clock-ms': 1e300}],
+		['a capacity that is too large', {capacity: {cpu: 1e300, 'mem-mb': 1, gpu: 0}}],
+		['a sequence number that is too large', {seq: 1e30}],
+		['a remaining time that is too large', {'remaining-ms': 1e300}],
+	];
+	for (const [what, changes] of odd) {
+		it(`should reject a report with ${what}`, () => {
+			assert.throws(() => decodeChanged(changes), MessageError);
+		});
+	}
+});
+
 describe('job format', () => {
 	it('should decode omitted fields as zero or false', () => {
 		const job = decodeJob('{"spec":"x","steps":[{"count":2,"cpu":500,"estimate-ms":9},{"count":1,"depends-on":[0],"fill-count":true,"long-running":true,"anti-affinity":1,"miss-allowed":1}]}');
--- a/tests/platform/machine-client.spec.ts
+++ b/tests/platform/machine-client.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import http from 'node:http';
 import {describe, it} from 'node:test';
+import {silentLogs} from '@bronzebend/daemon';
 import {connectMachines} from '@bronzebend/platform/machine-client';
 
 /** More machines than the client has connections. */
@@ -34,7 +35,7 @@
 			server.listen(0, '127.0.0.1', resolve);
 		});
 		const {port} = server.address() as {port: number};
-		const machines = connectMachines(`127.0.0.1:${port}`);
+		const machines = connectMachines(`127.0.0.1:${port}`, silentLogs('test'));
 		const orders = MACHINES.map(async machine => machines.move(machine, 'bench', {
 			holder: 'one', fence: 1, maySend() {
 				if (leads) {
@@ -62,4 +63,31 @@
 		assert.deepEqual(results.map(result => result.type), MACHINES.map(machine => (sent.includes(machine) ? 'done' : 'withheld')));
 		assert.ok(sent.length < MACHINES.length);
 	});
+
+	// One odd entry made every list useless, so waves and moves stopped.
+	it('should leave odd entries out of a list of machines and keep the others', async context => {
+		const good = {
+			'host-machine': 'm-1', pool: 'bench', state: 'up', zone: 'a', labels: ['a', 'r1'], capacity: {cpu: 4000, 'mem-mb': 1, gpu: 0}, id: 'i-1',
+		};
+		const deep = JSON.parse('['.repeat(50) + ']'.repeat(50)) as unknown;
+		const odd = [null, 7, {}, {...good, state: 'resting'}, {...good, 'host-machine': 5}, {...good, capacity: {cpu: -1}}, {...good, labels: deep}];
+		let isTooDeep = false;
+		const server = http.createServer((_req, res) => {
+			const list = JSON.stringify({machines: [...odd.slice(0, 3), good, ...odd.slice(3)], 'next-token': ''});
+			res.end(isTooDeep ? list.replace('null', '['.repeat(100_000) + ']'.repeat(100_000)) : list);
+		});
+		context.after(() => {
+			server.closeAllConnections();
+			server.close();
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = server.address() as {port: number};
+		const machines = connectMachines(`127.0.0.1:${port}`, silentLogs('test'));
+		const list = await machines.list();
+		assert.deepEqual(list?.map(({name, workerId}) => [name, workerId]), [['m-1', 'i-1']]);
+		isTooDeep = true;
+		assert.equal(await machines.list(), undefined);
+	});
 });
--- a/tests/platform/malformed.spec.ts
+++ b/tests/platform/malformed.spec.ts
@@ -38,14 +38,30 @@
 		});
 	}
 
+	for (const [kind, decodeText] of Object.entries(decoders)) {
+		it(`should be rejected if it is nested very deeply: a ${kind}`, () => {
+			for (const text of ['['.repeat(4_000_000), `${'{"a":['.repeat(500_000)}${']}'.repeat(500_000)}`, `{"labels":${'['.repeat(100)}${']'.repeat(100)}}`]) {
+				assert.throws(() => decodeText(text), error => error instanceof MessageError && error.message.includes('levels deep'));
+			}
+		});
+	}
+
+	it('should not count brackets in texts as nesting', () => {
+		const spec = `\\"${'[{'.repeat(200)}`;
+		assert.equal(decodeJob(JSON.stringify({spec, steps: [{count: 1}]})).spec, spec);
+	});
+
 	it('should not end a process with the heap of an entry or a keeper', () => {
 		const script = `
 			import {decodeManifest} from '@bronzebend/platform/manifest-format';
 			import {decodeJob} from '@bronzebend/platform/job-format';
+			import {decodeAnnouncement} from '@bronzebend/platform/announcement-format';
 			const rejected = text => { try { decodeManifest(text); } catch (error) { if (error.name !== 'MessageError') { throw error; } } };
 			const rejectedJob = text => { try { decodeJob(text); } catch (error) { if (error.name !== 'MessageError') { throw error; } } };
 			const zeros = count => Array.from({length: count}, () => '0').join(',');
+			const rejectedReport = text => { try { decodeAnnouncement('i-1', text); } catch (error) { if (error.name !== 'MessageError') { throw error; } } };
 			for (let turn = 0; turn < 3; turn += 1) {
+				rejectedReport('['.repeat(2000000) + ']'.repeat(2000000));
 				rejected('{"routes":[' + zeros(2000000) + ']}');
 				rejectedJob('{"steps":[' + zeros(130000) + ']}');
 			}`;
