--- a/tests/daemon/jobs/relayed-calls.spec.ts
+++ b/tests/daemon/jobs/relayed-calls.spec.ts
@@ -35,7 +35,11 @@
 };
 
 const done: OrderResult = {type: 'done'};
-const lists: HoldResult = {type: 'lists', lists: {clockMs: 1, active: [], finished: [], isCut: false}};
+const lists: HoldResult = {
+	type: 'lists', lists: {
+		clockMs: 1, active: [], finished: [], isCut: false,
+	},
+};
 const resultsIn = (message: PeerMessage) => (message.type === 'worker-results' ? message.results : []);
 const stopOf = (number: number) => ({unit: `unit-${number}`, attempt: 1, fence: 3});
 
