--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -57,16 +57,14 @@
 		isRetiring = true;
 		options.onLifeOver(life.life);
 		const certain = track.lostRuns().filter(({unit}) => track.runs.get(unit)?.isListed);
-		log.info('Worker life is over.', {
-			worker: life.life, cause, runs: track.runs.size, listed: certain.length,
-		});
+		log.info('Worker life is over.', {worker: life.life, cause, listed: certain.length});
 		await Promise.all([
 			certain.length > 0 && options.recordEnds(life.life, certain),
 			fenceLateStarts({
 				track,
 				clock,
 				untilMs: clock.monotonicMs() + longestLeaseMs(options.maxLeaseMs),
-				stop: async (unit, attempt) => timed('stop', port.stop({unit, attempt, fence})),
+				stop: async (unit, attempt) => (options.isLeading() ? timed('stop', port.stop({unit, attempt, fence})) : {type: 'unsent', cause: 'not leading'}),
 				isCancelled: hasEnded,
 			}),
 		]);
@@ -215,7 +213,10 @@
 
 	const ensurePolling = (): void => {
 		if (!isPolling && !isOver) {
-			void pollWhileNeeded();
+			pollWhileNeeded().catch((error: unknown) => {
+				log.error('Polling a worker failed.', {worker: life.id, cause: String(error)});
+				setTimeout(ensurePolling, POLL_RETRY_MS);
+			});
 		}
 	};
 
