--- a/packages/daemon/src/jobs/call-relay.ts
+++ b/packages/daemon/src/jobs/call-relay.ts
@@ -55,7 +55,8 @@
 	let results: RelayedResult[] = [];
 	let caller: Caller | undefined;
 	let isDraining = false;
-	const process = randomUUID();
+	/** Tells the leader's calls to this process from those to an earlier one at this node. */
+	const processId = randomUUID();
 
 	const flush = (): void => {
 		if (caller && results.length > 0) {
@@ -65,7 +66,7 @@
 
 	const sendResults = ({leader, term: callTerm}: Caller): void => {
 		send(leader, {
-			type: 'worker-results', term: callTerm, results, reading: {process, clockMs: clock.monotonicMs()},
+			type: 'worker-results', term: callTerm, results, reading: {process: processId, clockMs: clock.monotonicMs()},
 		});
 		results = [];
 	};
@@ -89,7 +90,7 @@
 	};
 
 	/** True if calls must not be made any more, or were meant for an earlier process at this node. A process that was paused gets old calls. */
-	const isExpired = (sendBy: ClockReading | undefined): boolean => !(sendBy?.process === process && clock.monotonicMs() <= sendBy.clockMs);
+	const isExpired = (sendBy: ClockReading | undefined): boolean => !(sendBy?.process === processId && clock.monotonicMs() <= sendBy.clockMs);
 
 	const relay = async (callTerm: number, {id, worker, call}: RelayedCall): Promise<void> => {
 		if (isDraining) {
