--- a/packages/core/src/jobs/worker-calls.ts
+++ b/packages/core/src/jobs/worker-calls.ts
@@ -17,7 +17,12 @@
 The call was never written to a connection and never will be, so it certainly has no effect. This
 proves nothing about the worker: a refused connection may come from the network between.
 */
-export type UnsentOutcome = {type: 'unsent'; cause: string};
+export type UnsentOutcome = {
+	type: 'unsent';
+	cause: string;
+	/** The process that was to make the call did not in time, which implies nothing about the worker. */
+	isCarrierLost?: boolean;
+};
 
 /** Outcome of an order to a worker. */
 export type OrderResult =
--- a/packages/daemon/src/jobs/call-relay.ts
+++ b/packages/daemon/src/jobs/call-relay.ts
@@ -142,7 +142,7 @@
 			if (isExpired(message.sendBy)) {
 				log.warn('Dropped worker calls that arrived too late.', {leader: from, term: message.term, calls: calls.length});
 				for (const {id} of calls) {
-					report(message.term, {id, result: {type: 'unsent', cause: 'arrived too late at the relaying keeper'}});
+					report(message.term, {id, result: {type: 'unsent', cause: 'arrived too late at the relaying keeper', isCarrierLost: true}});
 				}
 
 				return;
--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -142,16 +142,6 @@
 		await pause(POLL_RETRY_MS);
 	};
 
-	/** Handles an unexpected error of a poll like a lost answer, since it says nothing about the worker's runs. */
-	const pollSafely = async (): Promise<void> => {
-		try {
-			await pollOnce();
-		} catch (error) {
-			log.error('A poll of a worker failed.', {worker: life.id, cause: String(error)});
-			await endOrRetry(String(error));
-		}
-	};
-
 	const pollOnce = async (): Promise<void> => {
 		const sentMs = clock.monotonicMs();
 		const ackSeq = track.ackSeq();
@@ -187,7 +177,10 @@
 			}
 
 			case 'unsent': {
-				options.onUnreachable(life.life);
+				if (!result.isCarrierLost) {
+					options.onUnreachable(life.life);
+				}
+
 				await endOrRetry(result.cause);
 				return;
 			}
@@ -198,13 +191,18 @@
 		}
 	};
 
+	const onPollError = async (error: unknown): Promise<void> => {
+		log.error('A poll of a worker failed.', {worker: life.id, cause: String(error)});
+		await endOrRetry(String(error));
+	};
+
 	const pollWhileNeeded = async (): Promise<void> => {
 		isPolling = true;
 		try {
 			while (!hasEnded() && (track.runs.size > 0 || acknowledged < track.ackSeq())) {
-				// Polls run one after another, so that lists are never read out of order.
+				// Polls run one after another, so that lists are never read out of order. An unexpected error says nothing about the worker's runs.
 				// eslint-disable-next-line no-await-in-loop
-				await (mayAct() ? pollSafely() : pause(POLL_RETRY_MS));
+				await (mayAct() ? pollOnce().catch(onPollError) : pause(POLL_RETRY_MS));
 			}
 		} finally {
 			isPolling = false;
@@ -221,11 +219,14 @@
 	};
 
 	/** Records a start that certainly had no effect as lost, so that the work unit is placed again. */
-	const giveUpStart = async (start: RunStart, reason: string): Promise<void> => {
+	const giveUpStart = async (start: RunStart, reason: string, isCarrierLost = false): Promise<void> => {
 		log.info('Start had no effect.', {
 			unit: start.unit, attempt: start.attempt, worker: life.id, reason,
 		});
-		options.onStartFailed(start, reason);
+		if (!isCarrierLost) {
+			options.onStartFailed(start, reason);
+		}
+
 		const over: EndedRun[] = [{
 			unit: start.unit, attempt: start.attempt, how: 'lost', checkpoint: '',
 		}];
@@ -245,7 +246,7 @@
 
 			case 'rejected':
 			case 'unsent': {
-				void giveUpStart(start, result.type === 'rejected' ? result.reason : 'unsent');
+				void (result.type === 'rejected' ? giveUpStart(start, result.reason) : giveUpStart(start, 'unsent', result.isCarrierLost));
 				return;
 			}
 
