--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -14,7 +14,7 @@
 	close(): void;
 };
 
-/** Longest time for which a start may wait for a connection to its worker, in milliseconds; hundreds may start on one worker at once. */
+/** Longest time for which a start may wait for a connection to its worker since that last answered a call, in milliseconds; hundreds may start on one worker at once. */
 export const MAX_START_QUEUE_MS = 1500;
 
 /** Connects to a life of a worker. */
--- a/packages/daemon/src/jobs/relayed-calls.ts
+++ b/packages/daemon/src/jobs/relayed-calls.ts
@@ -16,12 +16,14 @@
 import type {Log} from '../utils/log.js';
 import {makeCall} from './call-relay.js';
 import {createKeeperClocks} from './keeper-clocks.js';
-import {MAX_START_QUEUE_MS, type WorkerConnector, type WorkerPort} from './ports.js';
+import type {WorkerConnector, WorkerPort} from './ports.js';
 
 /** Time for which calls are collected into one message, in milliseconds. */
 const CALL_BATCH_MS = 4;
 /** Time limit for a call's result beyond the call's own waits, in milliseconds; longer than the time limit of the relaying keeper. */
 const RESULT_TIMEOUT_MS = 900;
+/** Time added to that limit for starts, of which hundreds may wait for one worker, in milliseconds. */
+const MAX_START_WAIT_MS = 2000;
 /** Interval of the check for overdue calls, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
 /** Time for which a keeper gets no calls after it failed to return a result, in milliseconds. */
@@ -177,7 +179,7 @@
 		lastId += 1;
 		const dueMs = clock.monotonicMs() + RESULT_TIMEOUT_MS + (call.type === 'hold' ? call.request.waitMs : 0);
 		pending.set(lastId, {
-			keeper, resolve, dueMs, latestMs: dueMs + (call.type === 'start' ? MAX_START_QUEUE_MS : 0),
+			keeper, resolve, dueMs, latestMs: dueMs + (call.type === 'start' ? MAX_START_WAIT_MS : 0),
 		});
 		enqueue(keeper, {
 			id: lastId, call, worker: {
--- a/tests/platform/worker-client.spec.ts
+++ b/tests/platform/worker-client.spec.ts
@@ -54,6 +54,27 @@
 		assert.equal(arrived, sent + 1);
 	});
 
+	it('should send every start that waits for a connection to a worker that answers', async context => {
+		const length = 60;
+		let arrived = 0;
+		const server = http.createServer((_req, res) => {
+			arrived += 1;
+			setTimeout(() => {
+				res.writeHead(200).end('{}');
+			}, 150);
+		});
+		context.after(() => {
+			server.closeAllConnections();
+			server.close();
+		});
+		const worker = connectWorker(lifeNamed('w1', {address: await listen(server)}));
+		const results = await Promise.all(Array.from({length}, async (_, index) => worker.start({
+			...order, unit: `a.0.0.${index}`, spec: '', expiresMs: 1, checkpoint: '',
+		})));
+		worker.close();
+		assert.deepEqual([arrived, new Set(results.map(result => result.type))], [length, new Set(['done'])]);
+	});
+
 	it('should take the rejection of another worker at the address for the end of the life', async context => {
 		const server = http.createServer((_req, res) => {
 			res.writeHead(421).end('{"clock-ms":1}');
