Poll a worker that refuses connections less often

A refused poll returns at once and was retried every 50 ms until the lease was over; such polls did not exist before, as the first refusal ended the session. Now every 150 ms.

--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -11,8 +11,8 @@
 const POLL_WAIT_MS = 400;
 /** Pause after a failed poll, in milliseconds. */
 const POLL_RETRY_MS = 50;
-/** Pause before a stop is retried, in milliseconds. */
-const STOP_RETRY_MS = 150;
+/** Pause before a stop, or a poll that could not be sent, is retried, in milliseconds. */
+const ORDER_RETRY_MS = 150;
 /** Pause after a poll that listed ended runs, in milliseconds; runs that end meanwhile are read together. */
 const ENDS_BATCH_MS = 12;
 
@@ -112,7 +112,7 @@
 				break;
 			}
 
-			await pause(STOP_RETRY_MS);
+			await pause(ORDER_RETRY_MS);
 		}
 
 		/* eslint-enable no-await-in-loop */
@@ -133,13 +133,13 @@
 	};
 
 	/** After a poll without an answer: ends the session if the lease is over, and pauses otherwise. */
-	const endOrRetry = async (cause: string): Promise<void> => {
+	const endOrRetry = async (cause: string, retryMs = POLL_RETRY_MS): Promise<void> => {
 		if (clock.monotonicMs() > track.leaseEndMs()) {
 			end(`no contact until the lease expired: ${cause}`);
 			return;
 		}
 
-		await pause(POLL_RETRY_MS);
+		await pause(retryMs);
 	};
 
 	const pollOnce = async (): Promise<void> => {
@@ -181,7 +181,7 @@
 					options.onUnreachable(life.life);
 				}
 
-				await endOrRetry(result.cause);
+				await endOrRetry(result.cause, ORDER_RETRY_MS);
 				return;
 			}
 
