Pass the time of receipt to the decoding of a liveness report

Cause: the decoder read the system clock where no time was given, against the rule that a clock is passed in.

--- a/tests/platform/formats.spec.ts
+++ b/tests/platform/formats.spec.ts
@@ -14,6 +14,8 @@
 const manifest = {
 	version: 3, routes: [route], services: [{name: 'bench'}], limits: {'max-body-bytes': 100}, tenants: [{name: 'north', 'api-keys': ['k1'], weight: 2}],
 };
+/** Time at which reports are received, in Unix milliseconds. */
+const WALL_MS = 1_800_000_000_000;
 const manifestText = (changes: Record<string, unknown>): string => JSON.stringify({...manifest, ...changes});
 
 describe('manifest format', () => {
@@ -45,7 +47,7 @@
 	const report = {
 		service: 'bench', addr: '10.0.0.9:8080', zone: 'a', state: 'ready', capacity: {cpu: 4000, 'mem-mb': 100, gpu: 0}, labels: ['a'], 'clock-ms': 5000, seq: 4, born: 1_700_000_000_000,
 	};
-	const decodeChanged = (changes: Record<string, unknown>) => decodeAnnouncement('i-1', JSON.stringify({...report, ...changes}), 1_800_000_000_000);
+	const decodeChanged = (changes: Record<string, unknown>) => decodeAnnouncement('i-1', JSON.stringify({...report, ...changes}), WALL_MS);
 
 	it('should decode the largest and smallest ports', () => {
 		assert.deepEqual([1, 65_535].map(port => decodeChanged({addr: `10.0.0.9:${port}`}).address), ['10.0.0.9:1', '10.0.0.9:65535']);
@@ -54,7 +56,7 @@
 	// An odd entry of another writer took over a worker's ID, or drew work to an address that no connection can be made to.
 	const odd: Array<[string, Record<string, unknown>]> = [
 		...['10.0.0.9:0', '10.0.0.9:65536', '10.0.0.9:99999999999999999999', '10.0.0.9:-1', '10.0.0.9', '10.0.0.256:80', '999.0.0.1:80', '10.0.0.9:80:80', '10.0.0.9:8e1', ''].map((addr): [string, Record<string, unknown>] => [`the address "${addr}"`, {addr}]),
-		['a life from the future', {born: 1_800_000_000_000 + (2 * 3600 * 1000)}],
+		['a life from the future', {born: WALL_MS + (2 * 3600 * 1000)}],
 		['a life that is the largest integer', {born: Number.MAX_SAFE_INTEGER}],
 		['a life before 1970', {born: -1}],
 		['a clock that is too large', {'clock-ms': 1e300}],
@@ -100,7 +102,7 @@
 	};
 
 	it('should decode a report', () => {
-		const {bornMs, machine, clockMs, draining} = decodeAnnouncement('w', JSON.stringify(report));
+		const {bornMs, machine, clockMs, draining} = decodeAnnouncement('w', JSON.stringify(report), WALL_MS);
 		assert.deepEqual({
 			bornMs, machine, clockMs, draining,
 		}, {
@@ -110,10 +112,10 @@
 
 	it('should reject a message that is not a liveness report', () => {
 		for (const changes of [{born: undefined}, {state: 'odd'}, {seq: 'four'}, {addr: 7}, {capacity: []}, {labels: 'a'}]) {
-			assert.throws(() => decodeAnnouncement('w', JSON.stringify({...report, ...changes})), MessageError);
+			assert.throws(() => decodeAnnouncement('w', JSON.stringify({...report, ...changes}), WALL_MS), MessageError);
 		}
 
-		assert.throws(() => decodeAnnouncement('w', '\u0000\u0001'), MessageError);
+		assert.throws(() => decodeAnnouncement('w', '\u0000\u0001', WALL_MS), MessageError);
 	});
 
 	it('should decode which life leaves, if the notice states it', () => {
--- a/tests/platform/malformed.spec.ts
+++ b/tests/platform/malformed.spec.ts
@@ -16,7 +16,7 @@
 const MAX_ERROR_LENGTH = 1000;
 
 const decoders: Record<string, (text: string) => unknown> = {
-	job: decodeJob, manifest: decodeManifest, report: text => decodeAnnouncement('i-1', text), leave: decodeLeave,
+	job: decodeJob, manifest: decodeManifest, report: text => decodeAnnouncement('i-1', text, Date.now()), leave: decodeLeave,
 };
 
 const repeated = (before: string, item: string, after: string, bytes: number): string => `${before}${Array.from({length: Math.floor(bytes / (item.length + 1))}, () => item).join(',')}${after}`;
@@ -59,7 +59,7 @@
 			const rejected = text => { try { decodeManifest(text); } catch (error) { if (error.name !== 'MessageError') { throw error; } } };
 			const rejectedJob = text => { try { decodeJob(text); } catch (error) { if (error.name !== 'MessageError') { throw error; } } };
 			const zeros = count => Array.from({length: count}, () => '0').join(',');
-			const rejectedReport = text => { try { decodeAnnouncement('i-1', text); } catch (error) { if (error.name !== 'MessageError') { throw error; } } };
+			const rejectedReport = text => { try { decodeAnnouncement('i-1', text, Date.now()); } catch (error) { if (error.name !== 'MessageError') { throw error; } } };
 			for (let turn = 0; turn < 3; turn += 1) {
 				rejectedReport('['.repeat(2000000) + ']'.repeat(2000000));
 				rejected('{"routes":[' + zeros(2000000) + ']}');
