Log every run that a leader takes for over, with the proof

Callers saw two runs of one work unit, and the logs could not tell why the first had been given up: "Run over." and "Run placed." are limited to 60 lines a second, "Start had no effect." did not say which keeper had got the answer, and the line on the end of a life did not name its runs.

Each way to take a run for over without its worker's word now has a type of its own (end-proof.ts): a rejected or unsent start, complete lists, the end of the lease, another life that answers or reports, the list of machines, an unusable address. It reaches the commit of the ends, and "Runs given up." names the runs, 40 a line, with term, proof, what the proof rests on, and the relaying keeper. No decision changes; the one that was made by the text of a cause ("no contact") is made by the type now. The starts of a session moved to a file of their own.

--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -47,7 +47,7 @@
 	}
 };
 
-const mentions = (line: LogLine, id: string): boolean => Object.values(line.fields).some(value => typeof value === 'string' && (value === id || value.startsWith(`${id}.`) || value.endsWith(`/${id}`)));
+const mentions = (line: LogLine, id: string): boolean => Object.values(line.fields).some(value => typeof value === 'string' && (value === id || value.startsWith(`${id}.`) || value.endsWith(`/${id}`) || value.includes(` ${id}.`)));
 
 const findMissingStarts = (lines: readonly LogLine[]): string[] => {
 	const placed = new Set(lines.filter(line => line.message === 'Run placed.').map(line => `${String(line.fields.unit)}#${String(line.fields.attempt)}`));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,6 +34,7 @@
 export * from './jobs/worker-directory.js';
 export * from './jobs/worker-health.js';
 export * from './jobs/worker-calls.js';
+export * from './jobs/end-proof.js';
 export * from './jobs/worker-track.js';
 export * from './limits/grant-planner.js';
 export * from './utils/canonical-json.js';
--- a/packages/core/src/jobs/worker-calls.ts
+++ b/packages/core/src/jobs/worker-calls.ts
@@ -5,13 +5,19 @@
 /** Reason why a worker rejected an order; a rejected order certainly had no effect. */
 export type OrderRejection = 'fenced' | 'superseded' | 'late' | 'no-room' | 'no-ticket' | 'unhealthy' | 'invalid';
 
+/** An outcome that another keeper may have obtained for the leader. */
+export type Relayed = {
+	/** The keeper that relayed the call; undefined if the leader made it itself. */
+	relay?: string;
+};
+
 /** An unknown outcome: the call may have taken effect, or may still do so. */
 export type UnknownOutcome = {
 	type: 'unknown';
 	cause: string;
 	/** The process that was to relay the call did not answer, which implies nothing about the worker. */
 	isCarrierLost?: boolean;
-};
+} & Relayed;
 
 /**
 The call was never written to a connection and never will be, so it certainly has no effect. This
@@ -22,21 +28,23 @@
 	cause: string;
 	/** The process that was to make the call did not in time, which implies nothing about the worker. */
 	isCarrierLost?: boolean;
-};
+} & Relayed;
+
+/** The addressed life is over: another one, or another worker, gave this answer. */
+export type GoneOutcome = {type: 'gone'; answer: string} & Relayed;
 
 /** Outcome of an order to a worker. */
 export type OrderResult =
 	| {type: 'done'}
-	| {type: 'rejected'; reason: OrderRejection}
-	/** The addressed life is over. */
-	| {type: 'gone'}
+	| ({type: 'rejected'; reason: OrderRejection} & Relayed)
+	| GoneOutcome
 	| UnsentOutcome
 	| UnknownOutcome;
 
 /** Outcome of polling a worker's lists. */
 export type HoldResult =
 	| {type: 'lists'; lists: WorkerLists}
-	| {type: 'gone'}
+	| GoneOutcome
 	| UnsentOutcome
 	| UnknownOutcome;
 
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -1,6 +1,6 @@
 /** The leader's work during one term: answers calls, starts and stops runs, and gives orders to machines. */
 import {
-	createArrivalMeter, planStarts,
+	createArrivalMeter, lifeOf, planStarts,
 	type JobAnswer, type JobCall, type RunStart, type SchedulableWorker,
 } from '@bronzebend/core';
 import {createAdviceCache} from './advice-cache.js';
@@ -96,9 +96,9 @@
 		usable: () => new Set(workers().map(worker => worker.life)),
 		shortPools: () => new Set([...waitingUnits].filter(([, count]) => count > 0).map(([pool]) => pool)),
 		evacuate: fleet.evacuate,
-		onEnded(life) {
+		onEnded(life, proof) {
 			directory.ended(life);
-			fleet.declareEnded(life, 'ended by an order to its machine');
+			fleet.declareEnded(life, proof);
 		},
 		isLeading: leads,
 	});
@@ -232,7 +232,7 @@
 
 		if (effect === 'new-life') {
 			if (before) {
-				fleet.declareRestarted(before.life);
+				fleet.declareRestarted(before.life, {type: 'newer-life', newerLife: lifeOf(announcement.id, announcement.bornMs), newerAddress: announcement.address});
 			}
 
 			requestPass();
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -1,7 +1,7 @@
 /** Gives orders to machines during one term: upkeep for waves, and moves between pools. Each machine has at most one order at a time. */
 import {
 	createFleetBalancer, createUpkeepPlanner, groupBy, hasEndedLife, keepsBudgets, lifeOnMachine, MachineStates, mayHaveEnded, measureDemand, unitToEvacuate,
-	type ArrivalMeter, type Clock, type JobStore, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MachineOrderKind, type MovableMachine,
+	type ArrivalMeter, type Clock, type EndProof, type JobStore, type JobCommand, type JobOutcome, type Machine, type MachineMove, type MachineOrderKind, type MovableMachine,
 	type RunEstimates, type UpkeepInput, type UpkeepWave, type WorkerDirectory, type WorkerEntry, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
@@ -47,7 +47,7 @@
 	/** Stops a work unit on a life, so that it is placed elsewhere. */
 	evacuate(life: string, unit: string): void;
 	/** Called when the list of machines shows that an order ended this life with all its runs. */
-	onEnded(life: string): void;
+	onEnded(life: string, proof: EndProof): void;
 	isLeading(): boolean;
 };
 
@@ -110,7 +110,10 @@
 		for (const [name, order] of pendingOrders) {
 			const isListedSince = order.state !== 'sent' && order.atMs < requestedMs;
 			if (isListedSince && order.life !== undefined && hasEndedLife(machines.get(name), order.life)) {
-				options.onEnded(order.life);
+				const listed = machines.get(name);
+				options.onEnded(order.life, {
+					type: 'machine-list', machine: name, order: order.kind, orderAgeMs: Math.round(requestedMs - order.atMs), listedState: listed?.state ?? 'not listed', listedWorker: listed?.workerId,
+				});
 				order.life = undefined;
 				order.state = 'done';
 			}
--- a/packages/daemon/src/jobs/relayed-calls.ts
+++ b/packages/daemon/src/jobs/relayed-calls.ts
@@ -225,7 +225,7 @@
 					avoid(call.keeper, result.cause);
 				}
 
-				call?.resolve(result);
+				call?.resolve(result.type === 'done' || result.type === 'lists' ? result : {...result, relay: from});
 			}
 		},
 
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -1,7 +1,7 @@
 /** The leader's sessions with all workers that have work, and the handling of what the sessions report. */
 import {
-	createPaceController, isOpen, longestLeaseMs, RunEnds,
-	type Clock, type JobStore, type JobCommand, type JobOutcome, type EndedRun, type RunStart, type WorkerDirectory, type WorkerLife, type WorkerTrack,
+	createPaceController, isOpen, longestLeaseMs, proofFields, RunEnds,
+	type Clock, type JobStore, type JobCommand, type JobOutcome, type EndedRun, type EndProof, type RunStart, type WorkerDirectory, type WorkerLife, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
 import type {JobMetrics} from './job-metrics.js';
@@ -13,6 +13,8 @@
 const CONTACT_TIMEOUT_MS = 2200;
 /** Pause before a failed commit of ended runs is retried, in milliseconds. */
 const RECORD_RETRY_MS = 200;
+/** Runs that one log line names at most. */
+const MAX_LOGGED_RUNS = 40;
 
 /** Options of a worker fleet. */
 export type WorkerFleetOptions = {
@@ -47,7 +49,17 @@
 	const isClosed = (): boolean => closed;
 	const paceController = createPaceController(store);
 
-	const recordEnds = async (life: string, over: EndedRun[]): Promise<boolean> => {
+	/** Logs which runs this leader has taken for over without their worker's word, and why. */
+	const logGivenUp = (life: string, over: readonly EndedRun[], proof: EndProof): void => {
+		const lost = over.filter(run => run.how === RunEnds.lost);
+		for (let first = 0; first < lost.length; first += MAX_LOGGED_RUNS) {
+			log.warn('Runs given up.', {
+				worker: life, term: options.fence, ...proofFields(proof), runs: lost.length, units: lost.slice(first, first + MAX_LOGGED_RUNS).map(run => `${run.unit}#${run.attempt}`).join(' '),
+			});
+		}
+	};
+
+	const recordEnds = async (life: string, over: EndedRun[], proof: EndProof): Promise<boolean> => {
 		try {
 			await propose({
 				type: 'runs-over', life, runs: over, atMs: clock.wallMs(),
@@ -57,6 +69,8 @@
 			return false;
 		}
 
+		logGivenUp(life, over, proof);
+
 		monitor.ended(life, over, sessions.get(life)?.track);
 		for (const id of new Set(over.map(run => run.unit.split('.')[0]!))) {
 			const job = store.job(id);
@@ -70,10 +84,10 @@
 	};
 
 	/** Records that all runs of a life are lost; retries until that is committed or this term ends. */
-	const recordLost = async (life: string, over: EndedRun[]): Promise<void> => {
+	const recordLost = async (life: string, over: EndedRun[], proof: EndProof): Promise<void> => {
 		// Each attempt waits for the previous one.
 		// eslint-disable-next-line no-await-in-loop
-		while (!isClosed() && over.length > 0 && !await recordEnds(life, over)) {
+		while (!isClosed() && over.length > 0 && !await recordEnds(life, over, proof)) {
 			// eslint-disable-next-line no-await-in-loop
 			await new Promise(resolve => {
 				setTimeout(resolve, RECORD_RETRY_MS);
@@ -81,17 +95,17 @@
 		}
 	};
 
-	const onEnded = (life: string, cause: string): void => {
+	const onEnded = (life: string, proof: EndProof): void => {
 		const session = sessions.get(life);
 		const over = session?.track.lostRuns() ?? [];
-		log.warn('Worker life ended; recording its runs as lost.', {worker: life, cause, runs: over.length});
-		if (cause.startsWith('no contact')) {
+		log.warn('Worker life ended; recording its runs as lost.', {worker: life, ...proofFields(proof), runs: over.length});
+		if (proof.type === 'lease-over') {
 			monitor.contactLost(life);
 		} else {
 			directory.ended(life);
 		}
 
-		recordLost(life, over).catch((error: unknown) => {
+		recordLost(life, over, proof).catch((error: unknown) => {
 			log.error('Could not record lost runs.', {worker: life, cause: String(error)});
 		}).finally(() => {
 			if (sessions.get(life) === session) {
@@ -153,14 +167,14 @@
 	};
 
 	/** Gives up a life that cannot be connected to; its runs are recorded as lost, after the longest possible lease if an earlier leader may have started them. */
-	const giveUp = (life: WorkerLife, inherited: boolean): void => {
+	const giveUp = (life: WorkerLife, inherited: boolean, cause: string): void => {
 		unreachable.add(life.life);
 		directory.ended(life.life);
 		setTimeout(() => {
 			const over = [...store.runsOf(life.life).values()].map(({unit}): EndedRun => ({
 				unit: unit.name, attempt: unit.attempt, how: RunEnds.lost, checkpoint: '',
 			}));
-			recordLost(life.life, over).catch((error: unknown) => {
+			recordLost(life.life, over, {type: 'no-connection', cause}).catch((error: unknown) => {
 				log.error('Could not record lost runs.', {worker: life.life, cause: String(error)});
 			});
 		}, inherited ? longestLeaseMs(options.leaseMs) : 0);
@@ -177,7 +191,7 @@
 			session = sessionOf(life, inherited);
 		} catch (error) {
 			log.error('Cannot connect to a worker.', {worker: life.life, address: life.address, cause: String(error)});
-			giveUp(life, inherited);
+			giveUp(life, inherited, String(error));
 			return;
 		}
 
@@ -251,13 +265,13 @@
 			return !session || (!session.isOver() && (session.track.runs.size === 0 || clock.monotonicMs() - session.track.contactMs() < CONTACT_TIMEOUT_MS));
 		},
 
-		declareEnded(life: string, cause: string): void {
-			sessions.get(life)?.declareEnded(cause);
+		declareEnded(life: string, proof: EndProof): void {
+			sessions.get(life)?.declareEnded(proof);
 		},
 
 		/** Ends the session of a life whose worker has begun another one. */
-		declareRestarted(life: string): void {
-			sessions.get(life)?.declareRestarted('the worker restarted');
+		declareRestarted(life: string, proof: EndProof): void {
+			sessions.get(life)?.declareRestarted(proof);
 		},
 
 		close(): void {
--- a/packages/daemon/src/jobs/worker-session-options.ts
+++ b/packages/daemon/src/jobs/worker-session-options.ts
@@ -1,6 +1,6 @@
 /** Options of the leader's session with one life of a worker. */
 import type {
-	Clock, EndedRun, JobStore, RunStart, WorkerLife, WorkerTrack,
+	Clock, EndedRun, EndProof, JobStore, RunStart, WorkerLife, WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
 import type {JobMetrics} from './job-metrics.js';
@@ -20,8 +20,8 @@
 	clock: Clock;
 	log: Log;
 	metrics: JobMetrics;
-	/** Commits ended runs before they are acknowledged to the worker; returns false if that failed. */
-	recordEnds(life: string, over: EndedRun[]): Promise<boolean>;
+	/** Commits ended runs before they are acknowledged to the worker; returns false if that failed. `proof` is why those that are lost are over. */
+	recordEnds(life: string, over: EndedRun[], proof: EndProof): Promise<boolean>;
 	/** Called after each poll of the lists. */
 	onPolled(track: WorkerTrack): void;
 	/** Called when a start had no effect or got no answer. */
@@ -31,7 +31,7 @@
 	/** Called once the life is known to be over, before `onEnded`. */
 	onLifeOver(life: string): void;
 	/** Called once, when none of the runs can be active or start any more: the life is over, or its lease has expired without contact. */
-	onEnded(life: string, cause: string): void;
+	onEnded(life: string, proof: EndProof): void;
 	/** Returns false while this process must not give orders. */
 	isLeading(): boolean;
 };
--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -1,11 +1,12 @@
 /** The leader's session with one life of a worker: renews its lease, polls its lists of runs, and sends it orders. */
 import {
-	createWorkerTrack, longestLeaseMs,
-	type HoldResult, type OrderResult, type ReconcileResult, type EndedRun, type RunStart,
+	createWorkerTrack, longestLeaseMs, proofFields,
+	type EndProof, type HoldResult, type ReconcileResult, type RunStart, type WorkerLists,
 } from '@bronzebend/core';
 import {pause} from '../utils/pause.js';
 import {fenceLateStarts} from './late-orders.js';
 import type {WorkerSessionOptions} from './worker-session-options.js';
+import {createWorkerStarts} from './worker-starts.js';
 
 /** Longest wait of a poll of the lists, in milliseconds; a lost poll delays the detection of ended runs by as much. */
 const POLL_WAIT_MS = 400;
@@ -38,18 +39,18 @@
 	/** A leader may lose its lease briefly; the session continues once the lease is back, unless the term has ended. */
 	const mayAct = (): boolean => !isOver && !isRetiring && options.isLeading();
 
-	const end = (cause: string): void => {
+	const end = (proof: EndProof): void => {
 		if (isOver) {
 			return;
 		}
 
 		isOver = true;
 		port.close();
-		options.onEnded(life.life, cause);
+		options.onEnded(life.life, proof);
 	};
 
 	/** Ends the session of a life that is over, once no order to it that is under way can take effect on the worker's next life. */
-	const retire = async (cause: string): Promise<void> => {
+	const retire = async (proof: EndProof): Promise<void> => {
 		if (isOver || isRetiring) {
 			return;
 		}
@@ -57,9 +58,9 @@
 		isRetiring = true;
 		options.onLifeOver(life.life);
 		const certain = track.lostRuns().filter(({unit}) => track.runs.get(unit)?.isListed);
-		log.info('Worker life is over.', {worker: life.life, cause, listed: certain.length});
+		log.warn('Worker life is over.', {worker: life.life, ...proofFields(proof), listed: certain.length});
 		await Promise.all([
-			certain.length > 0 && options.recordEnds(life.life, certain),
+			certain.length > 0 && options.recordEnds(life.life, certain, proof),
 			fenceLateStarts({
 				track,
 				clock,
@@ -68,13 +69,13 @@
 				isCancelled: hasEnded,
 			}),
 		]);
-		end(cause);
+		end(proof);
 	};
 
-	const beginRetiring = (cause: string): void => {
-		retire(cause).catch((error: unknown) => {
+	const beginRetiring = (proof: EndProof): void => {
+		retire(proof).catch((error: unknown) => {
 			log.error('Could not end a worker session in order.', {worker: life.id, cause: String(error)});
-			end(cause);
+			end(proof);
 		});
 	};
 
@@ -108,7 +109,9 @@
 			}
 
 			if (result.type === 'gone') {
-				beginRetiring('another life of the worker answered a stop');
+				beginRetiring({
+					type: 'other-life', call: 'stop', answer: result.answer, relay: result.relay,
+				});
 				break;
 			}
 
@@ -120,12 +123,12 @@
 		ensurePolling();
 	};
 
-	const applyReconciled = async (reconciled: ReconcileResult): Promise<void> => {
+	const applyReconciled = async (reconciled: ReconcileResult, {active, finished}: WorkerLists): Promise<void> => {
 		for (const {unit, attempt} of reconciled.runsToStop) {
 			void stop(unit, attempt);
 		}
 
-		if (reconciled.endedRuns.length > 0 && !await options.recordEnds(life.life, reconciled.endedRuns)) {
+		if (reconciled.endedRuns.length > 0 && !await options.recordEnds(life.life, reconciled.endedRuns, {type: 'not-listed', active: active.length, finished: finished.length})) {
 			return;
 		}
 
@@ -134,8 +137,12 @@
 
 	/** After a poll without an answer: ends the session if the lease is over, and pauses otherwise. */
 	const endOrRetry = async (cause: string, retryMs = POLL_RETRY_MS): Promise<void> => {
-		if (clock.monotonicMs() > track.leaseEndMs()) {
-			end(`no contact until the lease expired: ${cause}`);
+		const nowMs = clock.monotonicMs();
+		const overMs = nowMs - track.leaseEndMs();
+		if (overMs > 0) {
+			end({
+				type: 'lease-over', cause, silentMs: Math.round(nowMs - track.contactMs()), overMs: Math.round(overMs), isInherited: options.inherited,
+			});
 			return;
 		}
 
@@ -162,7 +169,7 @@
 			case 'lists': {
 				isFenced = true;
 				acknowledged = Math.max(acknowledged, ackSeq);
-				await applyReconciled(track.reconcile(result.lists, sentMs, clock.monotonicMs()));
+				await applyReconciled(track.reconcile(result.lists, sentMs, clock.monotonicMs()), result.lists);
 				options.onPolled(track);
 				if (result.lists.finished.length > 0) {
 					await pause(ENDS_BATCH_MS);
@@ -172,7 +179,9 @@
 			}
 
 			case 'gone': {
-				await retire('another life of the worker answered a poll');
+				await retire({
+					type: 'other-life', call: 'poll', answer: result.answer, relay: result.relay,
+				});
 				return;
 			}
 
@@ -218,78 +227,9 @@
 		}
 	};
 
-	/** Records a start that certainly had no effect as lost, so that the work unit is placed again. */
-	const giveUpStart = async (start: RunStart, reason: string, isCarrierLost = false): Promise<void> => {
-		log.info('Start had no effect.', {
-			unit: start.unit, attempt: start.attempt, worker: life.id, reason,
-		});
-		if (!isCarrierLost) {
-			options.onStartFailed(start, reason);
-		}
-
-		const over: EndedRun[] = [{
-			unit: start.unit, attempt: start.attempt, how: 'lost', checkpoint: '',
-		}];
-		if (await options.recordEnds(life.life, over)) {
-			track.recorded(over, track.ackSeq());
-		} else {
-			track.doubtful(start.unit, start.attempt, clock.monotonicMs());
-		}
-	};
-
-	const onStartResult = (start: RunStart, result: OrderResult): void => {
-		switch (result.type) {
-			case 'done': {
-				track.confirmed(start.unit, start.attempt, clock.monotonicMs());
-				return;
-			}
-
-			case 'rejected':
-			case 'unsent': {
-				void (result.type === 'rejected' ? giveUpStart(start, result.reason) : giveUpStart(start, 'unsent', result.isCarrierLost));
-				return;
-			}
-
-			case 'gone': {
-				beginRetiring('another life of the worker answered a start');
-				return;
-			}
-
-			case 'unknown': {
-				log.warn('Outcome of a start is unknown.', {
-					unit: start.unit, attempt: start.attempt, worker: life.id, cause: result.cause,
-				});
-				track.doubtful(start.unit, start.attempt, clock.monotonicMs());
-				if (!result.isCarrierLost) {
-					options.onStartFailed(start, 'no-answer');
-				}
-
-				ensurePolling();
-			}
-		}
-	};
-
-	const sendStart = async (start: RunStart, ticket: string | undefined): Promise<void> => {
-		const found = store.find(start.unit);
-		const expiresMs = track.leaseExpiry(clock.monotonicMs());
-		if (!found || !mayAct()) {
-			// The start is not sent, so a later stop finds that it never began.
-			track.doubtful(start.unit, start.attempt, clock.monotonicMs());
-			return;
-		}
-
-		if (expiresMs === undefined) {
-			await giveUpStart(start, 'clock-unknown');
-			return;
-		}
-
-		log.debug('Start ordered.', {unit: start.unit, attempt: start.attempt, worker: life.id});
-		const result = await timed('start', port.start({
-			unit: start.unit, attempt: start.attempt, spec: found.job.order.spec, expiresMs, fence, checkpoint: found.unit.checkpoint, ticket,
-		}));
-		track.leaseCallEnded(expiresMs, result.type !== 'unsent');
-		onStartResult(start, result);
-	};
+	const starts = createWorkerStarts({
+		...options, track, mayAct, timed, onOtherLife: beginRetiring, ensurePolling,
+	});
 
 	if (track.runs.size > 0) {
 		ensurePolling();
@@ -305,7 +245,7 @@
 		/** Orders the start of a recorded run. */
 		start(start: RunStart, ticket: string | undefined): void {
 			track.ordered(start.unit, start.attempt, clock.monotonicMs());
-			sendStart(start, ticket).catch((error: unknown) => {
+			starts.send(start, ticket).catch((error: unknown) => {
 				log.error('Could not order a start.', {unit: start.unit, worker: life.id, cause: String(error)});
 				track.doubtful(start.unit, start.attempt, clock.monotonicMs());
 			});
--- a/tests/daemon/jobs/worker-session.spec.ts
+++ b/tests/daemon/jobs/worker-session.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	type HoldResult, type JobStore, type OrderResult, type StartOrder, type WorkerLists,
+	type EndProof, type HoldResult, type JobStore, type OrderResult, type StartOrder, type WorkerLists,
 } from '@bronzebend/core';
 import {
 	createJobMetrics, createWorkerSession, silentLogs, type WorkerPort, type WorkerSession,
@@ -29,13 +29,15 @@
 	unit, attempt: 1, checkpoint: '', percent: 100, load: 0,
 };
 
+const restarted: EndProof = {type: 'newer-life', newerLife: 'w1@2', newerAddress: '127.0.0.1:1'};
+
 /** Lists of a worker, or the whole result of a poll. */
 type Polled = Partial<WorkerLists> | Exclude<HoldResult, {type: 'lists'}>;
 
 const setUp = (lists: () => Polled, startResult: OrderResult = started, stopResult: () => OrderResult = () => ({type: 'done'})) => {
 	const store: JobStore = storeWith([orderOf('a', [stepOf({lasting: true})])]);
 	const calls = {
-		holds: 0, starts: [] as StartOrder[], stops: 0, failed: [] as string[], unreachable: 0, livesOver: 0, ended: [] as string[],
+		holds: 0, starts: [] as StartOrder[], stops: 0, failed: [] as string[], unreachable: 0, livesOver: 0, ended: [] as EndProof[], proofs: [] as EndProof[],
 	};
 	let leads = true;
 	let nowMs = 1000;
@@ -81,7 +83,8 @@
 		clock: {wallMs: () => nowMs, monotonicMs: () => nowMs},
 		log: silentLogs('test'),
 		metrics: createJobMetrics(),
-		async recordEnds(of, over) {
+		async recordEnds(of, over, proof) {
+			calls.proofs.push(proof);
 			store.apply({
 				type: 'runs-over', life: of, runs: over, atMs: nowMs,
 			});
@@ -97,8 +100,8 @@
 		onLifeOver() {
 			calls.livesOver += 1;
 		},
-		onEnded(_life, cause) {
-			calls.ended.push(cause);
+		onEnded(_life, proof) {
+			calls.ended.push(proof);
 		},
 		isLeading: () => leads,
 	});
@@ -164,7 +167,7 @@
 		assert.deepEqual([calls.ended, session.isOver()], [[], false]);
 		pass(1000);
 		await waitUntil(() => session.isOver());
-		assert.deepEqual(calls.ended, ['no contact until the lease expired: connection refused']);
+		assert.deepEqual(calls.ended.map(proof => [proof.type, 'cause' in proof && proof.cause]), [['lease-over', 'connection refused']]);
 	});
 
 	it('should keep renewing leases after an unexpected error of a poll', async () => {
@@ -206,14 +209,14 @@
 	// Starts under way to a worker reached its next life, which has the same ID, while their work units ran elsewhere.
 	for (const [what, restart] of [
 		['reports', (session: WorkerSession) => {
-			session.declareRestarted('the worker restarted');
+			session.declareRestarted(restarted);
 		}],
 		['answers a poll', () => undefined],
 	] as const) {
 		it(`should free a run that was never listed only after the worker's next life has confirmed its stop, if that life ${what}`, async () => {
 			let isRestarted = false;
 			let stopResult: OrderResult = {type: 'unknown', cause: 'no answer'};
-			const lists = (): Polled => (isRestarted && what === 'answers a poll' ? {type: 'gone'} : {});
+			const lists = (): Polled => (isRestarted && what === 'answers a poll' ? {type: 'gone', answer: 'status 421'} : {});
 			const {store, calls, session, begin} = setUp(lists, {type: 'unknown', cause: 'no answer'}, () => stopResult);
 			begin();
 			await waitUntil(() => calls.holds > 1);
@@ -231,9 +234,10 @@
 		const {store, calls, session, begin} = setUp(() => ({active: [active]}), started, () => ({type: 'unknown', cause: 'no answer'}));
 		begin();
 		await waitUntil(() => session.track.runs.get(unit)?.isListed === true);
-		session.declareRestarted('the worker restarted');
+		session.declareRestarted(restarted);
 		await waitUntil(() => calls.ended.length > 0);
-		assert.deepEqual([calls.ended, calls.stops, store.find(unit)!.unit.state], [['the worker restarted'], 0, 'idle']);
+		assert.deepEqual([calls.ended, calls.stops, store.find(unit)!.unit.state], [[restarted], 0, 'idle']);
+		assert.deepEqual(calls.proofs, [restarted]);
 	});
 
 	it('should not report a failed start if the call was lost by its relay', async () => {
--- a/tests/platform/worker-client.spec.ts
+++ b/tests/platform/worker-client.spec.ts
@@ -86,6 +86,6 @@
 		const worker = connectWorker(lifeNamed('w1', {address: await listen(server)}));
 		const results = [await worker.hold(hold), await worker.stop(order)];
 		worker.close();
-		assert.deepEqual(results, [{type: 'gone'}, {type: 'gone'}]);
+		assert.deepEqual(results, [{type: 'gone', answer: 'status 421'}, {type: 'gone', answer: 'status 421'}]);
 	});
 });
