Keep the runs of a worker that the list of machines does not name

Callers could see two runs of one work unit: an order to a worker's machine got no answer and had no effect, and the next list left the machine out, or listed it up without naming its worker. Both were taken for the end of the life, and its runs were started elsewhere at once while they went on.

Cause: hasEndedLife read what a list does not say as a proof.

The order stays pending until a list names the worker.

--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -109,16 +109,17 @@
 		machineByWorker = new Map(list.toReversed().flatMap(({workerId, name}) => (workerId === undefined ? [] : [[workerId, name] as const])));
 		for (const [name, order] of pendingOrders) {
 			const isListedSince = order.state !== 'sent' && order.atMs < requestedMs;
-			if (isListedSince && order.life !== undefined && hasEndedLife(machines.get(name), order.life)) {
-				const listed = machines.get(name);
+			const listed = machines.get(name);
+			if (isListedSince && order.life !== undefined && hasEndedLife(listed, order.life)) {
 				options.onEnded(order.life, {
-					type: 'machine-list', machine: name, order: order.kind, orderAgeMs: Math.round(requestedMs - order.atMs), listedState: listed?.state ?? 'not listed', listedWorker: listed?.workerId,
+					type: 'machine-list', machine: name, order: order.kind, orderAgeMs: Math.round(requestedMs - order.atMs), listedState: listed!.state, listedWorker: listed!.workerId,
 				});
 				order.life = undefined;
 				order.state = 'done';
 			}
 
-			const isUpAgain = isListedSince && order.state === 'done' && machines.get(name)?.state === MachineStates.up;
+			// Until the list names the worker, it does not show whether the life goes on.
+			const isUpAgain = isListedSince && order.state === 'done' && listed?.state === MachineStates.up && (order.life === undefined || listed.workerId !== undefined);
 			if (isUpAgain || (order.state === 'unanswered' && requestedMs - order.atMs > REPEAT_DELAY_MS)) {
 				pendingOrders.delete(name);
 			}
--- a/tests/daemon/jobs/ended-lives.spec.ts
+++ b/tests/daemon/jobs/ended-lives.spec.ts
@@ -17,8 +17,9 @@
 });
 
 /** A platform with two machines on which an upkeep order ends the life at once; a list takes `listMs` milliseconds. */
-const createPlatform = ({listMs = 0, answer = {type: 'done'} as MachineResult}) => {
-	const ended = new Set<string>();
+const createPlatform = ({listMs = 0, answer = {type: 'done'} as MachineResult, isCarriedOut = true}) => {
+	/** Workers whose machines got an order. */
+	const ordered = new Set<string>();
 	const machineOf = ({machine, id, capacity}: WorkerLife): Machine => ({
 		name: machine!, pool: 'bench', state: MachineStates.up, zone: 'a', labels: ['kind'], capacity, workerId: id,
 	});
@@ -35,21 +36,31 @@
 				return {type: 'withheld'};
 			}
 
-			ended.add(machines.get(machine)!.workerId!);
+			ordered.add(machines.get(machine)!.workerId!);
+			if (!isCarriedOut) {
+				return answer;
+			}
+
 			machines.set(machine, {...machines.get(machine)!, state: MachineStates.upkeep, workerId: undefined});
 			return answer;
 		},
 	};
-	return {port, ended, machines};
+	return {port, ordered, machines};
 };
 
-const storeWithWave = (): JobStore => {
-	const store = storeWith([], manifestOf({pools: [{name: 'bench', guardsCapacity: true, standby: false}]}));
+const storeWithPool = (): JobStore => storeWith([], manifestOf({pools: [{name: 'bench', guardsCapacity: true, standby: false}]}));
+
+const beginWave = (store: JobStore): void => {
 	store.apply({
 		type: 'wave', wave: {
 			number: 1, machines: ['m-old'], deadlineMs: Date.now() + 100_000, cap: 1, begun: [], completed: false,
 		},
 	});
+};
+
+const storeWithWave = (): JobStore => {
+	const store = storeWithPool();
+	beginWave(store);
 	return store;
 };
 
@@ -64,7 +75,7 @@
 		const store = storeWithWave();
 		const platform = createPlatform({});
 		const first = createLeaderHarness(store, {lives: [OLD, OTHER], node: 'n1', machines: platform.port});
-		await waitUntilTrue(() => platform.ended.has(OLD.id));
+		await waitUntilTrue(() => platform.ordered.has(OLD.id));
 		first.work.stop();
 		const slow = createPlatform({listMs: 400});
 		slow.machines.set('m-old', platform.machines.get('m-old')!);
@@ -100,7 +111,7 @@
 		const store = storeWithWave();
 		const platform = createPlatform({answer: {type: 'unknown', cause: 'no answer'}});
 		const leader = createLeaderHarness(store, {lives: [OLD, OTHER], machines: platform.port});
-		await waitUntilTrue(() => platform.ended.has(OLD.id));
+		await waitUntilTrue(() => platform.ordered.has(OLD.id));
 		await waitMs(1600);
 		submitJobs(store, 8);
 		await waitMs(1200);
@@ -109,6 +120,34 @@
 		assert.deepEqual(leader.startedOn.filter(life => life === OLD.life), []);
 	});
 
+	// Its runs were started elsewhere while they went on, because an odd entry had been left out of the list.
+	for (const [what, change] of [
+		['leaves its machine out', () => undefined],
+		['does not name the worker on its machine', (machine: Machine) => ({...machine, workerId: undefined})],
+	] as const) {
+		it(`should keep its runs if a list ${what} after an order that had no effect`, async () => {
+			const store = storeWithPool();
+			submitJobs(store, 4);
+			const platform = createPlatform({answer: {type: 'unknown', cause: 'no answer'}, isCarriedOut: false});
+			const leader = createLeaderHarness(store, {lives: [OLD], machines: platform.port});
+			await waitUntilTrue(() => leader.running.size === 4);
+			beginWave(store);
+			await waitUntilTrue(() => platform.ordered.has(OLD.id));
+			const running = [...store.runsOf(OLD.life).keys()];
+			const listed = change(platform.machines.get('m-old')!);
+			platform.machines.delete('m-old');
+			if (listed) {
+				platform.machines.set('m-old', listed);
+			}
+
+			await waitMs(1500);
+			const kept = [...store.runsOf(OLD.life).keys()];
+			leader.work.stop();
+			assert.equal(running.length, 4);
+			assert.deepEqual(kept, running);
+		});
+	}
+
 	it('should get no start after the list shows its machine down without any order of ours', async () => {
 		const store = storeWithWave();
 		store.apply({type: 'wave-completed', number: 1});
