--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -70,6 +70,8 @@
 	/** Name of each worker's machine, the first one listed; rebuilt only when the list is read. */
 	let machineByWorker = new Map<string, string>();
 	let listReadMs = -Infinity;
+	/** The list leaves machines out. */
+	let hasGaps = false;
 	let mustRefresh = false;
 	let isBusy = false;
 
@@ -105,8 +107,9 @@
 
 		listReadMs = requestedMs;
 		mustRefresh = false;
-		machines = new Map(list.map(machine => [machine.name, machine]));
-		machineByWorker = new Map(list.toReversed().flatMap(({workerId, name}) => (workerId === undefined ? [] : [[workerId, name] as const])));
+		hasGaps = list.hasGaps;
+		machines = new Map(list.machines.map(machine => [machine.name, machine]));
+		machineByWorker = new Map(list.machines.toReversed().flatMap(({workerId, name}) => (workerId === undefined ? [] : [[workerId, name] as const])));
 		for (const [name, order] of pendingOrders) {
 			const isListedSince = order.state !== 'sent' && order.atMs < requestedMs;
 			const listed = machines.get(name);
@@ -184,7 +187,7 @@
 	};
 
 	const completeWaves = async (): Promise<void> => {
-		const over = store.waves().filter(wave => !wave.completed && !completing.has(wave.number) && planner.isComplete(wave, machines));
+		const over = store.waves().filter(wave => !wave.completed && !completing.has(wave.number) && planner.isComplete(wave, {machines, hasGaps}));
 		await Promise.all(over.map(async wave => {
 			completing.add(wave.number);
 			try {
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -37,10 +37,13 @@
 	maySend(): boolean;
 };
 
+/** A list of machines. It has gaps if entries were left out of it, so that a machine that is not listed may exist. */
+export type MachineList = {machines: Machine[]; hasGaps: boolean};
+
 /** Calls to the platform that manages the machines. */
 export type MachinePort = {
-	/** Returns all machines; undefined if the platform gave no answer. */
-	list(): Promise<Machine[] | undefined>;
+	/** Returns the machines; undefined if the platform gave no answer. */
+	list(): Promise<MachineList | undefined>;
 	move(machine: string, pool: string, holder: MachineHolder): Promise<MachineResult>;
 	upkeep(machine: string, wave: number, holder: MachineHolder): Promise<MachineResult>;
 };
