Play the users' fault in the soak, with workers behind harmed links

The soak now runs a deployment of that size: five keepers, seven entries, 40 workers in five pools, one of them in standby, on addresses of its own. Workers have leases on clocks of their own, fences, start times, lists cut at 500 ends, and late or rejected orders. Each is behind a link that refuses, resets, holds up, delays or loses bytes in one direction or both.

Each break is reported with both runs, how the first ended, the faults near it, and the keeper's line that gave it up. Logs of a broken run, and of one whose first manifest was not accepted, are kept.

Lists of active runs are not cut: the protocol cuts those of ends only.

--- a/utils/soak.ts
+++ b/utils/soak.ts
@@ -1,32 +1,40 @@
 /**
 Soak of the job programs: real keepers and entries as separate processes, with stand-in workers, callers
-and an operator, under faults that are drawn from a seed. Ends with code 1 if a promise was broken.
+and an operator, under faults that are drawn from a seed. Ends with code 1 if a promise was broken, and
+with code 2 if a soak could not begin; the logs of both are kept.
 
-	npm run soak -- SEED... [--minutes N]
+	npm run soak -- SEED... [--seconds N] [--kinds KIND,...] [--programs FOLDER] [--logs FOLDER]
+		[--keepers N] [--entries N] [--pools N] [--workers-per-pool N] [--jobs-per-s N] [--keep]
 */
+import {mkdirSync, rmSync, writeFileSync} from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {createRandom} from '@bronzebend/core';
-import {createProcesses, startWorker, until} from './platform-stand-ins.js';
+import {root} from './process-cluster.js';
+import {describeBreak, readLogs} from './soak/breaks.js';
+import {createCallers} from './soak/callers.js';
+import {createInjector} from './soak/inject.js';
 import {findViolations, type JobRecord, type Violation} from './soak/ledger.js';
-import {describeFault, drawFaults, type Fault} from './soak/schedule.js';
-
-const KEEPERS = ['127.0.92.1', '127.0.92.2', '127.0.92.3'];
-const ENTRIES = ['127.0.92.11', '127.0.92.12'];
-const WORKERS = ['127.0.92.21', '127.0.92.22', '127.0.92.23'];
-const DEFAULT_MINUTES = 0.4;
-/** Pause between two new jobs, in milliseconds. */
-const JOB_INTERVAL_MS = 60;
-/** Pause between two manifests, in milliseconds. */
-const PUBLISH_INTERVAL_MS = 700;
-/** Duration of a work unit on the stand-in workers, in milliseconds. */
-const RUN_MS = 300;
-/** Submissions of one job until its caller gives up. */
-const MAX_SUBMISSIONS = 6;
-/** Share of the jobs that are submitted again after they were accepted, as if the answer had been lost, and of those that are cancelled. */
-const RESENT_SHARE = 0.2;
-const CANCELLED_SHARE = 0.05;
-const KEY = 'key-north';
+import {
+	describeFault, drawFaults, type Fault, type FaultKind, processKinds, workerKinds,
+} from './soak/schedule.js';
+import {
+	type Site, SiteError, type SiteSize, startSite,
+} from './soak/site.js';
+import type {SoakRun} from './soak/worker-life.js';
+
+/** Pause between two manifests, and between two waves, in milliseconds. */
+const PUBLISH_MS = 2000;
+const WAVE_MS = 9000;
+const WAVE_SIZE = 2;
+/** Time after the traffic in which the accepted jobs have to end, in milliseconds. */
+const FINISH_MS = 60_000;
+const FINISH_PAUSE_MS = 500;
+/** Breaks that are printed in full; the file breaks.txt in the folder of the logs has all. */
+const MAX_PRINTED = 3;
 
 const print = (text: string): void => {
 	process.stdout.write(`${text}\n`);
@@ -36,185 +44,164 @@
 	setTimeout(resolve, milliseconds);
 });
 
-const manifestOf = (version: number) => ({
-	version,
-	routes: [{
-		name: 'quotes', host: 'desk.example', 'path-prefix': '/quotes/', 'timeout-ms': 3000, 'target-latency-ms': 600, service: 'bench', 'max-attempts': 3, 'slack-factor': 1.6,
-	}],
-	services: [{name: 'bench', 'admission-check': true}],
-	limits: {'max-body-bytes': 5000},
-	tenants: [{name: 'north', 'api-keys': [KEY], weight: 5}],
-});
-
-const jobBody = {
-	spec: 'soak', steps: [{
-		count: 3, cpu: 500, 'mem-mb': 50, 'estimate-ms': RUN_MS,
-	}, {
-		count: 1, cpu: 500, 'mem-mb': 50, 'estimate-ms': RUN_MS, 'depends-on': [0],
-	}],
-};
-
-type Fleet = {processes: ReturnType<typeof createProcesses>; workers: Array<Awaited<ReturnType<typeof startWorker>>>};
-
-const startFleet = async (): Promise<Fleet> => {
-	const processes = createProcesses(KEEPERS, ENTRIES[0]!);
-	for (const keeper of KEEPERS) {
-		processes.start(keeper, 'keeper', true);
-	}
-
-	for (const entry of ENTRIES) {
-		processes.start(entry, 'entry', true);
-	}
-
-	const workers = await Promise.all(WORKERS.map(async (host, index) => startWorker(`w-${index + 1}`, host, {pool: 'bench', runMs: RUN_MS, controls: KEEPERS})));
-	await until('a manifest is accepted', async () => {
-		const answer = await processes.control(KEEPERS[0]!, 'POST', '/Config.Replace', manifestOf(1));
-		return answer.status === 200;
-	});
-	return {processes, workers};
-};
-
-const inject = async (fault: Fault, {processes, workers}: Fleet): Promise<void> => {
-	switch (fault.type) {
-		case 'kill':
-		case 'stop': {
-			await processes.end(fault.process, fault.type === 'kill' ? 'SIGKILL' : 'SIGTERM');
-			await pause(fault.forMs);
-			processes.start(fault.process, KEEPERS.includes(fault.process) ? 'keeper' : 'entry', false);
-			return;
-		}
-
-		case 'pause': {
-			processes.signal(fault.process, 'SIGSTOP');
-			await pause(fault.forMs);
-			processes.signal(fault.process, 'SIGCONT');
-			return;
+type SoakOptions = {seed: number; lengthMs: number; kinds: readonly FaultKind[]; programs: string; folder: string; size: SiteSize; jobsPerS: number};
+
+type Seen = {violations: Array<Violation<SoakRun>>; jobs: JobRecord[]; faults: Fault[]; runs: SoakRun[]; startMs: number; ended: string[]; indexOf: Site['indexOf']};
+
+/** Publishes manifests and requests waves until the soak is over; returns the newest version that was acknowledged. */
+const operate = async (site: Site, random: () => number, isOver: () => boolean): Promise<number> => {
+	let acknowledged = 1;
+	let waveMs = performance.now() + WAVE_MS;
+	let wave = 0;
+	for (let version = 2; !isOver(); version += 1) {
+		acknowledged = await site.publish(version) ? version : acknowledged;
+		if (performance.now() > waveMs) {
+			wave += 1;
+			waveMs += WAVE_MS;
+			const first = Math.floor(random() * site.workers.length);
+			await site.startWave(wave, site.workers.slice(first, first + WAVE_SIZE).map(worker => worker.machine));
 		}
 
-		case 'silent-reports':
-		case 'lost-answers': {
-			workers[fault.worker]!.silence(fault.type === 'lost-answers' ? 'answers' : 'reports', fault.forMs);
-		}
+		await pause(PUBLISH_MS);
 	}
+
+	return acknowledged;
 };
 
-/** Runs one soak; returns the broken promises and what was seen. */
-const soak = async (seed: number, lengthMs: number): Promise<{violations: Violation[]; jobs: JobRecord[]; faults: Fault[]; starts: number}> => {
+const soak = async ({seed, lengthMs, kinds, programs, folder, size, jobsPerS}: SoakOptions): Promise<Seen> => {
 	const random = createRandom(seed);
 	const faults = drawFaults(random, {
-		keepers: KEEPERS, entries: ENTRIES, workers: WORKERS.length, lengthMs,
+		keepers: size.keepers, entries: size.entries, workers: (size.pools - 1) * size.workersPerPool, lengthMs, kinds,
+	});
+	const site = await startSite({
+		size, folder, programs, random: createRandom(seed + 1),
 	});
-	const fleet = await startFleet();
-	const {processes, workers} = fleet;
-	const jobs: JobRecord[] = [];
-	const startedMs = performance.now();
-	const isOver = (): boolean => performance.now() - startedMs > lengthMs;
-	let acknowledgedVersion = 1;
-
-	const ask = async (method: string, id: string, body?: unknown): Promise<{status: number; body: unknown}> => {
-		const entry = ENTRIES[Math.floor(random() * ENTRIES.length)]!;
-		return processes.callAt(entry, method, `/quotes/${id}`, body, KEY).catch(() => ({status: 0, body: undefined}));
-	};
-
-	const runJob = async (job: JobRecord): Promise<void> => {
-		const isResent = random() < RESENT_SHARE;
-		const isToCancel = random() < CANCELLED_SHARE;
-		for (let attempt = 0; attempt < MAX_SUBMISSIONS; attempt += 1) {
-			const answer = await ask('POST', job.id, jobBody);
-			job.statuses.push(answer.status);
-			if (answer.status === 200) {
-				break;
-			}
-
-			await pause(200 + (random() * 400));
-		}
-
-		if (isResent) {
-			const again = await ask('POST', job.id, jobBody);
-			job.statuses.push(again.status);
-		}
-
-		if (isToCancel) {
-			job.isCancelled = true;
-			await ask('DELETE', job.id);
-		}
-	};
-
-	const submitJobs = async (): Promise<void> => {
-		const calls: Array<Promise<void>> = [];
-		for (let number = 1; !isOver(); number += 1) {
-			const job: JobRecord = {id: ((seed * 1_000_000) + number).toString(16).padStart(16, '0'), statuses: [], isCancelled: false};
-			jobs.push(job);
-			calls.push(runJob(job));
-			await pause(JOB_INTERVAL_MS);
-		}
-
-		await Promise.all(calls);
-	};
-
-	const publishManifests = async (): Promise<void> => {
-		for (let version = 2; !isOver(); version += 1) {
-			const keeper = KEEPERS[Math.floor(random() * KEEPERS.length)]!;
-			const answer = await processes.control(keeper, 'POST', '/Config.Replace', manifestOf(version)).catch(() => ({status: 0}));
-			acknowledgedVersion = answer.status === 200 ? version : acknowledgedVersion;
-			await pause(PUBLISH_INTERVAL_MS);
-		}
-	};
-
-	const readStates = async (): Promise<void> => {
-		for (const job of jobs.filter(each => each.lastState !== 'completed' && !each.isCancelled)) {
-			const answer = await ask('GET', job.id);
-			job.lastState = answer.status === 200 ? (answer.body as {state: string}).state : `status ${answer.status}`;
-		}
-	};
-
 	try {
+		const startMs = Date.now();
+		const isOver = (): boolean => Date.now() - startMs > lengthMs;
+		const inject = createInjector({...site, nextId: site.newIdOf});
+		const callers = createCallers({
+			random: createRandom(seed + 2), seed, entries: site.addresses.entries.map(host => `${host}:${site.addresses.callers}`), queues: site.queues, jobsPerS, lasting: 2 * site.queues.length, isOver,
+		});
 		const injected = faults.map(async fault => {
 			await pause(fault.atMs);
-			await inject(fault, fleet);
+			site.record('soak', 'fault', fault);
+			await inject(fault);
 		});
-		await Promise.all([submitJobs(), publishManifests(), ...injected]);
+		const [acknowledgedVersion] = await Promise.all([operate(site, createRandom(seed + 3), isOver), callers.run(), ...injected]);
 		let readVersion = 0;
-		await until('all accepted jobs have ended', async () => {
-			await readStates();
-			const answer = await processes.control(KEEPERS[0]!, 'GET', '/Config.Read');
-			readVersion = (answer.body as {version?: number}).version ?? readVersion;
-			return readVersion >= acknowledgedVersion && jobs.every(job => job.isCancelled || job.lastState === 'completed' || !job.statuses.includes(200));
-		}).catch(() => undefined);
-		const runs = workers.flatMap(worker => worker.runs);
+		const finishMs = Date.now() + FINISH_MS;
+		for (let open = 1; (open > 0 || readVersion < acknowledgedVersion) && Date.now() < finishMs;) {
+			await pause(FINISH_PAUSE_MS);
+			open = await callers.finish();
+			readVersion = await site.readVersion() ?? readVersion;
+		}
+
 		return {
 			violations: findViolations({
-				jobs, runs, acknowledgedVersion, readVersion,
-			}), jobs, faults, starts: runs.length,
+				jobs: callers.jobs, runs: site.runs, acknowledgedVersion, readVersion,
+			}), jobs: callers.jobs, faults, runs: site.runs, startMs, ended: site.processes.ended(), indexOf: site.indexOf,
 		};
 	} finally {
-		for (const worker of workers) {
-			worker.stop();
-		}
+		await site.stop();
+	}
+};
 
-		await processes.stopAll();
+const number = (value: string | undefined, name: string): number => {
+	const parsed = Number(value);
+	if (!(parsed > 0)) {
+		process.stderr.write(`--${name} is a number above 0.\n`);
+		process.exit(2);
 	}
+
+	return parsed;
 };
 
-const {values, positionals} = parseArgs({allowPositionals: true, options: {minutes: {type: 'string', default: String(DEFAULT_MINUTES)}}});
+const {values, positionals} = parseArgs({
+	allowPositionals: true, options: {
+		seconds: {type: 'string', default: '25'},
+		kinds: {type: 'string', default: [...processKinds, ...workerKinds].join(',')},
+		programs: {type: 'string', default: root},
+		logs: {type: 'string', default: os.tmpdir()},
+		keepers: {type: 'string', default: '5'},
+		entries: {type: 'string', default: '7'},
+		pools: {type: 'string', default: '5'},
+		'workers-per-pool': {type: 'string', default: '8'},
+		'jobs-per-s': {type: 'string', default: '10'},
+		keep: {type: 'boolean', default: false},
+	},
+});
 const seeds = positionals.map(Number);
-const lengthMs = Number(values.minutes) * 60_000;
-if (seeds.length === 0 || seeds.some(seed => !Number.isSafeInteger(seed)) || !(lengthMs > 0)) {
-	process.stderr.write('Usage: npm run soak -- SEED... [--minutes N]; a seed is a whole number, N is above 0.\n');
+const kinds = values.kinds.split(',').filter(kind => kind !== 'none') as FaultKind[];
+const unknown = kinds.filter(kind => ![...processKinds, ...workerKinds].includes(kind));
+if (seeds.length === 0 || seeds.some(seed => !Number.isSafeInteger(seed)) || unknown.length > 0) {
+	process.stderr.write(`Usage: npm run soak -- SEED... [--seconds N] [--kinds KIND,...]; a seed is a whole number, a kind is none or one of ${[...processKinds, ...workerKinds].join(', ')}.\n`);
 	process.exit(2);
 }
 
+const size: SiteSize = {
+	keepers: number(values.keepers, 'keepers'), entries: number(values.entries, 'entries'), pools: number(values.pools, 'pools'), workersPerPool: number(values['workers-per-pool'], 'workers-per-pool'),
+};
+
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+	process.on(signal, () => process.exit(2));
+}
+
+/** Counts equal texts, the most frequent first. */
+const tally = (texts: readonly string[]): string[] => {
+	const counts = new Map<string, number>();
+	for (const text of texts) {
+		counts.set(text, (counts.get(text) ?? 0) + 1);
+	}
+
+	return [...counts].toSorted(([, one], [, other]) => other - one).map(([text, count]) => `${count} ${text}`);
+};
+
+const reportBreaks = (folder: string, seen: Seen): void => {
+	const lines = readLogs(folder);
+	const breaks = seen.violations.map(violation => describeBreak(violation, {...seen, lines, soakStartMs: seen.startMs}));
+	const ended = seen.ended.map(host => `the process on ${host} ended by itself`);
+	writeFileSync(path.join(folder, 'breaks.txt'), [...seen.faults.map(fault => describeFault(fault)), ...ended, ...breaks.map(({text}) => text), ''].join('\n'));
+	print([
+		...ended,
+		...tally(breaks.map(({rule, end, cause}) => `${rule}: first run ${end}; ${cause}`)),
+		`faults near: ${tally(breaks.map(({kinds: near}) => near.join('+'))).join(', ')}`,
+		`second runs began ${breaks.map(({delayMs}) => delayMs ?? 0).toSorted((one, other) => one - other).join(' ')} ms after acceptance`,
+		...breaks.slice(0, MAX_PRINTED).map(({text}) => text),
+	].map(line => `  ${line}`).join('\n'));
+};
+
 let broken = 0;
-print('| seed | faults | jobs | accepted | refused | starts | broken |\n| --- | --- | --- | --- | --- | --- | --- |');
+let failed = 0;
+print('| seed | faults | jobs | accepted | runs | broken | longest stall of the stand-ins, ms |\n| --- | --- | --- | --- | --- | --- | --- |');
 for (const seed of seeds) {
-	const {violations, jobs, faults, starts} = await soak(seed, lengthMs);
-	const accepted = jobs.filter(job => job.statuses.includes(200)).length;
-	print(`| ${seed} | ${faults.length} | ${jobs.length} | ${accepted} | ${jobs.length - accepted} | ${starts} | ${violations.length} |`);
-	broken += violations.length;
-	if (violations.length > 0) {
-		print(faults.map(fault => `  ${describeFault(fault)}`).join('\n'));
-		print(violations.map(({rule, detail}) => `  ${rule}: ${detail}`).join('\n'));
+	const folder = path.join(values.logs, `soak-${seed}-${process.pid}`);
+	mkdirSync(folder, {recursive: true});
+	const stalls = monitorEventLoopDelay({resolution: 10});
+	stalls.enable();
+	try {
+		const seen = await soak({
+			seed, lengthMs: number(values.seconds, 'seconds') * 1000, kinds, programs: path.resolve(values.programs), folder, size, jobsPerS: number(values['jobs-per-s'], 'jobs-per-s'),
+		});
+		const {violations, jobs, faults, runs} = seen;
+		print(`| ${seed} | ${faults.length} | ${jobs.length} | ${jobs.filter(job => job.statuses.includes(200)).length} | ${runs.length} | ${violations.length} | ${Math.round(stalls.max / 1e6)} |`);
+		broken += violations.length;
+		if (violations.length > 0) {
+			reportBreaks(folder, seen);
+		}
+
+		if (violations.length > 0 || values.keep) {
+			print(`  logs: ${folder}`);
+		} else {
+			rmSync(folder, {recursive: true, force: true});
+		}
+	} catch (error) {
+		failed += 1;
+		const answers = error instanceof SiteError ? error.answers : [];
+		print(`| ${seed} | could not run: ${String(error)} |\n${answers.map(answer => `  ${answer}`).join('\n')}\n  logs: ${folder}`);
 	}
+
+	stalls.disable();
 }
 
-process.exit(broken === 0 ? 0 : 1);
+process.exit(broken > 0 ? 1 : (failed > 0 ? 2 : 0));
