Name the proof of a given-up run in the soak's report

The soak found the line that gave a run up by the end of its worker's life. The current programs write "Runs given up." with the run and the proof, so this line is preferred; older programs are reported as before.

--- a/utils/soak/breaks.ts
+++ b/utils/soak/breaks.ts
@@ -6,7 +6,7 @@
 import type {SoakRun} from './worker-life.js';
 
 /** A line of a keeper's log. */
-export type LogLine = {timestamp: string; node: string; message: string; worker?: string; unit?: string; attempt?: number; how?: string; cause?: string};
+export type LogLine = {timestamp: string; node: string; message: string; worker?: string; unit?: string; attempt?: number; how?: string; cause?: string; units?: string; proof?: string};
 
 /** Time before the second run in which a fault counts as near, in milliseconds. */
 const NEAR_MS = 8000;
@@ -27,9 +27,14 @@
 	.filter(name => name.endsWith('.log'))
 	.flatMap(name => readFileSync(path.join(folder, name), 'utf8').split('\n').flatMap(line => parseLine(line)));
 
-/** Finds the line with which a keeper gave a run up: the end of its worker's life, or what it says of this run alone. */
+/** Finds the line with which a keeper gave a run up: the one that names it with a proof, or, in older programs, the end of its worker's life or what it says of this run alone. */
 export const findCause = (lines: readonly LogLine[], first: SoakRun, secondStartMs: number): LogLine | undefined => {
 	const life = `${first.worker}@${first.born}`;
+	const named = lines.findLast(line => line.message === 'Runs given up.' && line.worker === life && line.units?.split(' ').includes(`${first.task}#${first.attempt}`));
+	if (named) {
+		return named;
+	}
+
 	const candidates = lines.filter(line => {
 		const atMs = Date.parse(line.timestamp);
 		const isNear = atMs >= first.startMs - LOG_SLACK_MS && atMs > secondStartMs - LOG_MS && atMs <= secondStartMs + LOG_SLACK_MS;
@@ -66,7 +71,7 @@
 	const [first, second] = runs;
 	const job = context.jobs.find(each => each.id === first.task.split('.')[0]);
 	const line = findCause(context.lines, first, second.startMs);
-	const cause = line === undefined ? 'no line' : [line.message, line.cause ?? line.how].join(' ');
+	const cause = line === undefined ? 'no line' : [line.message, line.proof ?? line.cause ?? line.how].join(' ');
 	const kinds = faultsNear(context.faults, context.indexOf, {first, second, soakStartMs: context.soakStartMs});
 	const delayMs = job?.acceptedMs === undefined ? undefined : second.startMs - job.acceptedMs;
 	const firstAge = second.startMs - first.startMs;
