Keep late orders waiting while the stand-in worker is paused

An order that a stand-in had left unanswered was carried out while the worker was paused, which no worker does. It waits until the worker is awake now.

--- a/utils/soak/worker.ts
+++ b/utils/soak/worker.ts
@@ -79,21 +79,26 @@
 		}
 	};
 
+	const carryOutLate = async (of: WorkerLife, call: string, expected: string | undefined, body: Record<string, unknown>): Promise<void> => {
+		if (!of.isOver()) {
+			const {status, body: answer} = await of.handle(call, expected, {...body, 'wait-ms': 0}, true);
+			record('carried out late', {
+				call, task: body.task, attempt: body.attempt, status, reason: answer.reason,
+			});
+		}
+	};
+
 	const carryOut = async (of: WorkerLife, req: http.IncomingMessage, text: string, res: http.ServerResponse): Promise<void> => {
 		const call = req.url ?? '';
 		const body = JSON.parse(text) as Record<string, unknown>;
-		const expected = req.headers['x-expect-instance'];
+		const expected = req.headers['x-expect-instance'] as string | undefined;
 		if (moods.has('late-orders') && random() < (LATE_SHARE[call] ?? 0)) {
 			const delayMs = LATE_ORDER_MS.min + (random() * (LATE_ORDER_MS.max - LATE_ORDER_MS.min));
 			record('left unanswered', {call, body, delayMs});
 			later(delayMs, () => {
-				if (!of.isOver()) {
-					void of.handle(call, String(expected), {...body, 'wait-ms': 0}, true).then(({status, body: answer}) => {
-						record('carried out late', {
-							call, task: body.task, attempt: body.attempt, status, reason: answer.reason,
-						});
-					});
-				}
+				whenAwake(() => {
+					void carryOutLate(of, call, expected, body);
+				});
 			});
 			return;
 		}
@@ -104,10 +109,10 @@
 			return;
 		}
 
-		const answer = await of.handle(call, expected === undefined ? undefined : String(expected), body);
+		const answer = await of.handle(call, expected, body);
 		if (call !== '/hold' || answer.status !== 200) {
 			record('order', {
-				call, task: body.task, attempt: body.attempt, fence: body['fencing-token'], from: req.socket.remoteAddress, status: answer.status, reason: answer.body.reason,
+				call, task: body.task, attempt: body.attempt, fence: body['fencing-token'], status: answer.status, reason: answer.body.reason,
 			});
 		}
 
