Find the line of an earlier life of the worker in the report of a break

On an order that was meant for one life of a worker is carried out by the next one under the same ID. The keeper's line then names the earlier life, and the report said "no line".

--- a/utils/soak/breaks.ts
+++ b/utils/soak/breaks.ts
@@ -27,13 +27,12 @@
 	.filter(name => name.endsWith('.log'))
 	.flatMap(name => readFileSync(path.join(folder, name), 'utf8').split('\n').flatMap(line => parseLine(line)));
 
-/** Finds the line with which a keeper gave a run up: the end of its worker's life, or what it says of this run alone. */
+/** Finds the line with which a keeper gave a run up: the end of its worker's life, or what it says of this run alone. The run may have been ordered from an earlier life of its worker. */
 export const findCause = (lines: readonly LogLine[], first: SoakRun, secondStartMs: number): LogLine | undefined => {
-	const life = `${first.worker}@${first.born}`;
 	const candidates = lines.filter(line => {
 		const atMs = Date.parse(line.timestamp);
 		const isNear = atMs >= first.startMs - LOG_SLACK_MS && atMs > secondStartMs - LOG_MS && atMs <= secondStartMs + LOG_SLACK_MS;
-		const isOfLife = line.worker === life && (line.message.startsWith('Worker life ') || line.message === 'Start had no effect.');
+		const isOfLife = (line.worker ?? '').startsWith(`${first.worker}@`) && (line.message.startsWith('Worker life ') || line.message === 'Start had no effect.');
 		const isOfRun = line.unit === first.task && line.attempt === first.attempt && (line.message !== 'Run placed.');
 		return isNear && ((isOfLife && line.unit === undefined) || isOfRun);
 	});
