--- a/utils/soak.ts
+++ b/utils/soak.ts
@@ -31,7 +31,7 @@
 const WAVE_MS = 9000;
 const WAVE_SIZE = 2;
 /** Time after the traffic in which the accepted jobs have to end, in milliseconds. */
-const FINISH_MS = 60_000;
+const FINISH_MS = 120_000;
 const FINISH_PAUSE_MS = 500;
 /** Breaks that are printed in full; the file breaks.txt in the folder of the logs has all. */
 const MAX_PRINTED = 3;
