Grant no lease that is longer than the next leader assumes

A leader that reaches no worker of the leader before it frees the worker's runs one lease after the begin of its own term.

Cause: a lease was granted on the last reading of the worker's clock plus the time since then. On a clock that is slow by the 2 % that are allowed for, that is longer than a lease by 2 % of the reading's age; a start may be granted on a report that is 4.5 s old, or older after a slow commit.

Why this works: the time since the reading counts at the slowest rate, so the grant is at most one lease ahead of the worker's clock.

--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -289,7 +289,8 @@
 				return undefined;
 			}
 
-			const expiry = Math.floor(clock.clockMs + (nowMs - clock.receivedMs) + leaseMs);
+			// The least that the worker's clock can show now, so that no lease is longer than the next leader assumes.
+			const expiry = Math.floor(clock.clockMs + ((nowMs - clock.receivedMs) * SLOWEST_CLOCK_RATE) + leaseMs);
 			expiriesInFlight.set(expiry, (expiriesInFlight.get(expiry) ?? 0) + 1);
 			return expiry;
 		},
