Count a renewal from before the check of the leader's lease

The next leader frees the runs of a worker that it cannot reach one lease after the begin of its term, since no earlier leader can have granted more.

Cause: a session checked that it may act and then read the time from which it counted the renewal. A process that is paused between the two, for less than the 1.3 s after which a silent worker's lease is not renewed, granted a lease from after the end of its leadership.

Evidence: lease-grants.spec.ts, "should grant none that is counted from later than the end of its leadership, wherever it is paused": with a pause of 1.2 s after a check of a leadership that ends at 1,400 ms, the expiry was 6,200 ms instead of at most 5,400 before. The window is a few instructions long; no run of the programs has shown it. The other tests of the file held before and after.

Why this works: the time is read before the check, so an expiry that is sent counts from a moment at which this process led. Starts did so already.

--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -142,8 +142,7 @@
 		await pause(retryMs);
 	};
 
-	const pollOnce = async (): Promise<void> => {
-		const sentMs = clock.monotonicMs();
+	const pollOnce = async (sentMs: number): Promise<void> => {
 		const ackSeq = track.ackSeq();
 		const isIdle = track.runs.size === 0;
 		const expiresMs = isIdle ? undefined : track.renewedExpiry(sentMs);
@@ -201,8 +200,10 @@
 		try {
 			while (!hasEnded() && (track.runs.size > 0 || acknowledged < track.ackSeq())) {
 				// Polls run one after another, so that lists are never read out of order. An unexpected error says nothing about the worker's runs.
+				const sentMs = clock.monotonicMs();
+				// The time is read first: after a pause between the two, the renewal must not count from later than this leadership.
 				// eslint-disable-next-line no-await-in-loop
-				await (mayAct() ? pollOnce().catch(onPollError) : pause(POLL_RETRY_MS));
+				await (mayAct() ? pollOnce(sentMs).catch(onPollError) : pause(POLL_RETRY_MS));
 			}
 		} finally {
 			isPolling = false;
