Take no machine that a list leaves out for the end of a life

After an order to a machine, answered or not carried out at all, a list that left the machine out, or showed it up without a worker, ended the life on it: all its runs were placed again at once while the worker ran on.

Cause: hasEndedLife took everything but the worker's own ID on a machine that is up for an end. A list leaves a machine out if its entry cannot be read, or if its pages change while they are read; and a machine that is up may be listed before its worker is known, as life-doubt.ts allowed for already.

Held before and after: leaves, drains, another worker at the address or on the machine, late reports of an earlier life, a left worker passed on by another keeper; and the proofs (down, in upkeep, another worker) free runs.

Why this works: only a list that names the machine, and a state or worker that excludes the life, is a proof.

--- a/packages/core/src/jobs/life-doubt.ts
+++ b/packages/core/src/jobs/life-doubt.ts
@@ -1,6 +1,6 @@
 /** Decides whether a worker's life may have been ended through its machine, so that work placed on it would be lost. */
 import type {MachineOrder} from './job-commands.js';
-import {hasEndedLife, type Machine, MachineStates} from './upkeep.js';
+import {hasEndedLife, type Machine} from './upkeep.js';
 import type {WorkerEntry} from './worker-directory.js';
 
 /** What is known about the machine of a life. */
@@ -24,9 +24,7 @@
 life goes on.
 */
 export const mayHaveEnded = (entry: Pick<WorkerEntry, 'life' | 'receivedMs'>, {listed, listReadMs, order, orderSettledMs}: LifeEvidence): boolean => {
-	// A machine that is up may be listed before its worker is known.
-	const namesWorker = listed !== undefined && (listed.state !== MachineStates.up || listed.workerId !== undefined);
-	if (namesWorker && entry.receivedMs < listReadMs && hasEndedLife(listed, entry.life)) {
+	if (entry.receivedMs < listReadMs && hasEndedLife(listed, entry.life)) {
 		return true;
 	}
 
--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -30,9 +30,11 @@
 
 /**
 True if a list read after an order to a machine shows that a life has ended. The answer to the order
-does not show it: an order that was already carried out gets the same answer and ends no life.
+does not show it: an order that was already carried out gets the same answer and ends no life. Nor does
+a list without the machine, or with the machine up before its worker is known.
 */
-export const hasEndedLife = (listed: Machine | undefined, life: string): boolean => listed?.state !== MachineStates.up || listed.workerId !== workerOfLife(life);
+export const hasEndedLife = (listed: Machine | undefined, life: string): boolean => listed !== undefined
+	&& (listed.state !== MachineStates.up || (listed.workerId !== undefined && listed.workerId !== workerOfLife(life)));
 
 /** Input of the upkeep decisions. */
 export type UpkeepInput = {
