Count the age of a relayed call from when it is collected

A leader that was paused with calls collected for another keeper sent them when it woke up, and the keeper made them, unless it knew a later term. A start that is given up meanwhile must not be made any more: the next life of a worker with the same ID carries it out.

Cause: the latest time for a batch was taken when the batch left.

Evidence: relayed-ages.spec.ts, "should count from when the call was collected, even if the leader is paused before it leaves": after a pause of 3 s the limit was 9,900 ms on the keeper's clock, with that clock at 9,000, before. The window is the 4 ms for which calls are collected; no run of the programs has shown it.

Why this works: the limit is taken with the first call of the batch, so it lies before the time at which the leader gives the call up.

--- a/packages/daemon/src/jobs/relayed-calls.ts
+++ b/packages/daemon/src/jobs/relayed-calls.ts
@@ -54,12 +54,15 @@
 	resolve(result: HoldResult | OrderResult): void;
 };
 
+/** Calls that are collected for one keeper. */
+type Batch = {calls: RelayedCall[]; sendBy: ClockReading | undefined};
+
 const relayLost = (keeper: string): UnknownOutcome => ({type: 'unknown', cause: `no result from ${keeper}`, isCarrierLost: true});
 
 /** Creates the relayed calls of one term. */
 export const createRelayedCalls = ({clock, log, term, direct, liveKeepers, send}: RelayedCallsOptions) => {
 	const pending = new Map<number, Pending>();
-	const batches = new Map<string, RelayedCall[]>();
+	const batches = new Map<string, Batch>();
 	/** The keeper that relays the calls to a worker's life. */
 	const keeperByLife = new Map<string, string>();
 	const workerCounts = new Map<string, number>();
@@ -152,26 +155,27 @@
 	};
 
 	const flush = (keeper: string): void => {
-		const calls = batches.get(keeper);
-		if (!calls) {
+		const batch = batches.get(keeper);
+		if (!batch) {
 			return;
 		}
 
 		batches.delete(keeper);
-		const least = clocks.least(keeper);
 		send(keeper, {
-			type: 'worker-calls', term, batch: packCalls(calls), sendBy: least && {...least, clockMs: least.clockMs + RESULT_TIMEOUT_MS},
+			type: 'worker-calls', term, batch: packCalls(batch.calls), sendBy: batch.sendBy,
 		});
 	};
 
 	const enqueue = (keeper: string, call: RelayedCall): void => {
 		const batch = batches.get(keeper);
 		if (batch) {
-			batch.push(call);
+			batch.calls.push(call);
 			return;
 		}
 
-		batches.set(keeper, [call]);
+		// Taken now, as this process may be paused before the batch leaves.
+		const least = clocks.least(keeper);
+		batches.set(keeper, {calls: [call], sendBy: least && {...least, clockMs: least.clockMs + RESULT_TIMEOUT_MS}});
 		setTimeout(flush, CALL_BATCH_MS, keeper);
 	};
 
