Drop the answer of a start whose connection the link resets

The new test of the link found that a worker that answered at once got its answer through before the reset, so the fault "answers-lost" let some answers pass. The link drops them now.

--- a/utils/soak/link.ts
+++ b/utils/soak/link.ts
@@ -122,11 +122,12 @@
 		connections.add(connection);
 		socket.setNoDelay(true);
 		socket.on('data', chunk => {
-			push(connection, 'down', chunk);
 			const share = Math.max(0, ...[...effects].map(effect => effect.resetsAfterStart ?? 0));
-			if (share > 0 && Buffer.from(chunk).includes('/run-start') && random() < share) {
-				isOpen = false;
-				// The worker has the order; only its answer is lost.
+			const isReset = share > 0 && Buffer.from(chunk).includes('/run-start') && random() < share;
+			// The worker gets the order; only its answer is lost.
+			isOpen &&= !isReset;
+			push(connection, 'down', chunk);
+			if (isReset) {
 				socket.resetAndDestroy();
 			}
 		});
