--- a/packages/replica/src/log-writer.ts
+++ b/packages/replica/src/log-writer.ts
@@ -1,6 +1,6 @@
 /**
 Writes the Raft log and hard state to disk, in order and in the background, and delays the messages
-that depend on a write until it is synced.
+that depend on a write until it is synced. Between two batches it saves the snapshots that are due.
 */
 import type {Outgoing, RaftOutput} from './raft.js';
 import {DiskFullError, type Storage, type StorageOperation} from './storage.js';
@@ -18,6 +18,10 @@
 	storage: Storage;
 	/** Returns the last entry of the Raft log; all entries up to it have been added here or are durable. */
 	lastPosition(): LogPosition;
+	/** True if a snapshot of the state machine should be taken now. */
+	isSnapshotDue(): boolean;
+	/** Takes a snapshot now; returns a function that saves it once all that has been added so far is durable. */
+	takeSnapshot(): () => Promise<void>;
 	/** Called when all entries up to this position are durable. */
 	onSynced(position: LogPosition): void;
 	/** Sends delayed messages, whose writes are durable now. */
@@ -63,12 +67,16 @@
 		}
 	};
 
+	const hasWork = (): boolean => unsaved.operations.length > 0 || unsaved.deferred.length > 0 || options.isSnapshotDue();
+
 	const saveAll = async (): Promise<void> => {
 		busy = true;
 		try {
-			while (!isStopped() && (unsaved.operations.length > 0 || unsaved.deferred.length > 0)) {
+			while (!isStopped() && hasWork()) {
 				const {operations, deferred} = unsaved;
 				unsaved = {operations: [], deferred: []};
+				// Taken together with the operations, so that it covers nothing that the disk does not hold after them.
+				const saveSnapshot = options.isSnapshotDue() ? options.takeSnapshot() : undefined;
 				if (operations.length > 0) {
 					const position = options.lastPosition();
 					// Batches reach the disk in order.
@@ -83,6 +91,8 @@
 
 				options.deliver(deferred);
 				options.onProgress();
+				// eslint-disable-next-line no-await-in-loop
+				await saveSnapshot?.();
 			}
 		} finally {
 			busy = false;
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -1,8 +1,8 @@
 /**
 Runs one replica: handles events one after another with Raft, disk, state machine and messages.
 
-The disk is written in the background: messages that depend on durable state wait for their sync,
-while heartbeats, and commits that other replicas have made durable, do not wait for a slow local disk.
+The disk is written in the background, snapshots included: messages that depend on durable state wait for their
+sync, while heartbeats, and commits that other replicas have made durable, do not wait for a slow local disk.
 */
 import type {BronzebendError, Clock, ControlCommand} from '@bronzebend/core';
 import type {
@@ -197,26 +197,20 @@
 		applyOutput(output);
 	};
 
-	const takeSnapshot = async (): Promise<void> => {
-		const snapshotIndex = storage.snapshot()?.index ?? 0;
-		if (appliedIndex - snapshotIndex < snapshotInterval || !saver.mayTake()) {
-			return;
-		}
-
-		await writer.drained();
-		if (isStopped()) {
-			return;
-		}
+	const isSnapshotDue = (): boolean => appliedIndex - (storage.snapshot()?.index ?? 0) >= snapshotInterval && saver.mayTake();
 
+	/** Takes a snapshot of the state now, and returns a function that saves it while further events are handled. */
+	const takeSnapshot = (): () => Promise<void> => {
+		const index = appliedIndex;
 		const snapshot: Snapshot = {
-			index: appliedIndex,
-			term: raft.termAt(appliedIndex)!,
-			members: raft.membersAt(appliedIndex),
-			data: stateMachine.snapshot(),
+			index, term: raft.termAt(index)!, members: raft.membersAt(index), data: stateMachine.snapshot(),
+		};
+		const entriesAfter = raft.entriesAfter(index);
+		return async () => {
+			if (await saver.take(snapshot, entriesAfter) && !isStopped()) {
+				raft.handle({type: 'compacted', index}, clock.monotonicMs());
+			}
 		};
-		if (await saver.take(snapshot, raft.entriesAfter(appliedIndex))) {
-			raft.handle({type: 'compacted', index: appliedIndex}, clock.monotonicMs());
-		}
 	};
 
 	const runBatch = async (): Promise<void> => {
@@ -241,7 +235,6 @@
 			rejectPending();
 		}
 
-		await takeSnapshot();
 		onProgress?.();
 	};
 
@@ -266,6 +259,8 @@
 
 	const writer = createLogWriter({
 		storage,
+		isSnapshotDue,
+		takeSnapshot,
 		lastPosition() {
 			const index = raft.lastIndex();
 			return {index, term: raft.termAt(index)!};
