Test the age of a call that waits for the first reading of a keeper's clock

A leader that is paused in the first 150 ms of its term sends the calls that wait there with a full time limit when it wakes up. relayed-calls.ts counts from when a call is collected, which is after that wait.

It is not fixed here.

--- a/tests/daemon/jobs/relayed-ages.spec.ts
+++ b/tests/daemon/jobs/relayed-ages.spec.ts
@@ -52,4 +52,31 @@
 		await result;
 		assert.ok(limits[0]!.clockMs < nowMs + KEEPER_AHEAD_MS, `${limits[0]!.clockMs}`);
 	});
+
+	it('should count from when the call was made, even if the leader is paused while it waits for the first reading', async () => {
+		let nowMs = 1000;
+		const limits: Array<ClockReading | undefined> = [];
+		const calls = createRelayedCalls({
+			clock: {wallMs: () => nowMs, monotonicMs: () => nowMs},
+			log: silentLogs('test'),
+			term: 3,
+			direct: () => directPort,
+			liveKeepers: () => ['a'],
+			send(_to, message) {
+				if (message.type === 'worker-calls' && message.batch.calls.length > 0) {
+					limits.push(message.sendBy);
+				}
+			},
+		});
+		const result = calls.connect(lifeNamed('w1')).stop(order);
+		nowMs += 3000;
+		calls.receive('a', [], {process: 'p', clockMs: nowMs + KEEPER_AHEAD_MS});
+		// Longer than calls are collected for.
+		await new Promise(resolve => {
+			setTimeout(resolve, 30);
+		});
+		calls.close();
+		await result;
+		assert.deepEqual(limits.filter(limit => limit!.clockMs >= nowMs + KEEPER_AHEAD_MS), []);
+	});
 });
