Test that a wave goes on when its machine is up again without a worker

A pending upkeep counts against the cap of its wave, and its machine takes no work. If the new worker ends before it is listed, that lasts as long as the machine has no worker.

It is not fixed here.

--- /dev/null
+++ b/tests/daemon/jobs/unnamed-workers.spec.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {MachineStates, type Machine, type WorkerLife} from '@bronzebend/core';
+import type {MachinePort} from '@bronzebend/daemon';
+import {
+	lifeNamed, manifestOf, orderOf, stepOf, storeWith,
+} from '../../fixtures/job-fixtures.js';
+import {createLeaderHarness, waitUntilTrue} from '../../fixtures/leader-harness.js';
+
+const WORKER = lifeNamed('w1', {address: '10.0.0.1:80', machine: 'm1'});
+const OTHER = lifeNamed('other', {address: '10.0.0.2:80', machine: 'm2'});
+
+const machineOf = ({machine, id, capacity}: WorkerLife): Machine => ({
+	name: machine!, pool: 'bench', state: MachineStates.up, zone: 'a', labels: ['kind'], capacity, workerId: id,
+});
+
+describe('a wave', () => {
+	// The new worker crashed before it reported, so the list names none for as long as the test runs.
+	it('should go on after an upkeep whose machine is up again without a worker, once the runs that it ended are over', async () => {
+		const store = storeWith([orderOf('a', [stepOf({lasting: true})])], manifestOf({pools: [{name: 'bench', guardsCapacity: true, standby: false}]}));
+		const machines = new Map([WORKER, OTHER].map(life => [life.machine!, machineOf(life)]));
+		const ordered: string[] = [];
+		const port: MachinePort = {
+			list: async () => ({machines: [...machines.values()], hasGaps: false}),
+			move: async () => ({type: 'rejected', reason: 'impossible'}),
+			async upkeep(machine, _wave, {maySend}) {
+				if (!maySend()) {
+					return {type: 'withheld'};
+				}
+
+				ordered.push(machine);
+				machines.set(machine, {...machines.get(machine)!, workerId: undefined});
+				return {type: 'done'};
+			},
+		};
+		const harness = createLeaderHarness(store, {
+			lives: [WORKER],
+			machines: port,
+			hold: async () => (ordered.length > 0
+				? {type: 'unknown', cause: 'no response'}
+				: {
+					type: 'lists', lists: {
+						clockMs: performance.now(), finished: [], isCut: false, active: [...harness.running].map(([unit, attempt]) => ({
+							unit, attempt, checkpoint: '', percent: 100, load: 0,
+						})),
+					},
+				}),
+		});
+		await waitUntilTrue(() => harness.running.size === 1);
+		store.apply({
+			type: 'wave', wave: {
+				number: 1, machines: ['m1'], deadlineMs: Date.now() + 1000, cap: 1, begun: [], completed: false,
+			},
+		});
+		await waitUntilTrue(() => ordered.length > 0);
+		store.apply({
+			type: 'wave', wave: {
+				number: 2, machines: ['m1', 'm2'], deadlineMs: Date.now() + 1000, cap: 1, begun: [], completed: false,
+			},
+		});
+		await waitUntilTrue(() => store.runsOf(WORKER.life).size === 0);
+		await waitUntilTrue(() => ordered.includes('m2'));
+		harness.work.stop();
+		assert.ok(ordered.includes('m2'), ordered.join(' '));
+	});
+});
