Wait until a run is over that reached a worker's next life

A worker that crashes and starts again under its ID carries out starts that were meant for its earlier life.

Cause: the confirmation of a stop says that the run cannot begin any more, not that it is over. Elsewhere the lists of the worker show that; the next life's lists do not come through the session of the earlier one.

Evidence: late-orders.spec.ts, "should keep its work unit until the stopped run has had the time to end there", failed before. Only runs that the earlier life never listed wait. In the users' record no run was stopped, so this is not what they saw.

Test changed: worker-session.spec.ts, "should free a run that was never listed only after ...", now also demands that the unit is not free right after the confirmation, and lets time pass on the session's clock.

Why this works: the unit waits for the longest time that a worker may take to end a run, on a clock that may be slow; the settings state that time.

--- a/packages/daemon/src/jobs/job-leader-options.ts
+++ b/packages/daemon/src/jobs/job-leader-options.ts
@@ -22,6 +22,8 @@
 	leaseMs: number;
 	/** Longest lease that a worker grants, in milliseconds. */
 	maxLeaseMs: number;
+	/** Longest time that a worker takes to end a run after it confirmed a stop, in milliseconds. */
+	maxStopMs: number;
 	/** Time after another holder's last order to a machine in which this process gives it none, in milliseconds. */
 	holderLeaseMs: number;
 	/** Interval of a worker's announcements, in milliseconds. */
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -64,6 +64,7 @@
 		fence: term,
 		leaseMs: options.leaseMs,
 		maxLeaseMs: options.maxLeaseMs,
+		maxStopMs: options.maxStopMs,
 		propose,
 		isLeading: leads,
 		onChange() {
--- a/packages/daemon/src/jobs/late-orders.ts
+++ b/packages/daemon/src/jobs/late-orders.ts
@@ -4,9 +4,11 @@
 A worker may start again under its ID. It then knows nothing of its earlier life, and accepts orders
 that were meant for it: their worker ID matches, and their expiry lies ahead of its new clock. So
 before a run that the earlier life never listed is started elsewhere, the worker must have confirmed
-a stop of it, after which it rejects the start.
+a stop of it, after which it rejects the start, and have had the time to end a run that had begun.
 */
-import type {Clock, OrderResult, WorkerTrack} from '@bronzebend/core';
+import {
+	longestLeaseMs, type Clock, type OrderResult, type WorkerTrack,
+} from '@bronzebend/core';
 import {pause} from '../utils/pause.js';
 
 /** Pause before a stop is retried, in milliseconds. */
@@ -14,24 +16,41 @@
 
 /**
 Resolves when no order under way can start a run of the track any more: each run that was never
-listed is stopped, another worker answers at the address, or `untilMs` has passed on the clock.
+listed is stopped and over, another worker answers at the address, or the longest lease has passed that
+such an order can be granted.
 */
-export const fenceLateStarts = async ({track, clock, untilMs, stop, isCancelled}: {
+export const fenceLateStarts = async ({track, clock, maxLeaseMs, maxStopMs, stop, isCancelled}: {
 	track: WorkerTrack;
 	clock: Clock;
-	/** Time from which on no run can be active that an order under way has started. */
-	untilMs: number;
+	/** Longest lease that a worker grants, in milliseconds. */
+	maxLeaseMs: number;
+	/** Longest time that a worker takes to end a run after it confirmed a stop, in milliseconds on its clock. */
+	maxStopMs: number;
 	stop(unit: string, attempt: number): Promise<OrderResult>;
 	isCancelled(): boolean;
 }): Promise<void> => {
+	const untilMs = clock.monotonicMs() + longestLeaseMs(maxLeaseMs);
+
+	const waitForEnd = async (): Promise<void> => {
+		const endMs = clock.monotonicMs() + longestLeaseMs(maxStopMs);
+		while (!isCancelled() && clock.monotonicMs() < endMs) {
+			// eslint-disable-next-line no-await-in-loop
+			await pause(Math.min(RETRY_MS, endMs - clock.monotonicMs()));
+		}
+	};
+
 	const fence = async (unit: string, attempt: number): Promise<void> => {
 		/* eslint-disable no-await-in-loop */
 		while (!isCancelled() && clock.monotonicMs() < untilMs) {
 			const result = await stop(unit, attempt);
-			if (result.type === 'done' || result.type === 'gone') {
+			if (result.type === 'gone') {
 				return;
 			}
 
+			if (result.type === 'done') {
+				return waitForEnd();
+			}
+
 			await pause(RETRY_MS);
 		}
 		/* eslint-enable no-await-in-loop */
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -27,6 +27,8 @@
 	leaseMs: number;
 	/** Longest lease that a worker grants, in milliseconds. */
 	maxLeaseMs: number;
+	/** Longest time that a worker takes to end a run after it confirmed a stop, in milliseconds. */
+	maxStopMs: number;
 	propose(command: JobCommand): Promise<JobOutcome>;
 	isLeading(): boolean;
 	/** Called when work or free capacity may have become available. */
@@ -131,6 +133,7 @@
 			fence: options.fence,
 			leaseMs: options.leaseMs,
 			maxLeaseMs: options.maxLeaseMs,
+			maxStopMs: options.maxStopMs,
 			inherited,
 			announcedClock: clockMs === undefined || inherited ? undefined : {clockMs, receivedMs: entry!.receivedMs},
 			clock,
--- a/packages/daemon/src/jobs/worker-session-options.ts
+++ b/packages/daemon/src/jobs/worker-session-options.ts
@@ -15,6 +15,8 @@
 	leaseMs: number;
 	/** Longest lease that a worker grants, in milliseconds. */
 	maxLeaseMs: number;
+	/** Longest time that a worker takes to end a run after it confirmed a stop, in milliseconds. */
+	maxStopMs: number;
 	inherited: boolean;
 	announcedClock?: {clockMs: number; receivedMs: number};
 	clock: Clock;
--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -1,7 +1,6 @@
 /** The leader's session with one life of a worker: renews its lease, polls its lists of runs, and sends it orders. */
 import {
-	createWorkerTrack, longestLeaseMs,
-	type HoldResult, type OrderResult, type ReconcileResult, type EndedRun, type RunStart,
+	createWorkerTrack, type HoldResult, type OrderResult, type ReconcileResult, type EndedRun, type RunStart,
 } from '@bronzebend/core';
 import {pause} from '../utils/pause.js';
 import {fenceLateStarts} from './late-orders.js';
@@ -63,7 +62,8 @@
 			fenceLateStarts({
 				track,
 				clock,
-				untilMs: clock.monotonicMs() + longestLeaseMs(options.maxLeaseMs),
+				maxLeaseMs: options.maxLeaseMs,
+				maxStopMs: options.maxStopMs,
 				stop: async (unit, attempt) => (options.isLeading() ? timed('stop', port.stop({unit, attempt, fence})) : {type: 'unsent', cause: 'not leading'}),
 				isCancelled: hasEnded,
 			}),
--- /dev/null
+++ b/tests/daemon/jobs/late-orders.spec.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {OrderResult} from '@bronzebend/core';
+import {
+	createSessionHarness, eventually, never, unitOf,
+} from '../../fixtures/session-harness.js';
+
+const unanswered: OrderResult = {type: 'unknown', cause: 'no answer'};
+const unit = unitOf(0);
+
+describe('a start that reached the next life of its worker', () => {
+	// The work unit was started elsewhere while the next life was still ending its run.
+	it('should keep its work unit until the stopped run has had the time to end there', async () => {
+		let stoppedMs = Infinity;
+		const harness = createSessionHarness({
+			start: async () => unanswered,
+			hold: async () => ({type: 'gone'}),
+			async stop() {
+				stoppedMs = Math.min(stoppedMs, harness.clock.nowMs);
+				return {type: 'done'};
+			},
+		});
+		harness.place(unit);
+		assert.ok(await eventually(() => stoppedMs < Infinity));
+		harness.clock.nowMs = stoppedMs + (200 / 0.98);
+		assert.ok(await never(() => harness.ended.length > 0));
+		harness.clock.nowMs += 500;
+		assert.ok(await eventually(() => harness.ended.length > 0));
+		assert.deepEqual(harness.stops, [unit]);
+	});
+
+	it('should free its work unit once another worker answers at the address', async () => {
+		const harness = createSessionHarness({
+			start: async () => unanswered, stop: async () => ({type: 'gone'}), hold: async () => ({type: 'gone'}),
+		});
+		harness.place(unit);
+		assert.ok(await eventually(() => harness.stateOf(unit) === 'running' && harness.ended.length > 0));
+	});
+});
--- a/tests/daemon/jobs/leader-pace.spec.ts
+++ b/tests/daemon/jobs/leader-pace.spec.ts
@@ -47,6 +47,7 @@
 		},
 		leaseMs: 4000,
 		maxLeaseMs: 10_000,
+		maxStopMs: 200,
 		holderLeaseMs: 3000,
 		reportMs: 60_000,
 		shareWorkers: ignore,
--- a/tests/daemon/jobs/worker-session.spec.ts
+++ b/tests/daemon/jobs/worker-session.spec.ts
@@ -76,6 +76,7 @@
 		fence: 1,
 		leaseMs: 4000,
 		maxLeaseMs: 10_000,
+		maxStopMs: 200,
 		inherited: false,
 		announcedClock: {clockMs: 1000, receivedMs: 1000},
 		clock: {wallMs: () => nowMs, monotonicMs: () => nowMs},
@@ -214,7 +215,7 @@
 			let isRestarted = false;
 			let stopResult: OrderResult = {type: 'unknown', cause: 'no answer'};
 			const lists = (): Polled => (isRestarted && what === 'answers a poll' ? {type: 'gone'} : {});
-			const {store, calls, session, begin} = setUp(lists, {type: 'unknown', cause: 'no answer'}, () => stopResult);
+			const {store, calls, session, begin, pass} = setUp(lists, {type: 'unknown', cause: 'no answer'}, () => stopResult);
 			begin();
 			await waitUntil(() => calls.holds > 1);
 			isRestarted = true;
@@ -222,6 +223,10 @@
 			await waitUntil(() => calls.stops > 3);
 			assert.deepEqual([session.isOver(), calls.livesOver, calls.ended, store.find(unit)!.unit.state], [true, 1, [], 'running']);
 			stopResult = {type: 'done'};
+			const before = calls.stops;
+			await waitUntil(() => calls.stops > before);
+			assert.deepEqual([calls.ended, store.find(unit)!.unit.state], [[], 'running']);
+			pass(500);
 			await waitUntil(() => calls.ended.length > 0);
 			assert.equal(calls.ended.length, 1);
 		});
--- a/utils/leader-passes.ts
+++ b/utils/leader-passes.ts
@@ -57,6 +57,7 @@
 		},
 		leaseMs: 4000,
 		maxLeaseMs: 10_000,
+		maxStopMs: 200,
 		holderLeaseMs: 3000,
 		reportMs: 1500,
 		shareWorkers: ignore,
