Wait a whole lease after the last moment at which a start can be sent

If a worker's next life confirms no stop, the session gives up waiting after the longest lease that a worker grants, and its work units are placed again.

Cause: that time counted from the report of the next life. A start that is still under way then may be sent up to 3.2 s later (0.9 s to the relaying keeper, 1.5 s for a free connection, 0.8 s to open it), and runs for a whole lease from there.

Evidence: late-orders.spec.ts, "should keep its work unit for a whole lease after the last moment at which the start could have been sent", failed before.

Why this works: the wait covers the longest delay of a start as well.

--- a/packages/daemon/src/jobs/late-orders.ts
+++ b/packages/daemon/src/jobs/late-orders.ts
@@ -13,6 +13,8 @@
 
 /** Pause before a stop is retried, in milliseconds. */
 const RETRY_MS = 150;
+/** Longest time for which a start may be under way, in milliseconds: it is relayed, and waits for a connection and for its opening. */
+const MAX_START_DELAY_MS = 3500;
 
 /**
 Resolves when no order under way can start a run of the track any more: each run that was never
@@ -29,7 +31,7 @@
 	stop(unit: string, attempt: number): Promise<OrderResult>;
 	isCancelled(): boolean;
 }): Promise<void> => {
-	const untilMs = clock.monotonicMs() + longestLeaseMs(maxLeaseMs);
+	const untilMs = clock.monotonicMs() + MAX_START_DELAY_MS + longestLeaseMs(maxLeaseMs);
 
 	const waitForEnd = async (): Promise<void> => {
 		const endMs = clock.monotonicMs() + longestLeaseMs(maxStopMs);
--- a/tests/daemon/jobs/late-orders.spec.ts
+++ b/tests/daemon/jobs/late-orders.spec.ts
@@ -29,6 +29,19 @@
 		assert.deepEqual(harness.stops, [unit]);
 	});
 
+	it('should keep its work unit for a whole lease after the last moment at which the start could have been sent', async () => {
+		const harness = createSessionHarness({
+			start: async () => unanswered, stop: async () => unanswered, hold: async () => ({type: 'gone'}),
+		});
+		harness.place(unit);
+		assert.ok(await eventually(() => harness.session.isOver()));
+		// A relaying keeper may have sent it 2.9 s after it was ordered; the worker shortens its expiry to the longest lease.
+		harness.clock.nowMs += 2800 + (10_000 / 0.98);
+		assert.ok(await never(() => harness.ended.length > 0));
+		harness.clock.nowMs += 2000;
+		assert.ok(await eventually(() => harness.ended.length > 0));
+	});
+
 	it('should free its work unit once another worker answers at the address', async () => {
 		const harness = createSessionHarness({
 			start: async () => unanswered, stop: async () => ({type: 'gone'}), hold: async () => ({type: 'gone'}),
