--- a/tests/daemon/jobs/lease-grants.spec.ts
+++ b/tests/daemon/jobs/lease-grants.spec.ts
@@ -103,6 +103,26 @@
 });
 
 describe('the acknowledgement of ended runs', () => {
+	it('should not follow lists that arrive after the leader has lost its lease', async () => {
+		let leads = true;
+		let arrived = 0;
+		const harness = createSessionHarness({
+			units: 2,
+			isLeading: () => leads,
+			async hold({ackSeq}) {
+				leads = arrived > 0;
+				arrived += 1;
+				return listsOf({clockMs: harness.clock.nowMs, finished: ackSeq < 5 ? [finishedRun(5, unit)] : []});
+			},
+		});
+		harness.place(unit);
+		assert.ok(await eventually(() => arrived > 0));
+		assert.ok(await never(() => harness.stateOf(unit) !== 'running'));
+		leads = true;
+		assert.ok(await eventually(() => harness.holds.at(-1)!.ackSeq === 5));
+		assert.deepEqual([harness.holds.map(({ackSeq}) => ackSeq), harness.stateOf(unit)], [[0, 0, 5], 'idle']);
+	});
+
 	it('should wait until the ends are recorded, however often that fails', async () => {
 		let isDown = true;
 		const harness = createSessionHarness({
