--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -1,6 +1,6 @@
 /** The leader's session with one life of a worker: renews its lease, polls its lists of runs, and sends it orders. */
 import {
-	createWorkerTrack, longestLeaseMs, proofFields,
+	createWorkerTrack, proofFields,
 	type EndProof, type HoldResult, type ReconcileResult, type RunStart, type WorkerLists,
 } from '@bronzebend/core';
 import {pause} from '../utils/pause.js';
@@ -64,7 +64,8 @@
 			fenceLateStarts({
 				track,
 				clock,
-				untilMs: clock.monotonicMs() + longestLeaseMs(options.maxLeaseMs),
+				maxLeaseMs: options.maxLeaseMs,
+				maxStopMs: options.maxStopMs,
 				stop: async (unit, attempt) => (options.isLeading() ? timed('stop', port.stop({unit, attempt, fence})) : {type: 'unsent', cause: 'not leading'}),
 				isCancelled: hasEnded,
 			}),
