Complete a gang by the first recorded end of a member

What callers saw: a gang of two work units ended done on two workers while one of them was cut off for longer than its lease.

Cause: endRun counted the end done of a member for that work unit alone. The member on the silent worker was recorded as lost, and planStarts starts a gang only if all of its members are idle.

Now the first end done of a member that is recorded in the attempt that ran completes the step. Members that are recorded as running at that time stay so until their own ends are recorded, so they still count against their workers and their workspace's limit; whatever these ends are, they start and fail nothing. Members also share one checkpoint, so that a gang that starts again carries one value; a lost member's last listed value does not replace one that another member reported at its end.

Ruled out: steps that may have copies behave like others, because no copies are started. A change of leader loses nothing, because the next sessions inherit the members that are still recorded as running.

--- a/packages/core/src/jobs/job-store.ts
+++ b/packages/core/src/jobs/job-store.ts
@@ -9,12 +9,14 @@
 import {
 	createManifestIndex, type ManifestIndex, NO_RESOURCES, type Resources,
 } from './fleet-manifest.js';
+import {repairGangs} from './gang.js';
 import type {
 	JobStoreSnapshot, JobCommand, JobOutcome, MachineOrder, EndedRun, RunStart, UpkeepWave, WorkerLife,
 } from './job-commands.js';
 import {
-	createJob, isOpen, isStepReady, type Job, JobStates, parseUnitName, RunEnds, type WorkUnit,
+	createJob, isDone, isOpen, isStepReady, type Job, JobStates, parseUnitName, type WorkUnit,
 } from './job.js';
+import {recordRunEnd} from './run-ends.js';
 
 /** Time for which the state of an ended job can be queried, in milliseconds; twice what callers are promised. */
 const ENDED_JOB_RETENTION_MS = 240_000;
@@ -35,6 +37,7 @@
 /** Creates the store, empty or from a snapshot. */
 export const createJobStore = (snapshot?: JobStoreSnapshot) => {
 	let manifestIndex: ManifestIndex | undefined = snapshot?.manifest && createManifestIndex(snapshot.manifest);
+	repairGangs(snapshot?.jobs ?? []);
 	const jobs = new Map(snapshot?.jobs.map(job => [job.order.id, job]));
 	const openJobs = new Map([...jobs].filter(([, job]) => isOpen(job) || job.running > 0));
 	const lives = new Map(snapshot?.lives.map(life => [life.life, life]));
@@ -162,32 +165,22 @@
 		}
 	};
 
-	const endRun = (life: string, {unit: name, attempt, how, checkpoint}: EndedRun, atMs: number): void => {
+	const endRun = (life: string, run: EndedRun, atMs: number): void => {
+		const {unit: name, attempt} = run;
 		const found = find(name);
 		if (found?.unit.state !== 'running' || found.unit.attempt !== attempt || found.unit.worker !== life) {
 			return;
 		}
 
-		const {unit, job, step, occurrence} = found;
+		const {unit, job, step} = found;
 		addRunUsage(job, step, life, -1);
 		removeRun(life, name);
 		job.running -= 1;
-		unit.worker = undefined;
-		unit.checkpoint = checkpoint === '' ? unit.checkpoint : checkpoint;
-		const {lasting} = job.order.steps[step]!;
-		unit.state = how === RunEnds.done && !lasting ? 'done' : 'idle';
-		if (unit.state === 'done') {
-			job.occurrences[occurrence]!.doneInStep[step]! += 1;
-		}
-
-		if (how === RunEnds.failed && !lasting) {
-			unit.failures += 1;
-		}
-
+		recordRunEnd(job, found, run);
 		const {maxAttempts} = manifestIndex?.queue(job.order.queue) ?? job.queue;
-		if (isOpen(job) && unit.state === 'idle' && !lasting && unit.failures >= maxAttempts) {
+		if (isOpen(job) && unit.state === 'idle' && !job.order.steps[step]!.lasting && unit.failures >= maxAttempts) {
 			endJob(job, JobStates.failed, atMs);
-		} else if (isOpen(job) && job.occurrences.every(each => each.doneInStep.every((done, number) => done === job.order.steps[number]!.count))) {
+		} else if (isOpen(job) && isDone(job)) {
 			endJob(job, JobStates.completed, atMs);
 		} else {
 			removeIfFinished(job);
--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -168,6 +168,9 @@
 /** True while work units of the job can start. */
 export const isOpen = (job: Job): boolean => job.state === JobStates.queued || job.state === JobStates.running;
 
+/** True if all work units of all occurrences are done. */
+export const isDone = (job: Job): boolean => job.occurrences.every(each => each.doneInStep.every((done, number) => done === job.order.steps[number]!.count));
+
 /** True if all steps that a step depends on are done. */
 export const isStepReady = (job: Job, occurrence: Occurrence, step: number): boolean => job.order.steps[step]!.dependsOn.every(other => occurrence.doneInStep[other] === job.order.steps[other]!.count);
 
