Count the calls that leaders make themselves, whoever leads

It took the first keeper, in the order of the addresses, that ever logged "Leading." for the leader, and counted all of its calls. After a change of leader that is a keeper that relays calls as it should, or did so before it led.

Now each keeper logs the calls that it made as the leader, without a relay (ownWorkerCalls beside workerCalls; the metric has them by the label `origin`), and the test sums these over all keepers. The bound is the same tenth. It is stricter in three points: calls of every leader count, the figures are read only after each keeper has logged them, and the same must hold after a forced change of leader. A keeper without others shows that own calls are counted: all of them are.

--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -41,7 +41,7 @@
 			name: 'bronzebend_worker_order_seconds', help: 'Time of an order to a worker', labelNames: ['order'], buckets: LATENCY_BUCKETS, registers,
 		}),
 		workerCalls: new Counter({
-			name: 'bronzebend_worker_calls_total', help: 'Calls to workers that this process made itself, by call', labelNames: ['call'], registers,
+			name: 'bronzebend_worker_calls_total', help: 'Calls to workers that this process made itself, by call and by origin (own, or relayed for the leader)', labelNames: ['call', 'origin'], registers,
 		}),
 		endedRuns: new Counter({
 			name: 'bronzebend_runs_over_total', help: 'Runs that ended, by how', labelNames: ['how'], registers,
--- a/packages/daemon/src/jobs/process-load.ts
+++ b/packages/daemon/src/jobs/process-load.ts
@@ -33,11 +33,14 @@
 	};
 };
 
+/** Whose calls to workers a process makes: the leader's that it relays, or its own while it leads. */
+export type WorkerCallOrigin = 'relayed' | 'own';
+
 /** Wraps a connector so that calls to workers made by this process are counted. */
-export const countWorkerCalls = (connect: WorkerConnector, metrics: JobMetrics): WorkerConnector => life => {
+export const countWorkerCalls = (connect: WorkerConnector, metrics: JobMetrics, origin: WorkerCallOrigin): WorkerConnector => life => {
 	const port = connect(life);
 	const counted = (call: keyof WorkerPort): void => {
-		metrics.workerCalls.inc({call});
+		metrics.workerCalls.inc({call, origin});
 	};
 
 	return {
@@ -66,17 +69,19 @@
 	const {clock, log, metrics, network} = options;
 	const meter = createLoadMeter();
 	let loggedMs = clock.monotonicMs();
-	let loggedCalls = 0;
+	let loggedCalls = {workerCalls: 0, ownWorkerCalls: 0};
 	let loggedNetwork = {...network};
 
 	const logLoad = async (): Promise<void> => {
 		const nowMs = clock.monotonicMs();
 		const {values} = await metrics.workerCalls.get();
-		const calls = values.reduce((sum, {value}) => sum + value, 0);
+		const count = (counters: typeof values): number => counters.reduce((sum, {value}) => sum + value, 0);
+		const calls = {workerCalls: count(values), ownWorkerCalls: count(values.filter(({labels}) => labels.origin === 'own'))};
 		log.info('Process load.', {
 			forMs: Math.round(nowMs - loggedMs),
 			...meter.read(),
-			workerCalls: calls - loggedCalls,
+			workerCalls: calls.workerCalls - loggedCalls.workerCalls,
+			ownWorkerCalls: calls.ownWorkerCalls - loggedCalls.ownWorkerCalls,
 			messagesOut: network.messagesSent - loggedNetwork.messagesSent,
 			writes: network.writes - loggedNetwork.writes,
 			bytesOut: network.bytesSent - loggedNetwork.bytesSent,
--- a/tests/platform/worker-calls.spec.ts
+++ b/tests/platform/worker-calls.spec.ts
@@ -4,12 +4,15 @@
 } from 'node:test';
 import {createProcesses, startWorker, until} from '@bronzebend/utils/platform-stand-ins';
 
-const keepers = ['127.0.92.1', '127.0.92.2', '127.0.92.3'];
 const JOBS = 30;
 const UNITS = 8;
 /** Largest fraction of the calls to workers that the leader may make itself while other keepers are available. */
 const MAX_LEADER_FRACTION = 0.1;
 
+const step = {
+	count: UNITS, cpu: 100, 'mem-mb': 10, 'estimate-ms': 50,
+};
+
 const manifest = {
 	version: 1,
 	routes: [{
@@ -24,20 +27,30 @@
 	tenants: [],
 };
 
-describe('calls to workers', {timeout: 60_000}, () => {
-	const processes = createProcesses(keepers, '127.0.92.11');
+const idOf = (number: number): string => number.toString(16).padStart(16, '0');
+
+/** Starts keepers, an entry and workers; everything is stopped after the tests around it. */
+const startSite = (keepers: string[], entry: string, workerHosts: string[]) => {
+	const processes = createProcesses(keepers, entry);
 	const workers: Array<Awaited<ReturnType<typeof startWorker>>> = [];
-	const idOf = (number: number): string => number.toString(16).padStart(16, '0');
-	const callsBy = (keeper: string): number => [...processes.log(keeper).matchAll(/"workerCalls":(\d+)/gu)].reduce((sum, [, calls]) => sum + Number(calls), 0);
+	const figures = (keeper: string, field: string): number[] => [...processes.log(keeper).matchAll(new RegExp(`"${field}":(\\d+)`, 'gu'))].map(([, figure]) => Number(figure));
+	const total = (field: string): number => keepers.flatMap(keeper => figures(keeper, field)).reduce((sum, figure) => sum + figure, 0);
+
+	/** Waits until each keeper has logged its calls up to now. */
+	const callsLogged = async (): Promise<void> => {
+		const before = keepers.map(keeper => figures(keeper, 'ownWorkerCalls').length);
+		// A line that was written just now may not have been read yet.
+		await until('the calls are logged', async () => keepers.every((keeper, index) => figures(keeper, 'ownWorkerCalls').length >= before[index]! + 2));
+	};
 
 	before(async () => {
 		for (const keeper of keepers) {
 			processes.start(keeper, 'keeper', true);
 		}
 
-		processes.start('127.0.92.11', 'entry', true);
-		for (const number of [1, 2, 3, 4]) {
-			workers.push(await startWorker(`w-${number}`, `127.0.92.2${number}`, {pool: 'bench', runMs: 40, controls: keepers}));
+		processes.start(entry, 'entry', true);
+		for (const [index, host] of workerHosts.entries()) {
+			workers.push(await startWorker(`w-${index + 1}`, host, {pool: 'bench', runMs: 40, controls: keepers}));
 		}
 
 		await until('the manifest is acknowledged', async () => {
@@ -55,18 +68,58 @@
 		await processes.stopAll();
 	});
 
+	return {
+		processes,
+
+		/** The keeper that began to lead last. */
+		leader(): string {
+			const terms = keepers.flatMap(keeper => [...processes.log(keeper).matchAll(/"Leading\.".*?"term":(\d+)/gu)].map(([, term]) => ({keeper, term: Number(term)})));
+			return terms.sort((left, right) => right.term - left.term)[0]!.keeper;
+		},
+
+		/** Runs jobs; returns how many calls to workers they cost, and how many of these leaders made themselves. */
+		async callsOfJobs(firstId: number): Promise<{all: number; own: number}> {
+			await callsLogged();
+			const before = {all: total('workerCalls'), own: total('ownWorkerCalls')};
+			const startsBefore = workers.flatMap(worker => worker.starts).length;
+			await Promise.all(Array.from({length: JOBS}, async (_, index) => until('a job is accepted', async () => {
+				const answer = await processes.call('POST', `/quotes/${idOf(firstId + index)}`, {spec: 'x', steps: [step]});
+				return answer.status === 200;
+			})));
+			await until('all work units have started', async () => workers.flatMap(worker => worker.starts).length >= startsBefore + (JOBS * UNITS));
+			await callsLogged();
+			return {all: total('workerCalls') - before.all, own: total('ownWorkerCalls') - before.own};
+		},
+	};
+};
+
+const assertRelayed = ({all, own}: {all: number; own: number}): void => {
+	assert.ok(all >= JOBS * UNITS, `${all} calls are logged`);
+	assert.ok(own <= MAX_LEADER_FRACTION * all, `leaders made ${own} of ${all} calls themselves`);
+};
+
+describe('calls to workers', {timeout: 60_000}, () => {
+	const site = startSite(['127.0.92.1', '127.0.92.2', '127.0.92.3'], '127.0.92.11', ['127.0.92.21', '127.0.92.22', '127.0.92.23', '127.0.92.24']);
+
 	it('should relay most calls through the other keepers, so that they do not starve the leader', async () => {
-		const step = {
-			count: UNITS, cpu: 100, 'mem-mb': 10, 'estimate-ms': 50,
-		};
-		await Promise.all(Array.from({length: JOBS}, async (_, index) => until('a job is accepted', async () => {
-			const answer = await processes.call('POST', `/quotes/${idOf(index)}`, {spec: 'x', steps: [step]});
-			return answer.status === 200;
-		})));
-		await until('all work units have started', async () => workers.flatMap(worker => worker.starts).length >= JOBS * UNITS);
-		await until('the calls are logged', async () => keepers.reduce((sum, keeper) => sum + callsBy(keeper), 0) > JOBS * UNITS);
-		const leader = keepers.find(keeper => processes.log(keeper).includes('"Leading."'))!;
-		const all = keepers.reduce((sum, keeper) => sum + callsBy(keeper), 0);
-		assert.ok(callsBy(leader) <= MAX_LEADER_FRACTION * all, `the leader made ${callsBy(leader)} of ${all} calls itself`);
+		assertRelayed(await site.callsOfJobs(0));
+	});
+
+	it('should still relay most calls after a change of leader', async () => {
+		const former = site.leader();
+		site.processes.signal(former, 'SIGSTOP');
+		await until('another keeper leads', async () => site.leader() !== former);
+		site.processes.signal(former, 'SIGCONT');
+		assertRelayed(await site.callsOfJobs(JOBS));
+	});
+});
+
+describe('calls to workers of a keeper without others', {timeout: 60_000}, () => {
+	const site = startSite(['127.0.92.4'], '127.0.92.12', ['127.0.92.25']);
+
+	it('should be made and counted as its own', async () => {
+		const {all, own} = await site.callsOfJobs(0);
+		assert.ok(all >= JOBS * UNITS, `${all} calls are logged`);
+		assert.equal(own, all);
 	});
 });
