Send no start to a life that is proven over

Callers could see two runs of one work unit: a pass proposed a start, its worker's life ended meanwhile, and the commit came after the end of the session. A second session of the dead life was created and sent the start. The worker's next life has the same ID, so it began the run, which was then freed like one that never began.

Cause: a session was created for any recorded run, whatever was known of its life.

The fleet now remembers the lives of its term that are proven over, and records runs that are committed for them later as lost without sending anything. A life whose lease ran out is not over, and gets new sessions as before.

--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -13,6 +13,8 @@
 const CONTACT_TIMEOUT_MS = 2200;
 /** Pause before a failed commit of ended runs is retried, in milliseconds. */
 const RECORD_RETRY_MS = 200;
+/** Lives that are over and are remembered at most; a start follows the end of its life within seconds. */
+const MAX_OVER_LIVES = 1000;
 /** Runs that one log line names at most. */
 const MAX_LOGGED_RUNS = 40;
 
@@ -46,6 +48,8 @@
 	const sessions = new Map<string, WorkerSession>();
 	/** Lives to which no connection could be created. */
 	const unreachable = new Set<string>();
+	/** Lives that are proven to be over, the latest last; nothing more is sent to them. */
+	const overLives = new Map<string, EndProof>();
 	let closed = false;
 	let polls = 0;
 	const isClosed = (): boolean => closed;
@@ -97,6 +101,16 @@
 		}
 	};
 
+	/** Records all runs of a life without a session as lost. */
+	const recordAllLost = (life: string, proof: EndProof): void => {
+		const over = [...store.runsOf(life).values()].map(({unit}): EndedRun => ({
+			unit: unit.name, attempt: unit.attempt, how: RunEnds.lost, checkpoint: '',
+		}));
+		recordLost(life, over, proof).catch((error: unknown) => {
+			log.error('Could not record lost runs.', {worker: life, cause: String(error)});
+		});
+	};
+
 	const onEnded = (life: string, proof: EndProof): void => {
 		const session = sessions.get(life);
 		const over = session?.track.lostRuns() ?? [];
@@ -105,6 +119,10 @@
 			monitor.contactLost(life);
 		} else {
 			directory.ended(life);
+			overLives.set(life, proof);
+			if (overLives.size > MAX_OVER_LIVES) {
+				overLives.delete([...overLives.keys()][0]!);
+			}
 		}
 
 		recordLost(life, over, proof).catch((error: unknown) => {
@@ -174,12 +192,7 @@
 		unreachable.add(life.life);
 		directory.ended(life.life);
 		setTimeout(() => {
-			const over = [...store.runsOf(life.life).values()].map(({unit}): EndedRun => ({
-				unit: unit.name, attempt: unit.attempt, how: RunEnds.lost, checkpoint: '',
-			}));
-			recordLost(life.life, over, {type: 'no-connection', cause}).catch((error: unknown) => {
-				log.error('Could not record lost runs.', {worker: life.life, cause: String(error)});
-			});
+			recordAllLost(life.life, {type: 'no-connection', cause});
 		}, inherited ? longestLeaseMs(options.leaseMs) : 0);
 	};
 
@@ -189,6 +202,12 @@
 			return;
 		}
 
+		const proof = overLives.get(life.life);
+		if (proof) {
+			recordAllLost(life.life, proof);
+			return;
+		}
+
 		let session: WorkerSession;
 		try {
 			session = sessionOf(life, inherited);
