Take no report or list entry of an unknown pool for the end of a life

Callers could see two runs of one work unit: a report under a worker's ID, with a later start and a pool that no manifest names, counted as the worker's next life; all its runs were recorded as lost and started elsewhere while they went on. So did a second entry for a worker's machine in the list of machines, in such a pool, after an order to it: the last entry won.

Cause: reports and entries were believed whatever pool they name. Other writers send to the same path, and what they send is no worker's.

A directory ignores announcements of pools that the manifest does not have, on every keeper; of two entries for a machine one of a known pool is used, and only such an entry proves anything. Before the first manifest all reports count.

--- a/packages/core/src/jobs/fleet-manifest.ts
+++ b/packages/core/src/jobs/fleet-manifest.ts
@@ -117,6 +117,7 @@
 
 	return {
 		manifest,
+		hasPool: (name: string): boolean => pools.has(name),
 		/** Queue of a host whose path prefix is the longest match; undefined if none matches. */
 		route: (host: string, path: string): JobQueue | undefined => byHost.get(host.toLowerCase())?.find(queue => path.startsWith(queue.pathPrefix)),
 		queue: (name: string): JobQueue | undefined => byName.get(name),
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -46,13 +46,13 @@
 };
 
 /** Effect of an announcement on the directory. */
-export type AnnounceEffect = 'new-life' | 'updated' | 'draining' | 'stale';
+export type AnnounceEffect = 'new-life' | 'updated' | 'draining' | 'stale' | 'unknown-pool';
 
 /** Directory of workers. */
 export type WorkerDirectory = ReturnType<typeof createWorkerDirectory>;
 
-/** Creates an empty directory. */
-export const createWorkerDirectory = () => {
+/** Creates an empty directory. Announcements of a pool for which `knowsPool` returns false have no effect: another writer may have sent them under a worker's ID. */
+export const createWorkerDirectory = ({knowsPool}: {knowsPool(pool: string): boolean} = {knowsPool: () => true}) => {
 	const byId = new Map<string, WorkerEntry>();
 	const byAddress = new Map<string, WorkerEntry>();
 	/** Latest life on each machine, including those that have left. */
@@ -99,6 +99,10 @@
 		/** Applies an announcement received now. */
 		announce(announcement: WorkerAnnouncement, nowMs: number): AnnounceEffect {
 			const {id, bornMs, address} = announcement;
+			if (!knowsPool(announcement.pool)) {
+				return 'unknown-pool';
+			}
+
 			const known = byId.get(id);
 			const isStale = known && (bornMs < known.bornMs || (bornMs === known.bornMs && announcement.seq <= known.seq));
 			const occupant = byAddress.get(address);
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -231,6 +231,10 @@
 			});
 		}
 
+		if (effect === 'unknown-pool') {
+			log.info('Ignored the report of a worker of an unknown pool.', {worker: announcement.id, pool: announcement.pool, born: announcement.bornMs, address: announcement.address});
+		}
+
 		if (effect === 'new-life') {
 			if (before) {
 				fleet.declareRestarted(before.life, {type: 'newer-life', newerLife: lifeOf(announcement.id, announcement.bornMs), newerAddress: announcement.address});
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -108,14 +108,16 @@
 		listReadMs = requestedMs;
 		mustRefresh = false;
 		hasGaps = list.hasGaps;
-		machines = new Map(list.machines.map(machine => [machine.name, machine]));
+		const isOurs = ({pool}: Machine): boolean => store.manifest()?.hasPool(pool) !== false;
+		// Of two entries for one machine, one of an unknown pool comes from another writer.
+		machines = new Map([...list.machines.filter(machine => !isOurs(machine)), ...list.machines.filter(machine => isOurs(machine))].map(machine => [machine.name, machine]));
 		machineByWorker = new Map(list.machines.toReversed().flatMap(({workerId, name}) => (workerId === undefined ? [] : [[workerId, name] as const])));
 		for (const [name, order] of pendingOrders) {
 			const isListedSince = order.state !== 'sent' && order.atMs < requestedMs;
 			const listed = machines.get(name);
-			if (isListedSince && order.life !== undefined && hasEndedLife(listed, order.life)) {
+			if (isListedSince && order.life !== undefined && listed && isOurs(listed) && hasEndedLife(listed, order.life)) {
 				options.onEnded(order.life, {
-					type: 'machine-list', machine: name, order: order.kind, orderAgeMs: Math.round(requestedMs - order.atMs), listedState: listed!.state, listedWorker: listed!.workerId,
+					type: 'machine-list', machine: name, order: order.kind, orderAgeMs: Math.round(requestedMs - order.atMs), listedState: listed.state, listedWorker: listed.workerId,
 				});
 				order.life = undefined;
 				order.state = 'done';
