Let a wave go on when a machine is up again without a worker

Callers would have seen a wave past its deadline. Found by the review.

The order is settled as well once no run is recorded for the life.

--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -123,8 +123,9 @@
 				order.state = 'done';
 			}
 
-			// Until the list names the worker, it does not show whether the life goes on.
-			const isUpAgain = isListedSince && order.state === 'done' && listed?.state === MachineStates.up && (order.life === undefined || listed.workerId !== undefined);
+			// Until the list names the worker, it does not show whether a life with runs goes on.
+			const isSettled = order.life === undefined || listed?.workerId !== undefined || store.runsOf(order.life).size === 0;
+			const isUpAgain = isListedSince && order.state === 'done' && listed?.state === MachineStates.up && isSettled;
 			if (isUpAgain || (order.state === 'unanswered' && requestedMs - order.atMs > REPEAT_DELAY_MS)) {
 				pendingOrders.delete(name);
 			}
