Complete a wave although a nameless odd entry stays in the list

One that stays, as another writer's may, would have kept a wave with a removed machine running for good. Found by the review.

The list names the machines whose entries were invalid, and only these exist without being listed; an entry without a name hides no machine.

--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -203,7 +203,7 @@
 			return countDown(input, wave) < wave.cap && (life === undefined || keepsBudgets(input, life));
 		},
 
-		/** True if every machine of a wave that still exists has begun its upkeep; one that is not listed exists if the list has gaps. */
-		isComplete: (wave: UpkeepWave, {machines, hasGaps}: {machines: ReadonlyMap<string, Machine>; hasGaps: boolean}): boolean => wave.machines.every(name => wave.begun.includes(name) || !(hasGaps || machines.has(name))),
+		/** True if every machine of a wave that still exists has begun its upkeep. */
+		isComplete: (wave: UpkeepWave, exists: (machine: string) => boolean): boolean => wave.machines.every(name => wave.begun.includes(name) || !exists(name)),
 	};
 };
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -52,7 +52,7 @@
 export type WorkerDirectory = ReturnType<typeof createWorkerDirectory>;
 
 /** Creates an empty directory. Announcements of a pool for which `knowsPool` returns false have no effect: another writer may have sent them under a worker's ID. */
-export const createWorkerDirectory = ({knowsPool}: {knowsPool(pool: string): boolean} = {knowsPool: () => true}) => {
+export const createWorkerDirectory = ({knowsPool = () => true}: {knowsPool?(pool: string): boolean} = {}) => {
 	const byId = new Map<string, WorkerEntry>();
 	const byAddress = new Map<string, WorkerEntry>();
 	/** Latest life on each machine, including those that have left. */
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -232,7 +232,9 @@
 		}
 
 		if (effect === 'unknown-pool') {
-			log.info('Ignored the report of a worker of an unknown pool.', {worker: announcement.id, pool: announcement.pool, born: announcement.bornMs, address: announcement.address});
+			log.info('Ignored the report of a worker of an unknown pool.', {
+				worker: announcement.id, pool: announcement.pool, born: announcement.bornMs, address: announcement.address,
+			});
 		}
 
 		if (effect === 'new-life') {
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -70,8 +70,8 @@
 	/** Name of each worker's machine, the first one listed; rebuilt only when the list is read. */
 	let machineByWorker = new Map<string, string>();
 	let listReadMs = -Infinity;
-	/** The list leaves machines out. */
-	let hasGaps = false;
+	/** Names of machines whose entries in the list were invalid. */
+	let unreadable: ReadonlySet<string> = new Set();
 	let mustRefresh = false;
 	let isBusy = false;
 
@@ -107,7 +107,7 @@
 
 		listReadMs = requestedMs;
 		mustRefresh = false;
-		hasGaps = list.hasGaps;
+		unreadable = new Set(list.unreadable);
 		const isOurs = ({pool}: Machine): boolean => store.manifest()?.hasPool(pool) !== false;
 		// Of two entries for one machine, one of an unknown pool comes from another writer.
 		machines = new Map([...list.machines.filter(machine => !isOurs(machine)), ...list.machines.filter(machine => isOurs(machine))].map(machine => [machine.name, machine]));
@@ -190,7 +190,7 @@
 	};
 
 	const completeWaves = async (): Promise<void> => {
-		const over = store.waves().filter(wave => !wave.completed && !completing.has(wave.number) && planner.isComplete(wave, {machines, hasGaps}));
+		const over = store.waves().filter(wave => !wave.completed && !completing.has(wave.number) && planner.isComplete(wave, name => machines.has(name) || unreadable.has(name)));
 		await Promise.all(over.map(async wave => {
 			completing.add(wave.number);
 			try {
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -37,8 +37,8 @@
 	maySend(): boolean;
 };
 
-/** A list of machines. It has gaps if entries were left out of it, so that a machine that is not listed may exist. */
-export type MachineList = {machines: Machine[]; hasGaps: boolean};
+/** A list of machines, and the names in entries that were left out of it as invalid. */
+export type MachineList = {machines: Machine[]; unreadable: string[]};
 
 /** Calls to the platform that manages the machines. */
 export type MachinePort = {
--- a/utils/leader-passes.ts
+++ b/utils/leader-passes.ts
@@ -51,7 +51,7 @@
 		directory,
 		connect,
 		machines: {
-			list: async () => ({machines, hasGaps: false}),
+			list: async () => ({machines, unreadable: []}),
 			move: async () => ({type: 'rejected', reason: 'busy'}),
 			upkeep: async () => ({type: 'rejected', reason: 'busy'}),
 		},
