--- a/utils/soak/site.ts
+++ b/utils/soak/site.ts
@@ -55,7 +55,6 @@
 	const indexById = new Map<string, number>();
 	const waves = new Map<number, string[]>();
 	const recorded: string[] = [];
-	let isStopping = false;
 
 	const flush = (): void => {
 		appendFileSync(path.join(folder, 'record.jsonl'), recorded.splice(0).join(''));
@@ -115,7 +114,6 @@
 	};
 
 	const stop = async (): Promise<void> => {
-		isStopping = true;
 		for (const worker of workers) {
 			worker.close();
 		}
@@ -151,7 +149,6 @@
 		newIdOf,
 		queues: working.map(pool => prefixOf(pool)),
 		indexOf: (worker: string): number | undefined => indexById.get(worker),
-		isStopping: () => isStopping,
 		/** Publishes a manifest; returns whether it was acknowledged. */
 		async publish(version: number): Promise<boolean> {
 			const {status, address} = await control('POST', '/Config.Replace', manifestOf(version));
