Record leases that were meant for another life of a stand-in worker

Their worker had started again under its ID, and its lease outlived all that its own session had granted. The record had no line on the call that extended it. A lease of more than half of the longest one is recorded now.

--- a/utils/soak/worker-life.ts
+++ b/utils/soak/worker-life.ts
@@ -4,6 +4,8 @@
 
 /** Ended runs that one response lists at most. */
 const MAX_LISTED_ENDS = 500;
+/** Share of the longest lease from which on a lease is recorded; the keepers grant shorter ones, so it was meant for another life. */
+const LONG_LEASE_SHARE = 0.5;
 
 /** A run as its worker saw it; times are Unix milliseconds. */
 export type SoakRun = WorkerRun & {
@@ -100,9 +102,16 @@
 	};
 
 	const extendLease = (expiresMs: unknown): void => {
-		if (typeof expiresMs === 'number') {
-			leaseMs = Math.max(leaseMs, Math.min(expiresMs, clockMs() + options.maxLeaseMs));
+		if (typeof expiresMs !== 'number') {
+			return;
+		}
+
+		const aheadMs = expiresMs - clockMs();
+		if (aheadMs > options.maxLeaseMs * LONG_LEASE_SHARE) {
+			record('long lease', {expiresMs, aheadMs, fence});
 		}
+
+		leaseMs = Math.max(leaseMs, clockMs() + Math.min(aheadMs, options.maxLeaseMs));
 	};
 
 	const plain = (status: number, reason?: string): LifeAnswer => ({status, body: {'clock-ms': clockMs(), ...(reason !== undefined && {reason})}});
