Place nothing on an inherited worker before it has answered

What callers saw: after a power loss or the loss of the leader, some of the first work units were placed, given up and placed again, while the new leader was busiest.

Cause: a new leader takes every worker that has reported for usable. One with runs of an earlier leader has a session that learns the worker's clock from the first poll. A start that is due before that has no expiry, so it was given up at once ("clock-unknown"): two commits, an attempt and a pause of the worker of 0.3 s for nothing, again every 0.3 s while the worker did not answer.

The new test (job-leader.spec.ts) fails on the old code with five placements on the silent worker.

Now a worker with runs counts as reachable once its clock has been read. Nothing else changes: it starts fewer runs, never more, and a worker whose session has no runs stays usable, as nothing would ask it for its clock.

--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -283,6 +283,9 @@
 			return nowMs - contactMs > MAX_RENEWAL_SILENCE_MS ? undefined : this.leaseExpiry(nowMs);
 		},
 
+		/** False until the worker's clock has been read; nothing can be started before that. */
+		isClockKnown: (): boolean => clock !== undefined,
+
 		/** Expiry, on the worker's clock, of a lease granted now, to be reported to `leaseCallEnded`; undefined if the clock is unknown. */
 		leaseExpiry(nowMs: number): number | undefined {
 			if (!clock) {
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -245,10 +245,15 @@
 			return session?.isOver() === false ? session.track : undefined;
 		},
 
-		/** Returns false if a life has ended, or has been silent for too long while it has runs. */
+		/** Returns false if a life has ended, or has runs and has been silent for too long, or since its session began without a reading of its clock. */
 		isReachable(life: string): boolean {
 			const session = sessions.get(life);
-			return !session || (!session.isOver() && (session.track.runs.size === 0 || clock.monotonicMs() - session.track.contactMs() < CONTACT_TIMEOUT_MS));
+			if (!session) {
+				return true;
+			}
+
+			const {track} = session;
+			return !session.isOver() && (track.runs.size === 0 || (track.isClockKnown() && clock.monotonicMs() - track.contactMs() < CONTACT_TIMEOUT_MS));
 		},
 
 		declareEnded(life: string, cause: string): void {
--- a/tests/daemon/jobs/job-leader.spec.ts
+++ b/tests/daemon/jobs/job-leader.spec.ts
@@ -68,4 +68,27 @@
 		assert.ok(performance.now() - startedMs > LEASE_MS, `${performance.now() - startedMs}`);
 		assert.equal(harness.running.size, 1);
 	});
+
+	it('should place nothing on a worker with runs of an earlier leader before it has answered', async () => {
+		const silent = lifeNamed('silent');
+		const store = storeWith([orderOf('a')]);
+		store.apply({type: 'runs-start', lives: [silent], runs: [{unit: `${'a'.padEnd(16, '0')}.0.0.0`, attempt: 1, life: silent.life}]});
+		const harness = createLeaderHarness(store, {
+			lives: [silent, lifeNamed('good', {capacity: {cpu: 2000, memoryMb: 4000, gpu: 0}})], silent: 'silent',
+		});
+		const placedOn: string[] = [];
+		harness.onCommit(command => {
+			placedOn.push(...(command.type === 'runs-start' ? command.runs.map(run => run.life) : []));
+		});
+		for (const id of ['b', 'c', 'd', 'e']) {
+			store.apply({type: 'submit', order: orderOf(id), atMs: Date.now()});
+		}
+
+		await waitUntilTrue(() => harness.running.size === 2);
+		await new Promise(resolve => {
+			setTimeout(resolve, 500);
+		});
+		harness.work.stop();
+		assert.deepEqual(placedOn, ['good@1', 'good@1']);
+	});
 });
