Look for a live keeper before the leader calls a worker itself

What operators saw: a leader on a busy machine made up to 155 calls to workers within a second itself, although both other keepers answered. The calls take the processor time that the leader lacks at that moment.

Cause: relayed-calls.ts checks every 50 ms which keepers answered within 0.5 s. A leader that was itself held up for that long has heard from none, so the check finds no keeper. Contact and the leader's lease are back one heartbeat later, and the commits that waited end, but calls used the list of the last check and went out directly.

The leader's commit took 452 ms, its process got 149 ms of processor time in 1,027 ms, and 155 of 155 starts of that commit went out directly right after it. No keeper had been excluded for late results before that, which rules out the suspected AVOID_KEEPER_MS; an unknown clock is ruled out too, as calls had been relayed 0.5 s before.

Now the leader looks again which keepers answer before it makes a call itself. A call is made under the same conditions as before: with a fencing token, and by a keeper only until the leader gives it up.

Left: the same check gives up all calls under way when the leader or a keeper was held up for 0.5 s.

--- a/packages/daemon/src/jobs/relayed-calls.ts
+++ b/packages/daemon/src/jobs/relayed-calls.ts
@@ -101,6 +101,8 @@
 		}
 	};
 
+	const usableOf = (live: readonly string[]): string[] => live.filter(keeper => clocks.isKnown(keeper) && !avoidedUntilMs.has(keeper));
+
 	const refreshKeepers = (): void => {
 		const nowMs = clock.monotonicMs();
 		const live = liveKeepers();
@@ -111,7 +113,7 @@
 		}
 
 		endLostCalls(live, nowMs);
-		usable = live.filter(keeper => clocks.isKnown(keeper) && !avoidedUntilMs.has(keeper));
+		usable = usableOf(live);
 		for (const keeper of live.filter(each => !clocks.isKnown(each))) {
 			// A batch without calls asks for a reading.
 			send(keeper, {type: 'worker-calls', term, batch: packCalls([])});
@@ -194,6 +196,11 @@
 			const directPort = direct(worker);
 			const make = async (call: WorkerCall): Promise<HoldResult | OrderResult> => {
 				await mayBegin;
+				if (usable.length === 0) {
+					// Contact may be back since the last check, as after a pause of this process.
+					usable = usableOf(liveKeepers());
+				}
+
 				const keeper = chooseKeeper(worker.life);
 				return keeper === undefined ? makeCall(directPort, call) : relay(keeper, worker, call);
 			};
