Record the end of a run that a worker's next life carried out

A start for a life of a worker can reach the next life, which has the same ID. If the run ended done there, the next life's session acknowledged that end without recording it, and the session of the earlier life then freed the work unit as lost: it ran again after its acknowledged end.

Cause: a session recorded only ends of runs that it tracks, and acknowledged all. The run is recorded, but on the earlier life.

Why this works: a unit and its attempt name one run, so its end counts wherever a worker lists it; it is recorded for the life that the store names.

--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -112,6 +112,12 @@
 		return run?.attempt === attempt ? run : undefined;
 	};
 
+	/** True if a run is recorded as running, on whatever life: a start for an earlier life of the worker may have reached this one. */
+	const isRecorded = ({unit: name, attempt}: EndedRun): boolean => {
+		const unit = store.find(name)?.unit;
+		return unit?.state === 'running' && unit.attempt === attempt;
+	};
+
 	const handleMissing = (unit: string, run: RunProgress, sentMs: number, result: ReconcileResult): void => {
 		switch (run.phase.type) {
 			case 'ordered': {
@@ -239,7 +245,7 @@
 			const listed = new Set<string>();
 			for (const end of lists.finished) {
 				listed.add(`${end.unit}#${end.attempt}`);
-				if (progressOf(end.unit, end.attempt)) {
+				if (progressOf(end.unit, end.attempt) ?? isRecorded(end)) {
 					result.endedRuns.push(end);
 				}
 			}
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -1,6 +1,6 @@
 /** The leader's sessions with all workers that have work, and the handling of what the sessions report. */
 import {
-	createPaceController, isOpen, longestLeaseMs, RunEnds,
+	createPaceController, groupBy, isOpen, longestLeaseMs, RunEnds,
 	type Clock, type JobStore, type JobCommand, type JobOutcome, type EndedRun, type RunStart, type WorkerDirectory, type WorkerLife, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
@@ -51,9 +51,11 @@
 
 	const recordEnds = async (life: string, over: EndedRun[]): Promise<boolean> => {
 		try {
-			await propose({
-				type: 'runs-over', life, runs: over, atMs: clock.wallMs(),
-			});
+			// A worker may list the end of a run that is recorded for an earlier life of it.
+			const byLife = groupBy(over, ({unit}) => store.find(unit)?.unit.worker ?? life);
+			await Promise.all([...byLife].map(async ([recordedLife, runs]) => propose({
+				type: 'runs-over', life: recordedLife, runs, atMs: clock.wallMs(),
+			})));
 		} catch (error) {
 			log.warn('Could not record ended runs.', {worker: life, runs: over.length, cause: String(error)});
 			return false;
--- a/tests/daemon/jobs/next-session.spec.ts
+++ b/tests/daemon/jobs/next-session.spec.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import type {OrderResult} from '@bronzebend/core';
+import {lifeOf, type OrderResult} from '@bronzebend/core';
+import {lifeNamed} from '../../fixtures/job-fixtures.js';
 import {
-	activeRun, createSessionHarness, eventually, listsOf, never, unitOf,
+	activeRun, createSessionHarness, eventually, finishedRun, listsOf, never, unitOf,
 } from '../../fixtures/session-harness.js';
 
 const unit = unitOf(0);
@@ -65,4 +66,17 @@
 		assert.ok(await never(() => harness.stateOf(unit) !== 'running'));
 		assert.equal(harness.store.find(unit)!.unit.attempt, 2);
 	});
+
+	it('should have the end of a start that its worker\'s next life carried out recorded before it is acknowledged', async () => {
+		const earlier = lifeNamed('w1', {bornMs: 0, life: lifeOf('w1', 0)});
+		const harness = createSessionHarness({
+			units: 2,
+			hold: async ({ackSeq}) => listsOf({clockMs: harness.clock.nowMs, active: [activeRun(unit)], finished: ackSeq < 5 ? [finishedRun(5, unitOf(1))] : []}),
+		});
+		harness.store.apply({type: 'runs-start', lives: [earlier], runs: [{unit: unitOf(1), attempt: 1, life: earlier.life}]});
+		harness.place(unit);
+		await eventually(() => harness.holds.at(-1)?.ackSeq === 5, 80);
+		harness.session.close();
+		assert.deepEqual([harness.stateOf(unitOf(1)), harness.stateOf(unit)], ['idle', 'running']);
+	});
 });
