List a poll that acknowledges ends of a worker's next life as known red

The worker checks only the ID, so a fix is a matter of when the leader sends what; see docs/design/run-proofs.md, "Left".

--- a/tests/daemon/jobs/run-once.spec.ts
+++ b/tests/daemon/jobs/run-once.spec.ts
@@ -176,4 +176,9 @@
 		const {broken} = await play(25);
 		assert.deepEqual(broken.slice(0, 5), []);
 	});
+
+	it('should not follow an end that a poll meant for an earlier life of its worker has acknowledged', {timeout: 60_000}, async () => {
+		const {broken} = await play(52);
+		assert.deepEqual(broken.slice(0, 5), []);
+	});
 });
