Count the lease that a call for an earlier life may have granted

The session of the new life knew only its own grants of 4 s, and took the lease for over when the worker fell silent: its runs were started elsewhere, while they ended done, and were acknowledged by the next session of the same life. A run that lasts longer would run twice at once.

Cause: the end of a lease was computed from the calls of one session, though any call that names the worker's ID extends it.

A session of a worker for which runs of another life are on record now assumes the longest lease that workers grant, from the last moment at which a call for the other life can arrive; also after a change of leader. It frees such a worker's runs after 13.9 s of silence at most, in place of 4.2 s, in the first seconds after its restart.

--- a/packages/core/src/jobs/job-store.ts
+++ b/packages/core/src/jobs/job-store.ts
@@ -298,6 +298,8 @@
 		runsOf: (life: string): ReadonlyMap<string, {unit: WorkUnit; job: Job; step: number}> => runsOf.get(life) ?? new Map(),
 		/** True if runs can start on a life without describing it again in the command. */
 		knowsLife: (life: string): boolean => lives.has(life),
+		/** True if runs were recorded for another life of the same worker. */
+		hasOtherLife: ({id, life}: WorkerLife): boolean => [...lives.values()].some(other => other.id === id && other.life !== life),
 		/** Lives that may be running work units. */
 		busyLives: (): WorkerLife[] => [...runsOf.keys()].map(life => lives.get(life)!),
 		/** A life that may be running work units; undefined if it is unknown or runs none. */
--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -19,6 +19,9 @@
 /** Time after which an order without an answer counts as doubtful, in milliseconds. */
 const ORDER_TIMEOUT_MS = 3000;
 
+/** Longest time for which a call to a worker may be under way, in milliseconds: it is relayed, and waits for a connection and for its opening. */
+export const MAX_CALL_DELAY_MS = 3500;
+
 /** Duration on the leader's clock after which a lease of `leaseMs` milliseconds is certainly over, in milliseconds. */
 export const longestLeaseMs = (leaseMs: number): number => (leaseMs / SLOWEST_CLOCK_RATE) + LEASE_MARGIN_MS;
 
@@ -82,6 +85,8 @@
 	store: JobStore;
 	leaseMs: number;
 	inherited: boolean;
+	/** Longest lease that calls meant for an earlier life of the worker may have been granted, in milliseconds; undefined if it had none. */
+	foreignLeaseMs?: number;
 	nowMs: number;
 	/** Last reported reading of the worker's clock, and when it was received. */
 	clock?: {clockMs: number; receivedMs: number};
@@ -98,6 +103,9 @@
 	// An earlier leader granted leases of the same length, the last of them before this view was created.
 	const inheritedUntilMs = options.inherited ? options.nowMs + longestLeaseMs(leaseMs) : -Infinity;
 
+	// Calls meant for an earlier life name the same ID, and their expiry lies far ahead of the clock of this one.
+	const foreignUntilMs = options.foreignLeaseMs === undefined ? -Infinity : options.nowMs + MAX_CALL_DELAY_MS + longestLeaseMs(options.foreignLeaseMs);
+
 	const newRun = (attempt: number, phase: Phase, nowMs: number): RunProgress => ({
 		attempt, phase, startedMs: nowMs, percent: 0, percentMs: nowMs, load: 0, checkpoint: '', share: 100, isListed: false,
 	});
@@ -320,13 +328,14 @@
 
 		/** Time on the leader's clock after which no run can be active unless another lease is granted. */
 		leaseEndMs(): number {
+			const grantedUntilMs = Math.max(inheritedUntilMs, foreignUntilMs);
 			if (!clock) {
-				return inheritedUntilMs;
+				return grantedUntilMs;
 			}
 
 			// The worker may have read its clock at any time until the reading was received.
 			const ownEndMs = clock.receivedMs + longestLeaseMs(Math.max(longestExpiryMs, ...expiriesInFlight.keys()) - clock.clockMs);
-			return Math.max(ownEndMs, inheritedUntilMs);
+			return Math.max(ownEndMs, grantedUntilMs);
 		},
 	};
 };
--- a/packages/daemon/src/jobs/late-orders.ts
+++ b/packages/daemon/src/jobs/late-orders.ts
@@ -7,14 +7,12 @@
 a stop of it, after which it rejects the start, and have had the time to end a run that had begun.
 */
 import {
-	longestLeaseMs, type Clock, type OrderResult, type WorkerTrack,
+	longestLeaseMs, MAX_CALL_DELAY_MS, type Clock, type OrderResult, type WorkerTrack,
 } from '@bronzebend/core';
 import {pause} from '../utils/pause.js';
 
 /** Pause before a stop is retried, in milliseconds. */
 const RETRY_MS = 150;
-/** Longest time for which a start may be under way, in milliseconds: it is relayed, and waits for a connection and for its opening. */
-const MAX_START_DELAY_MS = 3500;
 
 /**
 Resolves when no order under way can start a run of the track any more: each run that was never
@@ -31,7 +29,7 @@
 	stop(unit: string, attempt: number): Promise<OrderResult>;
 	isCancelled(): boolean;
 }): Promise<void> => {
-	const untilMs = clock.monotonicMs() + MAX_START_DELAY_MS + longestLeaseMs(maxLeaseMs);
+	const untilMs = clock.monotonicMs() + MAX_CALL_DELAY_MS + longestLeaseMs(maxLeaseMs);
 
 	const waitForEnd = async (): Promise<void> => {
 		const endMs = clock.monotonicMs() + longestLeaseMs(maxStopMs);
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -169,6 +169,7 @@
 			maxLeaseMs: options.maxLeaseMs,
 			maxStopMs: options.maxStopMs,
 			inherited,
+			hasEarlierLife: store.hasOtherLife(life),
 			announcedClock: clockMs === undefined || inherited ? undefined : {clockMs, receivedMs: entry!.receivedMs},
 			clock,
 			log,
--- a/packages/daemon/src/jobs/worker-session-options.ts
+++ b/packages/daemon/src/jobs/worker-session-options.ts
@@ -18,6 +18,8 @@
 	/** Longest time that a worker takes to end a run after it confirmed a stop, in milliseconds. */
 	maxStopMs: number;
 	inherited: boolean;
+	/** The worker may have had an earlier life under its ID. */
+	hasEarlierLife: boolean;
 	announcedClock?: {clockMs: number; receivedMs: number};
 	clock: Clock;
 	log: Log;
--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -24,7 +24,7 @@
 export const createWorkerSession = (options: WorkerSessionOptions) => {
 	const {life, store, port, fence, clock, log, metrics} = options;
 	const track = createWorkerTrack({
-		life: life.life, store, leaseMs: options.leaseMs, inherited: options.inherited, nowMs: clock.monotonicMs(), clock: options.announcedClock,
+		life: life.life, store, leaseMs: options.leaseMs, inherited: options.inherited, foreignLeaseMs: options.hasEarlierLife ? options.maxLeaseMs : undefined, nowMs: clock.monotonicMs(), clock: options.announcedClock,
 	});
 	const stopping = new Set<string>();
 	let isOver = false;
--- a/tests/daemon/jobs/worker-session.spec.ts
+++ b/tests/daemon/jobs/worker-session.spec.ts
@@ -80,6 +80,7 @@
 		maxLeaseMs: 10_000,
 		maxStopMs: 200,
 		inherited: false,
+		hasEarlierLife: false,
 		announcedClock: {clockMs: 1000, receivedMs: 1000},
 		clock: {wallMs: () => nowMs, monotonicMs: () => nowMs},
 		log: silentLogs('test'),
