Wait for the results that a test of the call relay expects

It waited 60 ms for a call of 20 ms and a batch of 6 ms: in a process that is held up for longer than that, the timer of the batch is set only when the wait is over as well. Now it waits until a message was sent, 1 s at most, and then the 60 ms in which a wrong one would follow. What it checks is the same.

--- a/tests/daemon/jobs/relayed-calls.spec.ts
+++ b/tests/daemon/jobs/relayed-calls.spec.ts
@@ -351,6 +351,10 @@
 		relay.receive('old', batch(3, 2));
 		await pause(10);
 		relay.receive('new', batch(4, 1));
+		for (let turn = 0; turn < 100 && sent.length === 0; turn += 1) {
+			await pause(10);
+		}
+
 		await pause(60);
 		assert.deepEqual(sent.map(({to, message}) => [to, resultsIn(message).length]), [['new', 1]]);
 		relay.close();
