Drop a call that waited too long for the clocks of the other keepers

Callers could see two runs of one work unit: a new leader that is paused in its first 150 ms, while calls wait for a first reading of the other keepers' clocks, sent them with a full time limit when it woke up, and a worker's next life could carry them out.

The age of a call counted from when it was collected, which is after that wait. A call that waited for longer than a result may take is not sent now.

--- a/packages/daemon/src/jobs/relayed-calls.ts
+++ b/packages/daemon/src/jobs/relayed-calls.ts
@@ -199,7 +199,12 @@
 		connect(worker: WorkerAddress): WorkerPort {
 			const directPort = direct(worker);
 			const make = async (call: WorkerCall): Promise<HoldResult | OrderResult> => {
+				const madeMs = clock.monotonicMs();
 				await mayBegin;
+				if (clock.monotonicMs() - madeMs > RESULT_TIMEOUT_MS) {
+					return {type: 'unsent', cause: 'waited too long for the clocks of the other keepers', isCarrierLost: true};
+				}
+
 				if (usable.length === 0) {
 					// Contact may be back since the last check, as after a pause of this process.
 					usable = usableOf(liveKeepers());
