Stop starts that may still be under way on a worker's next life

Callers could see two runs of one work unit: a start got no answer, its worker confirmed a stop, and the work unit was placed again. If the worker then crashed and started again under its ID within seconds, the start could still reach the next life, which knows nothing of the stop, and nobody stopped the run there until a poll listed it.

Cause: only runs that the session still tracked were stopped on the next life.

The test lets time pass on the session's clock now, as a stop that the next life has confirmed counts only after the time that it may take. The lease of a start is also registered only once it is known that the start is sent.

--- a/packages/daemon/src/jobs/late-orders.ts
+++ b/packages/daemon/src/jobs/late-orders.ts
@@ -7,7 +7,7 @@
 a stop of it, after which it rejects the start, and have had the time to end a run that had begun.
 */
 import {
-	longestLeaseMs, MAX_CALL_DELAY_MS, type Clock, type OrderResult, type WorkerTrack,
+	longestLeaseMs, MAX_CALL_DELAY_MS, type Clock, type OrderResult,
 } from '@bronzebend/core';
 import {pause} from '../utils/pause.js';
 
@@ -15,12 +15,11 @@
 const RETRY_MS = 150;
 
 /**
-Resolves when no order under way can start a run of the track any more: each run that was never
-listed is stopped and over, another worker answers at the address, or the longest lease has passed that
-such an order can be granted.
+Resolves when no order under way can start one of the runs any more: each run is stopped and over, another
+worker answers at the address, or the longest lease has passed that such an order can be granted.
 */
-export const fenceLateStarts = async ({track, clock, maxLeaseMs, maxStopMs, stop, isCancelled}: {
-	track: WorkerTrack;
+export const fenceLateStarts = async ({runs, clock, maxLeaseMs, maxStopMs, stop, isCancelled}: {
+	runs: ReadonlyArray<{unit: string; attempt: number}>;
 	clock: Clock;
 	/** Longest lease that a worker grants, in milliseconds. */
 	maxLeaseMs: number;
@@ -56,6 +55,5 @@
 		/* eslint-enable no-await-in-loop */
 	};
 
-	const unlisted = [...track.runs].filter(([, run]) => !run.isListed);
-	await Promise.all(unlisted.map(async ([unit, run]) => fence(unit, run.attempt)));
+	await Promise.all(runs.map(async ({unit, attempt}) => fence(unit, attempt)));
 };
--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -58,11 +58,12 @@
 		isRetiring = true;
 		options.onLifeOver(life.life);
 		const certain = track.lostRuns().filter(({unit}) => track.runs.get(unit)?.isListed);
+		const unlisted = [...track.runs].flatMap(([unit, run]) => (run.isListed ? [] : [{unit, attempt: run.attempt}]));
 		log.warn('Worker life is over.', {worker: life.life, ...proofFields(proof), listed: certain.length});
 		await Promise.all([
 			certain.length > 0 && options.recordEnds(life.life, certain, proof),
 			fenceLateStarts({
-				track,
+				runs: [...unlisted, ...starts.underWay().filter(({unit, attempt}) => track.runs.get(unit)?.attempt !== attempt)],
 				clock,
 				maxLeaseMs: options.maxLeaseMs,
 				maxStopMs: options.maxStopMs,
--- a/packages/daemon/src/jobs/worker-starts.ts
+++ b/packages/daemon/src/jobs/worker-starts.ts
@@ -1,6 +1,6 @@
 /** The starts that a session orders on one life of a worker, and what their outcomes say about the runs. */
-import type {
-	EndedRun, EndProof, OrderResult, RunStart, WorkerTrack,
+import {
+	MAX_CALL_DELAY_MS, type EndedRun, type EndProof, type OrderResult, type RunStart, type WorkerTrack,
 } from '@bronzebend/core';
 import type {WorkerSessionOptions} from './worker-session-options.js';
 
@@ -16,6 +16,13 @@
 	/** Makes the session poll the worker, to find out about a doubtful start. */
 	ensurePolling(): void;
 }) => {
+	/** Starts of unknown outcome, and when they were sent, in milliseconds. */
+	let unanswered: Array<{unit: string; attempt: number; sentMs: number}> = [];
+
+	const forgetOld = (): void => {
+		unanswered = unanswered.filter(({sentMs}) => clock.monotonicMs() - sentMs <= MAX_CALL_DELAY_MS);
+	};
+
 	/** Records a start that certainly had no effect as lost, so that the work unit is placed again. */
 	const giveUp = async (start: RunStart, proof: EndProof): Promise<void> => {
 		const over: EndedRun[] = [{
@@ -28,7 +35,7 @@
 		}
 	};
 
-	const onResult = (start: RunStart, result: OrderResult): void => {
+	const onResult = (start: RunStart, result: OrderResult, sentMs: number): void => {
 		switch (result.type) {
 			case 'done': {
 				track.confirmed(start.unit, start.attempt, clock.monotonicMs());
@@ -62,6 +69,8 @@
 					unit: start.unit, attempt: start.attempt, worker: life.id, cause: result.cause,
 				});
 				track.doubtful(start.unit, start.attempt, clock.monotonicMs());
+				forgetOld();
+				unanswered.push({unit: start.unit, attempt: start.attempt, sentMs});
 				if (!result.isCarrierLost) {
 					onStartFailed(start, 'no-answer');
 				}
@@ -72,16 +81,23 @@
 	};
 
 	return {
+		/** Starts that may still be under way, even if their runs were freed: a worker's next life knows nothing of the stops that this one confirmed. */
+		underWay(): ReadonlyArray<{unit: string; attempt: number}> {
+			forgetOld();
+			return unanswered;
+		},
+
 		/** Sends the order to start a recorded run that the track knows. */
 		async send(start: RunStart, ticket: string | undefined): Promise<void> {
 			const found = store.find(start.unit);
-			const expiresMs = track.leaseExpiry(clock.monotonicMs());
+			const sentMs = clock.monotonicMs();
 			if (!found || !mayAct()) {
 				// The start is not sent, so a later stop finds that it never began.
 				track.doubtful(start.unit, start.attempt, clock.monotonicMs());
 				return;
 			}
 
+			const expiresMs = track.leaseExpiry(sentMs);
 			if (expiresMs === undefined) {
 				onStartFailed(start, 'clock-unknown');
 				await giveUp(start, {type: 'start-unsent', cause: 'the clock of the worker is unknown'});
@@ -93,7 +109,7 @@
 				unit: start.unit, attempt: start.attempt, spec: found.job.order.spec, expiresMs, fence, checkpoint: found.unit.checkpoint, ticket,
 			}));
 			track.leaseCallEnded(expiresMs, result.type !== 'unsent');
-			onResult(start, result);
+			onResult(start, result, sentMs);
 		},
 	};
 };
--- a/tests/daemon/jobs/freed-starts.spec.ts
+++ b/tests/daemon/jobs/freed-starts.spec.ts
@@ -19,7 +19,11 @@
 		assert.ok(await eventually(() => harness.stateOf(freed) === 'idle'));
 		const stopsBefore = harness.stops.length;
 		hasRestarted = true;
-		assert.ok(await eventually(() => harness.ended.length > 0));
+		assert.ok(await eventually(() => {
+			// The next life has the time of a stop to end the run.
+			harness.clock.nowMs += 50;
+			return harness.ended.length > 0;
+		}));
 		assert.deepEqual(harness.stops.slice(stopsBefore), [freed]);
 	});
 });
