--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -128,7 +128,7 @@
 		}
 
 		log.info('Run placed.', {
-			unit: start.unit, attempt: start.attempt, worker: start.life, queue: job.order.queue, workspace: job.order.workspace, heardMsAgo: entry && Math.round(clock.monotonicMs() - entry.receivedMs), waitedMs: Math.round(clock.wallMs() - job.acceptedAtMs),
+			unit: start.unit, attempt: start.attempt, worker: start.life, term, queue: job.order.queue, workspace: job.order.workspace, heardMsAgo: entry && Math.round(clock.monotonicMs() - entry.receivedMs), waitedMs: Math.round(clock.wallMs() - job.acceptedAtMs),
 		});
 		fleet.start(life, start, advice.ticket(job.order.id, occurrence, step, start.life));
 	};
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -60,12 +60,14 @@
 		const lost = over.filter(run => run.how === RunEnds.lost);
 		for (let first = 0; first < lost.length; first += MAX_LOGGED_RUNS) {
 			log.warn('Runs given up.', {
-				worker: life, term: options.fence, ...proofFields(proof), runs: lost.length, units: lost.slice(first, first + MAX_LOGGED_RUNS).map(run => `${run.unit}#${run.attempt}`).join(' '),
+				life, term: options.fence, ...proofFields(proof), runs: lost.length, units: lost.slice(first, first + MAX_LOGGED_RUNS).map(run => `${run.unit}#${run.attempt}`).join(' '),
 			});
 		}
 	};
 
 	const recordEnds = async (life: string, over: EndedRun[], proof: EndProof): Promise<boolean> => {
+		// Before the commit, as its outcome may stay unknown.
+		logGivenUp(life, over, proof);
 		try {
 			// A worker may list the end of a run that is recorded for an earlier life of it.
 			const byLife = groupBy(over, ({unit}) => store.find(unit)?.unit.worker ?? life);
@@ -77,8 +79,6 @@
 			return false;
 		}
 
-		logGivenUp(life, over, proof);
-
 		monitor.ended(life, over, sessions.get(life)?.track);
 		for (const id of new Set(over.map(run => run.unit.split('.')[0]!))) {
 			const job = store.job(id);
--- a/tests/daemon/jobs/end-proofs.spec.ts
+++ b/tests/daemon/jobs/end-proofs.spec.ts
@@ -37,7 +37,7 @@
 				...life, bornMs: life.bornMs + 1, seq: 1, draining: false, coldLeftMs: 0,
 			},
 		});
-		const ofFirstLife = (): LogFields[] => lines.filter(({worker}) => worker === life.life);
+		const ofFirstLife = (): LogFields[] => lines.filter(line => line.life === life.life);
 		await waitUntilTrue(() => ofFirstLife().length >= 3);
 		harness.work.stop();
 		assert.deepEqual(new Set(ofFirstLife().flatMap(({units}) => String(units).split(' '))), first);
