Report which rule keeps each ready work unit from starting

The log skipped every job with a running unit, so a lasting unit that was idle for seconds beside its running fellows was never reported, and `not-placed` stood for several causes: a pass that was cut before the job, missing advice, avoided workers, limits per worker, gangs that do not fit. It did not say either why workers of a pool were out of use.

Waits are now found per ready step: 3 s for jobs with nothing running, from the end of their last run, and 6 s for each lasting unit, from the end of its last run or from acceptance. The passes pass on which steps their limit left, and `Pool usage.` shows the most that one pass of the second left (`cut`). The line is still one per pool and second at most; it counts reasons and the pool's workers that take no work by cause. Its sentence is new, as it covers more than jobs with nothing running: `Work units have been ready for long and do not run.`

No decision changes.

--- a/packages/core/src/jobs/long-waits.ts
+++ b/packages/core/src/jobs/long-waits.ts
@@ -1,103 +1,97 @@
-/** Finds jobs that have waited long with nothing running, and the reason for the wait. */
-import type {ManifestIndex} from './fleet-manifest.js';
-import type {JobStore} from './job-store.js';
-import {
-	isOpen, isStepReady, type Job, type JobStep,
-} from './job.js';
-import {createQuotaLedger} from './quota-ledger.js';
+/** Finds work units that have been ready to start for long, and the rules that keep them waiting. */
+import {groupBy} from '../utils/group-by.js';
+import type {IdleTimes} from './idle-times.js';
+import {isOpen, isStepReady, type Job} from './job.js';
 import type {SchedulableWorker} from './scheduler.js';
-
-/** Time from acceptance, or from the due time if that is later, after which a wait without a run counts as long, in milliseconds. */
-const LONG_WAIT_MS = 5000;
-
-/** Reason why a work unit has not started. */
-export type WaitReason =
-	/** The pool has no worker that accepts work. */
-	| 'no-worker'
-	/** No worker of the pool has the required label. */
-	| 'no-label'
-	/** The work unit requires more than the total capacity of any worker. */
-	| 'too-large'
-	/** No worker has enough free capacity. */
-	| 'no-room'
-	/** The workspace is at its limit. */
-	| 'workspace-limit'
-	/** None of these; one of the next scheduling passes should place it. */
-	| 'not-placed';
-
-/** The longest wait in one pool, and how many jobs of the pool wait long. */
-export type LongWait = {pool: string; jobs: number; unit: string; waitedMs: number; reason: WaitReason; usableWorkers: number};
-
-type WaitingUnit = {job: Job; step: JobStep; unit: string; waitedMs: number};
-
-const fitsIn = ({resources, fillsSpare}: JobStep, free: SchedulableWorker['capacity']): boolean => (fillsSpare || resources.cpu <= free.cpu)
-	&& resources.memoryMb <= free.memoryMb
-	&& resources.gpu <= free.gpu;
-
-/** The first work unit of a job that is ready to start; undefined while the job has a running unit or none that is due. */
-const findWaitingUnit = (job: Job, wallMs: number): WaitingUnit | undefined => {
-	if (!isOpen(job) || job.running > 0) {
-		return undefined;
-	}
-
-	for (const occurrence of job.occurrences) {
-		const number = job.order.steps.findIndex((_, index) => isStepReady(job, occurrence, index) && occurrence.steps[index]!.some(unit => unit.state === 'idle'));
-		if (occurrence.dueMs <= wallMs && number !== -1) {
-			return {
-				job, step: job.order.steps[number]!, unit: occurrence.steps[number]!.find(unit => unit.state === 'idle')!.name, waitedMs: wallMs - Math.max(job.acceptedAtMs, occurrence.dueMs),
-			};
-		}
-	}
-
-	return undefined;
+import {
+	reasonOfWait, withFree, type WaitContext, type WaitingStep, type WaitReason,
+} from './wait-reason.js';
+
+/** Time for which a job with a ready work unit may have nothing running, in milliseconds. */
+const JOB_WAIT_MS = 3000;
+/** Time for which a lasting work unit may be ready and not run, in milliseconds. */
+const LASTING_WAIT_MS = 6000;
+/** Waits of one pool whose reasons are looked up at most, the longest first. */
+const MAX_EXPLAINED = 50;
+
+/** The long waits of one pool. */
+export type LongWait = {
+	pool: string;
+	/** Jobs with long-waiting work units. */
+	jobs: number;
+	/** Work units that wait long. */
+	units: number;
+	/** Those among them that belong to lasting steps. */
+	lasting: number;
+	/** The work unit that waits longest; one of a lasting step if there is any. */
+	unit: string;
+	/** How long that one has waited, in milliseconds. */
+	waitedMs: number;
+	/** Why that one waits. */
+	reason: WaitReason;
+	/** Numbers of work units by reason, among the steps that wait longest. */
+	reasons: Map<WaitReason, number>;
+	usableWorkers: number;
 };
 
-const reasonOf = ({job, step}: WaitingUnit, workers: readonly SchedulableWorker[], store: JobStore, manifest: ManifestIndex): WaitReason => {
-	if (workers.length === 0) {
-		return 'no-worker';
-	}
+/** Input of the search. */
+export type LongWaitInput = WaitContext & {workers: readonly SchedulableWorker[]; idleTimes: Pick<IdleTimes, 'ofJob' | 'ofUnit'>; wallMs: number};
+
+/** A step with work units that wait long; the one named waits longest. */
+type LongWaitingStep = WaitingStep & {waitedMs: number; longUnits: number};
 
-	const labelled = workers.filter(worker => step.label === undefined || worker.labels.includes(step.label));
-	if (labelled.length === 0) {
-		return 'no-label';
+/** The ready steps of a job with work units that wait long. */
+const findWaitingSteps = (job: Job, {idleTimes, wallMs}: LongWaitInput): LongWaitingStep[] => job.occurrences.filter(({dueMs}) => dueMs <= wallMs).flatMap(occurrence => job.order.steps.flatMap((step, number): LongWaitingStep[] => {
+	if ((job.running > 0 && !step.lasting) || occurrence.doneInStep[number] === step.count || !isStepReady(job, occurrence, number)) {
+		return [];
 	}
 
-	if (createQuotaLedger(store, manifest).maxWithinLimit(job.order.workspace, step.resources, 1) === 0) {
-		return 'workspace-limit';
+	const {id} = job.order;
+	const units = occurrence.steps[number]!;
+	const readyMs = Math.max(job.acceptedAtMs, occurrence.dueMs);
+	const waits = units.filter(unit => unit.state === 'idle').map(unit => ({
+		unit, waitedMs: wallMs - Math.max(readyMs, step.lasting ? idleTimes.ofUnit(id, unit.name) : idleTimes.ofJob(id)),
+	})).filter(({waitedMs}) => waitedMs >= (step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS));
+	if (waits.length === 0) {
+		return [];
 	}
 
-	if (!labelled.some(worker => fitsIn(step, worker.capacity))) {
-		return 'too-large';
+	const longest = waits.reduce((left, right) => (right.waitedMs > left.waitedMs ? right : left));
+	return [{
+		...longest, job, occurrence: occurrence.number, number, step, units, longUnits: waits.length,
+	}];
+}));
+
+const describePool = (pool: string, steps: LongWaitingStep[], input: LongWaitInput): LongWait => {
+	const usable = withFree(input.store, input.workers.filter(worker => worker.pool === pool));
+	steps.sort((left, right) => Number(right.step.lasting) - Number(left.step.lasting) || right.waitedMs - left.waitedMs);
+	const first = steps[0]!;
+	const reasons = new Map<WaitReason, number>();
+	for (const step of steps.slice(0, MAX_EXPLAINED)) {
+		const reason = reasonOfWait(step, usable, input);
+		reasons.set(reason, (reasons.get(reason) ?? 0) + step.longUnits);
 	}
 
-	const hasRoom = labelled.some(({life, capacity}) => {
-		const used = store.usageOfLife(life);
-		return fitsIn(step, {cpu: capacity.cpu - used.cpu, memoryMb: capacity.memoryMb - used.memoryMb, gpu: capacity.gpu - used.gpu});
-	});
-	return hasRoom ? 'not-placed' : 'no-room';
+	return {
+		pool,
+		jobs: new Set(steps.map(({job}) => job)).size,
+		units: steps.reduce((sum, {longUnits}) => sum + longUnits, 0),
+		lasting: steps.reduce((sum, {step, longUnits}) => sum + (step.lasting ? longUnits : 0), 0),
+		unit: first.unit.name,
+		waitedMs: first.waitedMs,
+		reason: [...reasons.keys()][0]!,
+		reasons,
+		usableWorkers: usable.length,
+	};
 };
 
-/** Returns the longest wait of each pool that has long-waiting jobs. */
-export const findLongWaits = ({store, workers, wallMs}: {store: JobStore; workers: readonly SchedulableWorker[]; wallMs: number}): LongWait[] => {
-	const manifest = store.manifest();
+/** Returns the long waits of each pool that has any. */
+export const findLongWaits = (input: LongWaitInput): LongWait[] => {
+	const manifest = input.store.manifest();
 	if (!manifest) {
 		return [];
 	}
 
-	const longest = new Map<string, {waiting: WaitingUnit; jobs: number}>();
-	for (const job of store.openJobs()) {
-		const waiting = findWaitingUnit(job, wallMs);
-		if (waiting && waiting.waitedMs >= LONG_WAIT_MS) {
-			const {pool} = manifest.queue(job.order.queue) ?? job.queue;
-			const previous = longest.get(pool);
-			longest.set(pool, {waiting: previous && previous.waiting.waitedMs >= waiting.waitedMs ? previous.waiting : waiting, jobs: (previous?.jobs ?? 0) + 1});
-		}
-	}
-
-	return [...longest].map(([pool, {waiting, jobs}]) => {
-		const usable = workers.filter(worker => worker.pool === pool);
-		return {
-			pool, jobs, unit: waiting.unit, waitedMs: waiting.waitedMs, reason: reasonOf(waiting, usable, store, manifest), usableWorkers: usable.length,
-		};
-	});
+	const steps = [...input.store.openJobs()].filter(job => isOpen(job)).flatMap(job => findWaitingSteps(job, input));
+	return [...groupBy(steps, ({job}) => (manifest.queue(job.order.queue) ?? job.queue).pool)].map(([pool, waiting]) => describePool(pool, waiting, input));
 };
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -40,12 +40,14 @@
 	waiting: Map<string, number>;
 	/** Steps for which the decisions of their queue's policy on more workers would help, with these workers, the most useful first. */
 	unadvised: Array<{job: Job; occurrence: number; step: number; workers: CandidateWorker[]}>;
+	/** Ready steps that the limit of starts kept from being tried in full, with the number of their work units that it left. */
+	cutSteps: Map<readonly WorkUnit[], {pool: string; left: number}>;
 	/** Number of times a worker was checked for room; the cost of a pass grows with it. */
 	workersExamined: number;
 };
 
 /** A pool's workers in one pass, and the sizes that fit on none of them. */
-type PoolWorkers = {workers: CandidateWorker[]; refused: Resources[]};
+type PoolWorkers = {name: string; workers: CandidateWorker[]; refused: Resources[]};
 
 /** Workers to avoid; undefined if the pool has no others, since a work unit that failed on all of them must still run. */
 const avoidable = (avoided: ReadonlySet<string> | undefined, pool: readonly CandidateWorker[]): ReadonlySet<string> | undefined => (
@@ -92,10 +94,10 @@
 /** Plans the runs to start in one pass. */
 export const planStarts = (input: SchedulingInput): SchedulingPass => {
 	const {store, manifest, estimates, wallMs} = input;
-	const pools = new Map([...workersByPool(input)].map(([name, workers]): [string, PoolWorkers] => [name, {workers, refused: []}]));
+	const pools = new Map([...workersByPool(input)].map(([name, workers]): [string, PoolWorkers] => [name, {name, workers, refused: []}]));
 	const quota = createQuotaLedger(store, manifest);
 	const pass: SchedulingPass = {
-		starts: [], waiting: new Map(), unadvised: [], workersExamined: 0,
+		starts: [], waiting: new Map(), unadvised: [], cutSteps: new Map(), workersExamined: 0,
 	};
 
 	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => unit.state === 'running' && unit.worker === life).length + (started.get(life) ?? 0);
@@ -168,6 +170,10 @@
 		}
 
 		const isFull = pass.starts.length + placements.length >= input.maxStarts;
+		if (isFull && placements.length < idle.length && !isAtLimit) {
+			pass.cutSteps.set(units, {pool: pool.name, left: idle.length - (step.gang ? 0 : placements.length)});
+		}
+
 		if (approved !== undefined && placements.length < idle.length && !isAtLimit && !isFull) {
 			const others = advisable(step, pool).filter(worker => fits(step, worker) && !approved.has(worker.life));
 			if (others.length > 0) {
@@ -191,7 +197,7 @@
 	};
 
 	const startJob = (job: Job, poolName: string): void => {
-		const pool = pools.get(poolName) ?? {workers: [], refused: []};
+		const pool = pools.get(poolName) ?? {name: poolName, workers: [], refused: []};
 		let unplaced = 0;
 		for (const occurrence of job.occurrences) {
 			if (occurrence.dueMs > wallMs) {
--- /dev/null
+++ b/packages/core/src/jobs/wait-reason.ts
@@ -0,0 +1,114 @@
+/** Finds which rule keeps a ready step from starting its idle work units. */
+import type {Resources} from './fleet-manifest.js';
+import {countRoom} from './gang-room.js';
+import type {Job, JobStep, WorkUnit} from './job.js';
+import type {JobStore} from './job-store.js';
+import {createQuotaLedger} from './quota-ledger.js';
+import type {SchedulableWorker, SchedulingInput, SchedulingPass} from './scheduler.js';
+
+/** Reason why a work unit has not started. */
+export type WaitReason =
+	/** The pool has no worker that accepts work. */
+	| 'no-worker'
+	/** No worker of the pool has the required label. */
+	| 'no-label'
+	/** The work unit requires more than the total capacity of any worker. */
+	| 'too-large'
+	/** The workspace is at its limit. */
+	| 'workspace-limit'
+	/** A member of the gang is still recorded as running. */
+	| 'gang-incomplete'
+	/** The decisions of the queue's policy are missing. */
+	| 'awaits-advice'
+	/** No worker has enough free capacity. */
+	| 'no-room'
+	/** Some members of the gang fit, and not all. */
+	| 'gang-no-room'
+	/** Workers have room, and the queue's policy is not known to allow any of them. */
+	| 'not-approved'
+	/** Only workers on which the work unit failed before have room. */
+	| 'only-avoided'
+	/** Each worker with room runs as many of the step's work units as it may. */
+	| 'per-worker-limit'
+	/** The latest pass reached its limit of starts before it. */
+	| 'pass-limit'
+	/** None of these; one of the next scheduling passes should place it. */
+	| 'not-placed';
+
+/** A ready step with idle work units, one of which waits longest. */
+export type WaitingStep = {job: Job; occurrence: number; number: number; step: JobStep; units: readonly WorkUnit[]; unit: WorkUnit};
+
+/** What the scheduling passes know. */
+export type WaitContext = Pick<SchedulingInput, 'avoided' | 'approved'> & Pick<SchedulingPass, 'cutSteps'> & {store: JobStore};
+
+type FreeWorker = SchedulableWorker & {free: Resources};
+
+const holds = ({resources, fillsSpare}: JobStep, free: Resources): boolean => (fillsSpare || resources.cpu <= free.cpu)
+	&& resources.memoryMb <= free.memoryMb
+	&& resources.gpu <= free.gpu;
+
+/** Free resources of a pool's workers, which may be below zero. */
+export const withFree = (store: JobStore, workers: readonly SchedulableWorker[]): FreeWorker[] => workers.map(worker => {
+	const used = store.usageOfLife(worker.life);
+	const {capacity} = worker;
+	return {...worker, free: {cpu: capacity.cpu - used.cpu, memoryMb: capacity.memoryMb - used.memoryMb, gpu: capacity.gpu - used.gpu}};
+});
+
+/** The reason among those that depend on which workers have room. */
+const reasonWithRoom = ({job, occurrence, number, step, units, unit}: WaitingStep, roomy: readonly FreeWorker[], pool: readonly FreeWorker[], context: WaitContext): WaitReason => {
+	const approved = context.approved(job, occurrence, number);
+	const allowed = roomy.filter(({life}) => approved?.has(life) !== false);
+	if (allowed.length === 0) {
+		return 'not-approved';
+	}
+
+	const avoided = context.avoided(unit.name);
+	const isAvoiding = avoided !== undefined && pool.some(({life}) => !avoided.has(life));
+	const acceptable = isAvoiding ? allowed.filter(({life}) => !avoided.has(life)) : allowed;
+	if (acceptable.length === 0) {
+		return 'only-avoided';
+	}
+
+	if (step.perWorker !== undefined && acceptable.every(({life}) => units.filter(each => each.state === 'running' && each.worker === life).length >= step.perWorker!)) {
+		return 'per-worker-limit';
+	}
+
+	if (step.gang && countRoom(step, acceptable.map(({free}) => free)) < units.length) {
+		return 'gang-no-room';
+	}
+
+	return context.cutSteps.has(units) ? 'pass-limit' : 'not-placed';
+};
+
+/** Finds the reason, given the workers of the step's pool that accept work. */
+export const reasonOfWait = (waiting: WaitingStep, pool: readonly FreeWorker[], context: WaitContext): WaitReason => {
+	const {job, step, units} = waiting;
+	if (pool.length === 0) {
+		return 'no-worker';
+	}
+
+	const labelled = pool.filter(worker => step.label === undefined || worker.labels.includes(step.label));
+	if (labelled.length === 0) {
+		return 'no-label';
+	}
+
+	const manifest = context.store.manifest();
+	if (createQuotaLedger(context.store, manifest).maxWithinLimit(job.order.workspace, step.resources, step.gang ? units.length : 1) < (step.gang ? units.length : 1)) {
+		return 'workspace-limit';
+	}
+
+	if (!labelled.some(worker => holds(step, worker.capacity))) {
+		return 'too-large';
+	}
+
+	if (step.gang && units.some(unit => unit.state !== 'idle')) {
+		return 'gang-incomplete';
+	}
+
+	if (manifest?.queue(job.order.queue)?.recommendation && context.approved(job, waiting.occurrence, waiting.number) === undefined) {
+		return 'awaits-advice';
+	}
+
+	const roomy = labelled.filter(worker => holds(step, worker.free));
+	return roomy.length === 0 ? 'no-room' : reasonWithRoom(waiting, roomy, pool, context);
+};
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -1,7 +1,7 @@
 /** The leader's work during one term: answers calls, starts and stops runs, and gives orders to machines. */
 import {
 	createArrivalMeter, lifeOf, planStarts,
-	type JobAnswer, type JobCall, type RunStart, type SchedulableWorker,
+	type JobAnswer, type JobCall, type RunStart, type SchedulingInput,
 } from '@bronzebend/core';
 import {createAdviceCache} from './advice-cache.js';
 import {createRelayedCalls} from './relayed-calls.js';
@@ -11,6 +11,7 @@
 import {createLeaderReports} from './leader-reports.js';
 import {createMachineController} from './machine-controller.js';
 import {createRunMonitor} from './run-monitor.js';
+import {createUsableWorkers} from './usable-workers.js';
 import {createWorkerFleet} from './worker-fleet.js';
 
 /** Interval at which recorded runs are compared with those tracked by worker sessions, in milliseconds. */
@@ -27,8 +28,6 @@
 const DEFAULT_ORDERS_PER_S = 20;
 /** Silence after which a worker is removed from the directory, in milliseconds; far longer than any lease. */
 const FORGET_WORKER_MS = 60_000;
-/** Announcement intervals of silence after which a worker gets no new work. */
-const MAX_MISSED_REPORTS = 3;
 
 /** Starts the work of one term. */
 export const createJobLeader = (options: JobLeaderOptions, context: LeaderContext): LeaderWork => {
@@ -94,7 +93,7 @@
 		propose,
 		trackOf: fleet.trackOf,
 		isBeingUsed: life => proposedLives.has(life),
-		usable: () => new Set(workers().map(worker => worker.life)),
+		usable: () => new Set(workers.list().map(worker => worker.life)),
 		shortPools: () => new Set([...waitingUnits].filter(([, count]) => count > 0).map(([pool]) => pool)),
 		evacuate: fleet.evacuate,
 		onEnded(life, proof) {
@@ -104,15 +103,11 @@
 		isLeading: leads,
 	});
 
-	const workers = (): SchedulableWorker[] => {
-		const nowMs = clock.monotonicMs();
-		return directory.list().filter(entry => !entry.draining && !entry.left && fleet.isReachable(entry.life)
-			&& nowMs - entry.receivedMs < MAX_MISSED_REPORTS * options.reportMs
-			&& monitor.mayStart(entry.life, nowMs)
-			&& machines?.mayTakeWork(entry) !== false).map(entry => ({
-			life: entry.life, id: entry.id, pool: entry.pool, capacity: entry.capacity, labels: entry.labels, slowness: monitor.slowness(entry.life),
-		}));
-	};
+	const workers = createUsableWorkers({
+		clock, directory, reportMs: options.reportMs, fleet, monitor, machines: () => machines,
+	});
+
+	const approved: SchedulingInput['approved'] = (job, occurrence, step) => (store.manifest()?.queue(job.order.queue)?.recommendation ? advice.approved(job, occurrence, step) : undefined);
 
 	const orderStart = (start: RunStart): void => {
 		const entry = directory.ofLife(start.life);
@@ -142,17 +137,8 @@
 			return 0;
 		}
 
-		const {starts, unadvised, waiting} = planStarts({
-			store,
-			manifest,
-			workers: workers(),
-			estimates: monitor.estimates,
-			wallMs: clock.wallMs(),
-			avoided: monitor.avoided,
-			approved(job, occurrence, step) {
-				return manifest.queue(job.order.queue)?.recommendation ? advice.approved(job, occurrence, step) : undefined;
-			},
-			maxStarts: MAX_STARTS_PER_PASS,
+		const {starts, unadvised, waiting, cutSteps} = planStarts({
+			store, manifest, workers: workers.list(), estimates: monitor.estimates, wallMs: clock.wallMs(), avoided: monitor.avoided, approved, maxStarts: MAX_STARTS_PER_PASS,
 		});
 		waitingUnits = waiting;
 		for (const {job, occurrence, step, workers: candidates} of unadvised) {
@@ -163,7 +149,7 @@
 		metrics.planSeconds.observe(tookMs / 1000);
 		if (starts.length === 0) {
 			reports.passed({
-				planMs: tookMs, commitMs: 0, starts: 0, isCut: false,
+				planMs: tookMs, commitMs: 0, starts: 0, isCut: false, cutSteps,
 			});
 			return tookMs;
 		}
@@ -178,7 +164,7 @@
 			runs: starts,
 		});
 		reports.passed({
-			planMs: tookMs, commitMs: clock.monotonicMs() - startedMs - tookMs, starts: starts.length, isCut: starts.length >= MAX_STARTS_PER_PASS,
+			planMs: tookMs, commitMs: clock.monotonicMs() - startedMs - tookMs, starts: starts.length, isCut: starts.length >= MAX_STARTS_PER_PASS, cutSteps,
 		});
 		if (outcome.type === 'runs-started') {
 			for (const start of outcome.accepted) {
@@ -281,6 +267,7 @@
 		directory,
 		metrics,
 		workers,
+		units: {avoided: monitor.avoided, approved, idleTimes: monitor.idleTimes},
 		shareWorkers: options.shareWorkers,
 		waiting: pool => waitingUnits.get(pool) ?? 0,
 		untracked: fleet.untracked,
--- a/packages/daemon/src/jobs/leader-reports.ts
+++ b/packages/daemon/src/jobs/leader-reports.ts
@@ -1,10 +1,11 @@
 /** The leader's periodic reports: logs pool usage, long waits and scheduling throughput, and passes what is known of workers on to the other keepers. */
 import {
-	findLongWaits, groupBy, type Clock, type JobStore, type SchedulableWorker, type WorkerDirectory, type DirectoryChanges,
+	findLongWaits, groupBy, type Clock, type DirectoryChanges, type JobStore, type LongWaitInput, type SchedulingPass, type WorkerDirectory,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
 import type {JobMetrics} from './job-metrics.js';
 import {createLoadMeter} from './process-load.js';
+import type {UsableWorkers} from './usable-workers.js';
 import type {UntrackedRun} from './worker-fleet.js';
 
 /** Interval of the messages that pass worker announcements on to the other keepers, in milliseconds; a third of a worker's announcement interval. Workers that go out of use are passed on at once. */
@@ -20,8 +21,13 @@
 	starts: number;
 	/** True if the pass reached the limit of starts. */
 	isCut: boolean;
+	/** What the limit of starts left. */
+	cutSteps: SchedulingPass['cutSteps'];
 };
 
+/** Numbers of work units that a pass left because of its limit, by pool. */
+const countCut = ({cutSteps}: PassReport): Map<string, number> => new Map([...groupBy(cutSteps.values(), ({pool}) => pool)].map(([pool, steps]) => [pool, steps.reduce((sum, {left}) => sum + left, 0)]));
+
 /** Creates the periodic reports of one term. */
 export const createLeaderReports = (options: {
 	store: JobStore;
@@ -31,8 +37,9 @@
 	shareWorkers(changes: DirectoryChanges): void;
 	/** Number of a pool's work units for which no worker had room. */
 	waiting(pool: string): number;
-	/** Workers that may take work. */
-	workers(): SchedulableWorker[];
+	workers: UsableWorkers;
+	/** What the passes know of work units. */
+	units: Pick<LongWaitInput, 'avoided' | 'approved' | 'idleTimes'>;
 	/** Recorded runs that no worker session tracks. */
 	untracked(): UntrackedRun[];
 	metrics: JobMetrics;
@@ -45,9 +52,12 @@
 	let paceLoggedMs = clock.monotonicMs();
 	let pollsLogged = 0;
 	let passes: PassReport[] = [];
+	/** What the limit of starts left in the latest pass, and of each pool the most that one pass left since usage was logged. */
+	let cutSteps: SchedulingPass['cutSteps'] = new Map();
+	let mostCut = new Map<string, number>();
 	const meter = createLoadMeter();
 
-	/** Warns of recorded runs that no worker session tracks, and of jobs that have waited long. */
+	/** Warns of recorded runs that no worker session tracks, and of work units that have waited long. */
 	const logProblems = (): void => {
 		const untracked = options.untracked();
 		metrics.untrackedRuns.set(untracked.length);
@@ -58,10 +68,14 @@
 			});
 		}
 
-		const waits = findLongWaits({store, workers: options.workers(), wallMs: clock.wallMs()});
+		const waits = findLongWaits({
+			store, workers: options.workers.list(), wallMs: clock.wallMs(), cutSteps, ...options.units,
+		});
 		metrics.longWaits.set(waits.reduce((sum, wait) => sum + wait.jobs, 0));
 		for (const wait of waits) {
-			log.warn('Jobs have waited long with nothing running.', {...wait, waitedMs: Math.round(wait.waitedMs)});
+			log.warn('Work units have been ready for long and do not run.', {
+				...wait, waitedMs: Math.round(wait.waitedMs), reasons: [...wait.reasons].map(([reason, units]) => `${reason}:${units}`).join(' '), outOfUse: options.workers.outOfUse(wait.pool),
+			});
 		}
 	};
 
@@ -88,8 +102,11 @@
 				lasting: runs.filter(run => run.job.order.steps[run.step]!.lasting).length,
 				fillers: runs.filter(run => run.job.order.steps[run.step]!.fillsSpare).length,
 				waiting: waiting(pool),
+				cut: mostCut.get(pool) ?? 0,
 			});
 		}
+
+		mostCut = new Map();
 	};
 
 	/** Logs the figures that limit the rate of starts, once a second. */
@@ -135,6 +152,10 @@
 		/** Records a finished scheduling pass. */
 		passed(pass: PassReport): void {
 			passes.push(pass);
+			cutSteps = pass.cutSteps;
+			for (const [pool, units] of countCut(pass)) {
+				mostCut.set(pool, Math.max(mostCut.get(pool) ?? 0, units));
+			}
 		},
 
 		/** Writes and sends the reports that are due. */
--- a/packages/daemon/src/jobs/run-monitor.ts
+++ b/packages/daemon/src/jobs/run-monitor.ts
@@ -1,6 +1,6 @@
 /** Monitors runs for the leader: detects unhealthy workers and stalled runs, and improves estimates of durations. */
 import {
-	createRunEstimates, createWorkerHealth, RunEnds,
+	createIdleTimes, createRunEstimates, createWorkerHealth, RunEnds,
 	type Clock, type JobStore, type EndedRun, type RunStart, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
@@ -22,6 +22,7 @@
 	const {store, clock, log, metrics} = options;
 	const health = createWorkerHealth();
 	const estimates = createRunEstimates();
+	const idleTimes = createIdleTimes();
 	const avoided = new Map<string, Set<string>>();
 	const pausedUntil = new Map<string, number>();
 
@@ -43,9 +44,18 @@
 
 	return {
 		estimates,
+		/** When work last stopped running. */
+		idleTimes,
 		slowness: (life: string): number => health.slowness(life),
 		avoided: (unit: string): ReadonlySet<string> | undefined => avoided.get(unit),
-		mayStart: (life: string, nowMs: number): boolean => !health.isSuspect(life, nowMs) && nowMs >= (pausedUntil.get(life) ?? -Infinity),
+		/** Why a life gets no new work now; undefined if it may. */
+		heldBack(life: string, nowMs: number): 'suspect' | 'paused' | undefined {
+			if (health.isSuspect(life, nowMs)) {
+				return 'suspect';
+			}
+
+			return nowMs < (pausedUntil.get(life) ?? -Infinity) ? 'paused' : undefined;
+		},
 
 		/** Records that a start was rejected, not sent or got no answer. */
 		startFailed(start: RunStart, reason: string): void {
@@ -67,6 +77,10 @@
 			for (const {unit, attempt, how} of over) {
 				metrics.endedRuns.inc({how});
 				const found = store.find(unit);
+				if (found) {
+					idleTimes.ended(found.job, found.unit, found.job.order.steps[found.step]!.lasting, clock.wallMs());
+				}
+
 				const progress = track?.runs.get(unit);
 				if (!found || progress?.attempt !== attempt) {
 					continue;
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -312,3 +312,6 @@
 		},
 	};
 };
+
+/** The worker sessions of one term. */
+export type WorkerFleet = ReturnType<typeof createWorkerFleet>;
--- /dev/null
+++ b/tests/daemon/jobs/usable-workers.spec.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createWorkerDirectory, lifeOf, type WorkerAnnouncement} from '@bronzebend/core';
+import {createUsableWorkers} from '@bronzebend/daemon';
+
+const REPORT_MS = 1000;
+
+const announcementOf = (id: string, changes: Partial<WorkerAnnouncement> = {}): WorkerAnnouncement => ({
+	id, bornMs: 1, seq: 1, pool: 'bench', address: `${id}:80`, zone: 'a', draining: false, coldLeftMs: 0, capacity: {cpu: 4000, memoryMb: 4000, gpu: 0}, labels: [], ...changes,
+});
+
+describe('usable workers', () => {
+	it('should count the workers of a pool that take no work by cause', () => {
+		const directory = createWorkerDirectory();
+		directory.announce(announcementOf('silent'), 0);
+		for (const id of ['free', 'left', 'mute', 'ill', 'late', 'moved', 'moved-too']) {
+			directory.announce(announcementOf(id), 5000);
+		}
+
+		directory.announce(announcementOf('drains', {draining: true}), 5000);
+		directory.announce(announcementOf('elsewhere', {pool: 'spare', draining: true}), 5000);
+		directory.leave('left', 1);
+		const workers = createUsableWorkers({
+			clock: {monotonicMs: () => 5000, wallMs: () => 5000},
+			directory,
+			reportMs: REPORT_MS,
+			fleet: {isReachable: life => life !== lifeOf('mute', 1)},
+			monitor: {heldBack: life => (life === lifeOf('ill', 1) ? 'suspect' : (life === lifeOf('late', 1) ? 'paused' : undefined)), slowness: () => 1},
+			machines: () => ({mayTakeWork: ({id}) => !id.startsWith('moved')}),
+		});
+		assert.deepEqual(workers.list().map(({id}) => id), ['free']);
+		assert.deepEqual(workers.outOfUse('bench')?.split(' ').toSorted(), ['draining:1', 'left:1', 'machine:2', 'paused:1', 'silent:1', 'suspect:1', 'unreachable:1']);
+		assert.equal(workers.outOfUse('spare'), 'draining:1');
+		assert.equal(workers.outOfUse('other'), undefined);
+	});
+});
