Deal out the starts of a pass between the pools

While one pool had a backlog, each pass planned its 200 starts in one order over all pools, and ready work of the other pools that ranked behind it got none, although their workers were idle: jobs that had been accepted could run and did not. A gang wider than a pass never started at all.

A pass now deals its limit out in rounds. In each, every pool with ready steps may start the same number, in order of rank, and what it cannot use goes to the others in the next round; so the limit is used whole, and a pool gets fewer starts than another only if it has no more work that fits. Within a pool the order stays. A gang that begins within its pool's number starts whole, and the excess is not taken from the other pools.

A gang is checked as a whole before its members are placed, so that one that does not fit costs one check of each worker, however wide it is.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,5 +1,6 @@
 /** Decides which work units start on which workers, from the job store and the known state of the workers. */
 import {groupBy} from '../utils/group-by.js';
+import {countRoom} from './gang-room.js';
 import type {ManifestIndex, Resources} from './fleet-manifest.js';
 import type {JobStore} from './job-store.js';
 import type {RunStart} from './job-commands.js';
@@ -27,7 +28,7 @@
 	avoided: (unit: string) => ReadonlySet<string> | undefined;
 	/** Returns the lives that a step's policy is known to approve; undefined if the queue has no policy, or while nothing is known. */
 	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
-	/** Upper limit on runs started in one pass. */
+	/** Upper limit on runs started in one pass, shared by all pools; a gang that begins below it starts whole. */
 	maxStarts: number;
 	/** Order of jobs; by default that of `compareRanks`. */
 	compare?: (left: JobRank, right: JobRank) => number;
@@ -49,6 +50,9 @@
 /** A pool's workers in one pass, and the sizes that fit on none of them. */
 type PoolWorkers = {name: string; workers: CandidateWorker[]; refused: Resources[]};
 
+/** A step whose turn has come. */
+type ReadyStep = {job: Job; occurrence: Occurrence; number: number; pool: string};
+
 /** Workers to avoid; undefined if the pool has no others, since a work unit that failed on all of them must still run. */
 const avoidable = (avoided: ReadonlySet<string> | undefined, pool: readonly CandidateWorker[]): ReadonlySet<string> | undefined => (
 	avoided && pool.some(worker => !avoided.has(worker.life)) ? avoided : undefined
@@ -60,8 +64,8 @@
 	return [...labelled.filter(worker => fits(step, worker)), ...labelled.filter(worker => !fits(step, worker))];
 };
 
-/** Work units of a step that can start now. */
-const idleUnits = (units: readonly WorkUnit[]): WorkUnit[] => units.filter(unit => unit.state === 'idle');
+/** Work units of a step that can start now and are not planned yet. */
+const idleUnits = (units: readonly WorkUnit[], planned: ReadonlyMap<WorkUnit, string>): WorkUnit[] => units.filter(unit => unit.state === 'idle' && !planned.has(unit));
 
 const workersByPool = ({store, workers}: SchedulingInput): Map<string, CandidateWorker[]> => {
 	const candidates = workers.map(worker => {
@@ -100,7 +104,12 @@
 		starts: [], waiting: new Map(), unadvised: [], cutSteps: new Map(), workersExamined: 0,
 	};
 
-	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => unit.state === 'running' && unit.worker === life).length + (started.get(life) ?? 0);
+	/** Life of each work unit that the pass starts. */
+	const planned = new Map<WorkUnit, string>();
+	/** Number of starts in the pass from which no more may be planned for now. */
+	let limit = input.maxStarts;
+
+	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => planned.get(unit) === life || (unit.state === 'running' && unit.worker === life)).length + (started.get(life) ?? 0);
 
 	/** Finds a worker with room. Records a size that fits nowhere, so that it is not searched for again, unless resources reserved so far may still be released. */
 	const findWorker = (step: JobStep, pool: PoolWorkers, isAllowed: ((worker: CandidateWorker) => boolean) | undefined, isKept: boolean): CandidateWorker | undefined => {
@@ -118,11 +127,23 @@
 		return worker;
 	};
 
+	/** Checks a gang as a whole, so that one that cannot start costs little; undefined if it must be tried because members avoid workers. */
+	const checkGang = (job: Job, step: JobStep, idle: readonly WorkUnit[], pool: PoolWorkers, approved: ReadonlySet<string> | undefined): {canStart: boolean; isAtLimit: boolean} | undefined => {
+		if (!step.gang || pass.starts.length >= limit || idle.some(unit => input.avoided(unit.name))) {
+			return undefined;
+		}
+
+		pass.workersExamined += pool.workers.length;
+		const room = countRoom(step, pool.workers.filter(({life, labels}) => (step.label === undefined || labels.has(step.label)) && approved?.has(life) !== false).map(({free}) => free));
+		const withinLimit = quota.maxWithinLimit(job.order.workspace, step.resources, idle.length);
+		return {canStart: Math.min(room, withinLimit) >= idle.length, isAtLimit: withinLimit <= room && withinLimit < idle.length};
+	};
+
 	/** Starts the work units of a step that fit; returns how many found no room. */
 	const startStep = (job: Job, occurrence: Occurrence, number: number, pool: PoolWorkers): number => {
 		const step = job.order.steps[number]!;
 		const units = occurrence.steps[number]!;
-		const idle = idleUnits(units);
+		const idle = idleUnits(units, planned);
 		if (idle.length === 0) {
 			return 0;
 		}
@@ -142,15 +163,16 @@
 		const started = new Map<string, number>();
 		const placements: Array<{unit: WorkUnit; worker: CandidateWorker}> = [];
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
+		const gang = checkGang(job, step, idle, pool, approved);
 		let isAtLimit = false;
 		for (const unit of idle) {
-			isAtLimit = quota.maxWithinLimit(job.order.workspace, step.resources, 1) === 0;
+			isAtLimit = gang?.isAtLimit ?? quota.maxWithinLimit(job.order.workspace, step.resources, 1) === 0;
 			const avoided = avoidable(input.avoided(unit.name), pool.workers);
 			const isRestricted = avoided !== undefined || approved !== undefined || step.perWorker !== undefined;
 			const isAllowed = (candidate: CandidateWorker): boolean => avoided?.has(candidate.life) !== true
 				&& approved?.has(candidate.life) !== false
 				&& (step.perWorker === undefined || countOn(units, started, candidate.life) < step.perWorker);
-			const mayStart = pass.starts.length + placements.length < input.maxStarts && !isAtLimit;
+			const mayStart = pass.starts.length + (step.gang ? 0 : placements.length) < limit && !isAtLimit && gang?.canStart !== false;
 			// A gang that cannot start as a whole releases its reservations.
 			const isKept = !(step.gang && placements.length > 0);
 			const worker = mayStart ? findWorker(step, pool, isRestricted ? isAllowed : undefined, isKept) : undefined;
@@ -169,9 +191,11 @@
 			placements.push({unit, worker});
 		}
 
-		const isFull = pass.starts.length + placements.length >= input.maxStarts;
+		const isFull = pass.starts.length + (step.gang ? 0 : placements.length) >= limit;
 		if (isFull && placements.length < idle.length && !isAtLimit) {
-			pass.cutSteps.set(units, {pool: pool.name, left: idle.length - (step.gang ? 0 : placements.length)});
+			pass.cutSteps.set(units, {pool: pool.name, left: idle.length - placements.length});
+		} else {
+			pass.cutSteps.delete(units);
 		}
 
 		if (approved !== undefined && placements.length < idle.length && !isAtLimit && !isFull) {
@@ -192,34 +216,76 @@
 			return isAtLimit ? 0 : idle.length;
 		}
 
-		pass.starts.push(...placements.map(({unit, worker}) => ({unit: unit.name, attempt: attempt ?? unit.attempt + 1, life: worker.life})));
+		for (const {unit, worker} of placements) {
+			planned.set(unit, worker.life);
+			pass.starts.push({unit: unit.name, attempt: attempt ?? unit.attempt + 1, life: worker.life});
+		}
+
 		return isAtLimit ? 0 : idle.length - placements.length;
 	};
 
-	const startJob = (job: Job, poolName: string): void => {
-		const pool = pools.get(poolName) ?? {name: poolName, workers: [], refused: []};
-		let unplaced = 0;
+	/** Adds a job's ready steps to a list; their number is large, so no list is made for each job. */
+	const addReadySteps = (job: Job, steps: ReadyStep[]): void => {
+		const {pool} = manifest.queue(job.order.queue) ?? job.queue;
 		for (const occurrence of job.occurrences) {
-			if (occurrence.dueMs > wallMs) {
-				continue;
-			}
-
-			for (const [number, step] of job.order.steps.entries()) {
-				if (occurrence.doneInStep[number]! < step.count && isStepReady(job, occurrence, number)) {
-					unplaced += startStep(job, occurrence, number, pool);
+			for (let number = 0; occurrence.dueMs <= wallMs && number < job.order.steps.length; number += 1) {
+				if (occurrence.doneInStep[number]! < job.order.steps[number]!.count && isStepReady(job, occurrence, number)) {
+					steps.push({
+						job, occurrence, number, pool,
+					});
 				}
 			}
 		}
+	};
+
+	/** Starts a ready step until the pass has planned `until` starts; returns false if the step was cut. */
+	const startUntil = ({job, occurrence, number, pool: name}: ReadyStep, until: number, isLast: boolean): boolean => {
+		const pool = pools.get(name) ?? {name, workers: [], refused: []};
+		pools.set(name, pool);
+		limit = until;
+		const unplaced = startStep(job, occurrence, number, pool);
+		if (unplaced > 0 && pass.starts.length >= until && !isLast) {
+			return false;
+		}
 
 		if (unplaced > 0) {
-			pass.waiting.set(poolName, (pass.waiting.get(poolName) ?? 0) + unplaced);
+			pass.waiting.set(name, (pass.waiting.get(name) ?? 0) + unplaced);
 		}
+
+		return true;
+	};
+
+	/** Gives each pool up to an equal number of the starts that remain, in order of rank; returns the steps that got too few. */
+	const shareOut = (steps: readonly ReadyStep[], remaining: number): ReadyStep[] => {
+		const share = Math.max(1, Math.floor(remaining / new Set(steps.map(({pool}) => pool)).size));
+		const used = new Map<string, number>();
+		let unused = remaining;
+		return steps.filter(step => {
+			const before = pass.starts.length;
+			const usedBefore = used.get(step.pool) ?? 0;
+			const mine = Math.min(share - usedBefore, unused);
+			const isCut = mine <= 0 || !startUntil(step, before + mine, false);
+			// What a gang starts beyond its pool's share is not taken from the others.
+			const usedNow = Math.min(mine, pass.starts.length - before);
+			used.set(step.pool, isCut ? share : usedBefore + usedNow);
+			unused -= Math.max(0, usedNow);
+			return isCut;
+		});
 	};
 
 	const ranks: JobRank[] = [...store.openJobs()].filter(job => isOpen(job)).map(job => rankJob(job, wallMs, estimates, quota.shareOf, manifest));
 	ranks.sort(input.compare ?? compareRanks);
+	let steps: ReadyStep[] = [];
 	for (const {job} of ranks) {
-		startJob(job, (manifest.queue(job.order.queue) ?? job.queue).pool);
+		addReadySteps(job, steps);
+	}
+
+	while (steps.length > 0 && pass.starts.length < input.maxStarts) {
+		steps = shareOut(steps, input.maxStarts - pass.starts.length);
+	}
+
+	for (const step of steps) {
+		startUntil(step, input.maxStarts, true);
 	}
 
 	return pass;
--- a/tests/core/jobs/scheduling-work.spec.ts
+++ b/tests/core/jobs/scheduling-work.spec.ts
@@ -7,6 +7,11 @@
 	storeWith, lifeNamed, manifestOf, orderOf, stepOf,
 } from '../../fixtures/job-fixtures.js';
 import {planExhaustively} from '../../fixtures/exhaustive-scheduler.js';
+import {
+	manifestOfPools, orderIn, recordEnds, recordStarts, workersIn,
+} from '../../fixtures/pool-fixtures.js';
+
+const POOLS = ['stamp', 'press', 'forge', 'kiln'];
 
 /** Limit on checks of a worker for room in one pass: 200 starts have 33 ms, so that 2,000 starts a second use a third of the time, and a check takes 1 µs in cold code. */
 const MAX_CHECKS = 33_000;
@@ -79,4 +84,32 @@
 			}
 		}
 	});
+
+	it('should share starts between pools exactly as a pass that deals them out plainly', () => {
+		for (let seed = 1; seed <= 400; seed += 1) {
+			const random = createRandom(seed);
+			const pools = POOLS.slice(0, 2 + randomBelow(random, 3));
+			const manifest = manifestOfPools(pools, () => randomBelow(random, 2));
+			manifest.workspaces[0]!.cap = {cpu: randomBelow(random, 2) * 20_000, memoryMb: 0, gpu: 0};
+			const orders = Array.from({length: 5 + randomBelow(random, 40)}, (_, number) => ({
+				...orderIn(pools[randomBelow(random, pools.length)]!, `${(number + 16).toString(16)}c`, Array.from({length: 1 + randomBelow(random, 2)}, () => ({...randomStep(random), count: 1 + randomBelow(random, 12)}))),
+				workspace: random() < 0.5 ? 'north' : 'south',
+			}));
+			const store = storeWith(orders, manifest);
+			const workers = pools.flatMap(pool => workersIn(pool, randomBelow(random, 7)));
+			const avoided = new Set(workers.filter(() => random() < 0.3).map(worker => worker.life));
+			const input = inputOf(store, workers, {
+				maxStarts: 1 + randomBelow(random, 40),
+				avoided: unit => (unit.endsWith('1') ? avoided : undefined),
+				approved: job => (job.order.id.startsWith('1') ? new Set(workers.slice(1).map(worker => worker.life)) : undefined),
+			});
+			for (let round = 0; round < 3; round += 1) {
+				const expected = planExhaustively(input);
+				const pass = planStarts(input);
+				assert.deepEqual({starts: pass.starts, waiting: pass.waiting}, expected, `seed ${seed}`);
+				recordStarts(store, workers, pass);
+				recordEnds(store, {starts: pass.starts.filter((_, index) => index % 2 === 0)});
+			}
+		}
+	});
 });
