Count a step's work units on each worker once a pass

A job with many work units and a limit per worker held up the leader: for each start, each worker's units were counted over the whole step. Nobody's work started meanwhile.

The counts are made once when the step's turn comes, and kept up to date.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -109,7 +109,18 @@
 	/** Number of starts in the pass from which no more may be planned for now. */
 	let limit = input.maxStarts;
 
-	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => planned.get(unit) === life || (unit.state === 'running' && unit.worker === life)).length + (started.get(life) ?? 0);
+	/** Number of a step's work units on each life, running or planned. */
+	const countByLife = (units: readonly WorkUnit[]): Map<string, number> => {
+		const counts = new Map<string, number>();
+		for (const unit of units) {
+			const life = planned.get(unit) ?? (unit.state === 'running' ? unit.worker : undefined);
+			if (life !== undefined) {
+				counts.set(life, (counts.get(life) ?? 0) + 1);
+			}
+		}
+
+		return counts;
+	};
 
 	/** Finds a worker with room. Records a size that fits nowhere, so that it is not searched for again, unless resources reserved so far may still be released. */
 	const findWorker = (step: JobStep, pool: PoolWorkers, isAllowed: ((worker: CandidateWorker) => boolean) | undefined, isKept: boolean): CandidateWorker | undefined => {
@@ -160,7 +171,7 @@
 			return idle.length;
 		}
 
-		const started = new Map<string, number>();
+		const onLife = step.perWorker === undefined ? undefined : countByLife(units);
 		const placements: Array<{unit: WorkUnit; worker: CandidateWorker}> = [];
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
 		const gang = checkGang(job, step, idle, pool, approved);
@@ -171,7 +182,7 @@
 			const isRestricted = avoided !== undefined || approved !== undefined || step.perWorker !== undefined;
 			const isAllowed = (candidate: CandidateWorker): boolean => avoided?.has(candidate.life) !== true
 				&& approved?.has(candidate.life) !== false
-				&& (step.perWorker === undefined || countOn(units, started, candidate.life) < step.perWorker);
+				&& (step.perWorker === undefined || (onLife!.get(candidate.life) ?? 0) < step.perWorker);
 			const mayStart = pass.starts.length + (step.gang ? 0 : placements.length) < limit && !isAtLimit && gang?.canStart !== false;
 			// A gang that cannot start as a whole releases its reservations.
 			const isKept = !(step.gang && placements.length > 0);
@@ -187,7 +198,7 @@
 
 			reserveResources(step, worker);
 			quota.reserve(job.order.workspace, step.resources, 1);
-			started.set(worker.life, (started.get(worker.life) ?? 0) + 1);
+			onLife?.set(worker.life, (onLife.get(worker.life) ?? 0) + 1);
 			placements.push({unit, worker});
 		}
 
--- a/tests/core/jobs/scheduling-work.spec.ts
+++ b/tests/core/jobs/scheduling-work.spec.ts
@@ -53,6 +53,23 @@
 		assert.ok(pass.workersExamined <= MAX_CHECKS, `${pass.workersExamined} checks`);
 	});
 
+	it('should read each work unit of a wide step with a limit per worker a few times at most', () => {
+		const order = orderOf('a', [stepOf({count: 2000, perWorker: 4, resources: {cpu: 100, memoryMb: 1, gpu: 0}})]);
+		const store = storeWith([order]);
+		const counted = {reads: 0};
+		for (const unit of store.job(order.id)!.occurrences[0]!.steps[0]!) {
+			Object.defineProperty(unit, 'state', {
+				get() {
+					counted.reads += 1;
+					return 'idle';
+				},
+			});
+		}
+
+		assert.equal(planStarts(inputOf(store, workersOf(150, {cpu: 4000, memoryMb: 4000, gpu: 0}))).starts.length, 200);
+		assert.ok(counted.reads <= 10 * 2000, `${counted.reads} reads`);
+	});
+
 	it('should place exactly the same as a pass that checks every worker for every work unit', () => {
 		for (let seed = 1; seed <= 400; seed += 1) {
 			const random = createRandom(seed);
