Let the queues take turns for the policy's advice

The advice service handles one call at a time. Requests waited in one list of 64 for all queues, and more were dropped: while one queue had more steps without a ticket than that, each pass filled the list with them again, in order of rank, and work of another queue with a policy never got its decisions and did not start.

Each queue has its own list of 64 now, and the queues take turns. The test asks for one step behind 200 of another queue: it was not among the first three calls before.

--- a/packages/daemon/src/jobs/advice-cache.ts
+++ b/packages/daemon/src/jobs/advice-cache.ts
@@ -8,7 +8,7 @@
 const MAX_WORKERS_PER_CALL = 30;
 /** Share of a ticket's validity during which it is used; orders take a while to reach the worker. */
 const USABLE_VALIDITY_SHARE = 0.8;
-/** Waiting calls at most; further requests are dropped. */
+/** Waiting calls of one queue at most; its further requests are dropped. */
 const MAX_WAITING = 64;
 /** Pause after a call that got no answer, in milliseconds. */
 const RETRY_MS = 300;
@@ -35,8 +35,8 @@
 export const createAdviceCache = (options: {port: AdvicePort | undefined; clock: Clock; log: Log; onAdvice(): void}) => {
 	const {port, clock, log} = options;
 	const adviceByStep = new Map<string, StepAdvice>();
-	/** Requests by step; those for steps without any valid ticket go first. */
-	const waiting = new Map<string, readonly AdvisableWorker[]>();
+	/** Requests by queue and step. Queues take turns, the first one next, so that none waits for another's backlog; steps without any valid ticket go first in each. */
+	const waiting = new Map<string, Map<string, readonly AdvisableWorker[]>>();
 	let askedStep: string | undefined;
 	let isBusy = false;
 	let isClosed = false;
@@ -110,18 +110,26 @@
 		options.onAdvice();
 	};
 
-	const nextStep = (): string => {
-		const steps = [...waiting.keys()];
-		return steps.find(step => !hasValidTicket(step)) ?? steps[0]!;
+	/** Takes the next request off the queue whose turn it is, which then goes behind the others. */
+	const takeNext = (): {step: string; workers: readonly AdvisableWorker[]} => {
+		const [queue, requests] = waiting.entries().next().value!;
+		const steps = [...requests.keys()];
+		const step = steps.find(each => !hasValidTicket(each)) ?? steps[0]!;
+		const workers = requests.get(step)!;
+		requests.delete(step);
+		waiting.delete(queue);
+		if (requests.size > 0) {
+			waiting.set(queue, requests);
+		}
+
+		return {step, workers};
 	};
 
 	const processQueue = async (): Promise<void> => {
 		isBusy = true;
 		try {
 			while (waiting.size > 0 && isOpen()) {
-				const step = nextStep();
-				const workers = waiting.get(step)!;
-				waiting.delete(step);
+				const {step, workers} = takeNext();
 				askedStep = step;
 				// The service handles one call at a time.
 				// eslint-disable-next-line no-await-in-loop
@@ -148,14 +156,17 @@
 
 		ticket: (job: string, occurrence: number, step: number, life: string): string | undefined => validTicket(adviceByStep.get(`${job}.${occurrence}.${step}`), life),
 
-		/** Requests decisions on workers for a step, the most useful workers first; does nothing if all are known, the step's call is under way, the queue is full or there is no advice service. */
+		/** Requests decisions on workers for a step, the most useful workers first; does nothing if all are known, the step's call is under way, too many of the queue's steps wait or there is no advice service. */
 		request(job: Job, occurrence: number, step: number, workers: readonly AdvisableWorker[]): void {
 			const name = key(job, occurrence, step);
-			if (!port || name === askedStep || (!waiting.has(name) && waiting.size >= MAX_WAITING) || choose(name, workers).length === 0) {
+			const {queue} = job.order;
+			const requests = waiting.get(queue) ?? new Map<string, readonly AdvisableWorker[]>();
+			if (!port || name === askedStep || (!requests.has(name) && requests.size >= MAX_WAITING) || choose(name, workers).length === 0) {
 				return;
 			}
 
-			waiting.set(name, workers);
+			requests.set(name, workers);
+			waiting.set(queue, requests);
 			if (!isBusy) {
 				processQueue().catch((error: unknown) => {
 					log.error('Processing the queue of advice requests failed.', {cause: String(error)});
--- a/tests/daemon/jobs/advice-cache.spec.ts
+++ b/tests/daemon/jobs/advice-cache.spec.ts
@@ -2,7 +2,9 @@
 import {describe, it} from 'node:test';
 import type {Job} from '@bronzebend/core';
 import {createAdviceCache, silentLogs, type Advice} from '@bronzebend/daemon';
-import {orderOf, storeWith} from '../../fixtures/job-fixtures.js';
+import {
+	manifestOf, orderOf, queueOf, storeWith,
+} from '../../fixtures/job-fixtures.js';
 
 const VALIDITY_MS = 3000;
 /** Workers that one call may name. */
@@ -28,7 +30,7 @@
 			},
 		},
 	});
-	const job = (id: string): Job => storeWith([orderOf(id)]).job(id.padEnd(16, '0'))!;
+	const job = (id: string, queue = 'quotes'): Job => storeWith([orderOf(id, undefined, {queue})], manifestOf({queues: [queueOf({name: queue})]})).job(id.padEnd(16, '0'))!;
 	return {
 		asked, state, cache, job,
 	};
@@ -93,6 +95,28 @@
 		assert.deepEqual(asked.slice(2).map(({step, ids}) => [step[0], ids]), [['b', ['w4']], ['a', ['w2', 'w3']]]);
 	});
 
+	it('should ask for a queue in its turn however many steps of another wait and are requested first', async () => {
+		const {asked, cache, job} = setUp(['w1']);
+		const backlog = Array.from({length: 200}, (_, number) => job(`${number + 256}a`));
+		const behind = job('b', 'audits');
+		const request = (): void => {
+			for (const each of [...backlog, behind]) {
+				if (!cache.approved(each, 0, 0)) {
+					cache.request(each, 0, 0, workers(2));
+				}
+			}
+		};
+
+		for (let pass = 0; pass < 3; pass += 1) {
+			request();
+			// Each pass follows an answer, before the next call is chosen.
+			await Promise.resolve();
+		}
+
+		await settle();
+		assert.ok(asked.slice(0, 3).some(({step}) => step.startsWith('b')), asked.slice(0, 3).map(({step}) => step).join(' '));
+	});
+
 	it('should ask about workers again after a call without an answer', async () => {
 		const {asked, state, cache, job} = setUp(['w1']);
 		const step = job('a');
