Keep a worker in use that answers its polls after one unanswered start

The keepers' logs show why the room was not used: 4.5 % of the orders get no answer for some seconds, 40 to 52 starts a second, and each takes its worker out of use for 1.5 s, although the worker goes on answering polls. From 6 to 8 s 144 of 237 workers of the pool were usable.

The pause now ends with the next answered poll, unless three starts in a row went unanswered with no run done between. Rejected starts and lost connections pause as before. A worker that answers nothing stays out of use as before.

--- a/packages/daemon/src/jobs/run-monitor.ts
+++ b/packages/daemon/src/jobs/run-monitor.ts
@@ -1,6 +1,6 @@
 /** Monitors runs for the leader: detects unhealthy workers and stalled runs, and improves estimates of durations. */
 import {
-	createIdleTimes, createRunEstimates, createWorkerHealth, RunEnds,
+	createIdleTimes, createRunEstimates, createStartPauses, createWorkerHealth, RunEnds,
 	type Clock, type JobStore, type EndedRun, type RunStart, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
@@ -10,10 +10,6 @@
 const STALL_TIMEOUT_MS = 2000;
 /** Added to the limit for a gang step, whose runs wait for the other members of the gang, in milliseconds. */
 const GANG_EXTRA_MS = 4000;
-/** Pause of starts on a worker after it rejected one, in milliseconds. */
-const REJECTED_PAUSE_MS = 300;
-/** Pause of starts on a worker after it gave no answer, in milliseconds. */
-const SILENT_PAUSE_MS = 1500;
 /** Work units for which avoided workers are remembered at most; all are forgotten when it is reached. */
 const MAX_AVOIDED_UNITS = 20_000;
 
@@ -24,7 +20,7 @@
 	const estimates = createRunEstimates();
 	const idleTimes = createIdleTimes();
 	const avoided = new Map<string, Set<string>>();
-	const pausedUntil = new Map<string, number>();
+	const pauses = createStartPauses();
 
 	const avoid = (unit: string, life: string): void => {
 		if (avoided.size >= MAX_AVOIDED_UNITS) {
@@ -54,13 +50,28 @@
 				return 'suspect';
 			}
 
-			return nowMs < (pausedUntil.get(life) ?? -Infinity) ? 'paused' : undefined;
+			return pauses.isPaused(life, nowMs) ? 'paused' : undefined;
 		},
 
 		/** Records that a start was rejected, not sent or got no answer. */
 		startFailed(start: RunStart, reason: string): void {
 			const nowMs = clock.monotonicMs();
-			pausedUntil.set(start.life, nowMs + (reason === 'no-answer' || reason === 'unsent' ? SILENT_PAUSE_MS : REJECTED_PAUSE_MS));
+			switch (reason) {
+				case 'no-answer': {
+					pauses.unanswered(start.life, nowMs);
+					break;
+				}
+
+				case 'unsent': {
+					pauses.unreachable(start.life, nowMs);
+					break;
+				}
+
+				default: {
+					pauses.rejected(start.life, nowMs);
+				}
+			}
+
 			if (reason === 'unhealthy') {
 				recordFailure(start.life, reason);
 			}
@@ -68,9 +79,12 @@
 
 		/** Records that contact with a life was lost. */
 		contactLost(life: string): void {
-			pausedUntil.set(life, clock.monotonicMs() + SILENT_PAUSE_MS);
+			pauses.unreachable(life, clock.monotonicMs());
 		},
 
+		/** Records that a worker answered a poll. */
+		answered: pauses.answered,
+
 		/** Learns from runs whose ends have been committed. */
 		ended(life: string, over: readonly EndedRun[], track: WorkerTrack | undefined): void {
 			const nowMs = clock.monotonicMs();
@@ -93,6 +107,7 @@
 				});
 				const {estimateMs, lasting} = job.order.steps[step]!;
 				if (how === RunEnds.done) {
+					pauses.done(life);
 					health.done(life, tookMs / Math.max(1, estimates.expectedMs(job.order.queue, estimateMs)));
 					if (found.unit.checkpoint === '') {
 						estimates.recordRun(job.order.queue, estimateMs, tookMs);
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -138,6 +138,7 @@
 
 	const onPolled = (track: WorkerTrack): void => {
 		polls += 1;
+		monitor.answered(track.life);
 		const session = sessions.get(track.life);
 		for (const unit of monitor.stalledUnits(track)) {
 			session?.stop(unit, track.runs.get(unit)!.attempt);
