Guarantee each pool a part of a pass, and give the rest by rank

An even division between the pools, as before this commit, gave the late backlog of one pool as many starts as the work of another that could still be in time. While the leader's pace bounds the starts, those callers would have been served worse than before passes were shared.

Half of a pass is divided evenly between the pools with ready work, so that no backlog stops another pool; the other half, and what is left of the first, goes by rank over all pools as before. With a late backlog beside one in time: 50 and 150 of 200 starts, 100 and 100 before.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -47,6 +47,9 @@
 	workersExamined: number;
 };
 
+/** Share of a pass's starts that is divided evenly between the pools with ready work, so that no backlog of one pool stops the others; the rest goes by rank. */
+const GUARANTEED_SHARE = 0.5;
+
 /** A pool's workers in one pass, and the sizes that fit on none of them. */
 type PoolWorkers = {name: string; workers: CandidateWorker[]; refused: Resources[]};
 
@@ -266,11 +269,12 @@
 		return true;
 	};
 
-	/** Gives each pool up to an equal number of the starts that remain, in order of rank; returns the steps that got too few. */
-	const shareOut = (steps: readonly ReadyStep[], remaining: number): ReadyStep[] => {
-		const share = Math.max(1, Math.floor(remaining / new Set(steps.map(({pool}) => pool)).size));
+	/** Gives each pool its guaranteed starts, in order of rank; returns the steps that need more. */
+	const startGuaranteed = (steps: readonly ReadyStep[]): ReadyStep[] => {
+		const poolCount = new Set(steps.map(({pool}) => pool)).size;
+		const share = Math.max(1, Math.floor(input.maxStarts * GUARANTEED_SHARE / poolCount));
 		const used = new Map<string, number>();
-		let unused = remaining;
+		let unused = input.maxStarts;
 		return steps.filter(step => {
 			const before = pass.starts.length;
 			const usedBefore = used.get(step.pool) ?? 0;
@@ -286,16 +290,12 @@
 
 	const ranks: JobRank[] = [...store.openJobs()].filter(job => isOpen(job)).map(job => rankJob(job, wallMs, estimates, quota.shareOf, manifest));
 	ranks.sort(input.compare ?? compareRanks);
-	let steps: ReadyStep[] = [];
+	const steps: ReadyStep[] = [];
 	for (const {job} of ranks) {
 		addReadySteps(job, steps);
 	}
 
-	while (steps.length > 0 && pass.starts.length < input.maxStarts) {
-		steps = shareOut(steps, input.maxStarts - pass.starts.length);
-	}
-
-	for (const step of steps) {
+	for (const step of startGuaranteed(steps)) {
 		startUntil(step, input.maxStarts, true);
 	}
 
--- a/tests/daemon/jobs/unanswered-starts.spec.ts
+++ b/tests/daemon/jobs/unanswered-starts.spec.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createLeaderHarness, waitUntilTrue} from '../../fixtures/leader-harness.js';
-import {lifeNamed, orderOf, stepOf, storeWith} from '../../fixtures/job-fixtures.js';
+import {
+	lifeNamed, orderOf, stepOf, storeWith,
+} from '../../fixtures/job-fixtures.js';
 
 /** Time after an unanswered start in which a worker that answers its polls must get other work, in milliseconds. */
 const MAX_PAUSE_MS = 600;
