--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,5 +1,6 @@
 /** Decides which work units start on which workers, from the job store and the known state of the workers. */
 import {groupBy} from '../utils/group-by.js';
+import {countRoom} from './gang-room.js';
 import type {ManifestIndex, Resources} from './fleet-manifest.js';
 import type {JobStore} from './job-store.js';
 import type {RunStart} from './job-commands.js';
@@ -27,7 +28,7 @@
 	avoided: (unit: string) => ReadonlySet<string> | undefined;
 	/** Returns the lives that a step's policy is known to approve; undefined if the queue has no policy, or while nothing is known. */
 	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
-	/** Upper limit on runs started in one pass. */
+	/** Upper limit on runs started in one pass, shared by all pools; a gang that begins below it starts whole. */
 	maxStarts: number;
 	/** Order of jobs; by default that of `compareRanks`. */
 	compare?: (left: JobRank, right: JobRank) => number;
@@ -40,12 +41,20 @@
 	waiting: Map<string, number>;
 	/** Steps for which the decisions of their queue's policy on more workers would help, with these workers, the most useful first. */
 	unadvised: Array<{job: Job; occurrence: number; step: number; workers: CandidateWorker[]}>;
+	/** Ready steps that the limit of starts kept from being tried in full, with the number of their work units that it left. */
+	cutSteps: Map<readonly WorkUnit[], {pool: string; left: number}>;
 	/** Number of times a worker was checked for room; the cost of a pass grows with it. */
 	workersExamined: number;
 };
 
+/** Share of a pass's starts that is divided evenly between the pools with ready work, so that no backlog of one pool stops the others; the rest goes by rank. */
+const GUARANTEED_SHARE = 0.5;
+
 /** A pool's workers in one pass, and the sizes that fit on none of them. */
-type PoolWorkers = {workers: CandidateWorker[]; refused: Resources[]};
+type PoolWorkers = {name: string; workers: CandidateWorker[]; refused: Resources[]};
+
+/** A step whose turn has come. */
+type ReadyStep = {job: Job; occurrence: Occurrence; number: number; pool: string};
 
 /** Workers to avoid; undefined if the pool has no others, since a work unit that failed on all of them must still run. */
 const avoidable = (avoided: ReadonlySet<string> | undefined, pool: readonly CandidateWorker[]): ReadonlySet<string> | undefined => (
@@ -58,8 +67,8 @@
 	return [...labelled.filter(worker => fits(step, worker)), ...labelled.filter(worker => !fits(step, worker))];
 };
 
-/** Work units of a step that can start now. */
-const idleUnits = (units: readonly WorkUnit[]): WorkUnit[] => units.filter(unit => unit.state === 'idle');
+/** Work units of a step that can start now and are not planned yet. */
+const idleUnits = (units: readonly WorkUnit[], planned: ReadonlyMap<WorkUnit, string>): WorkUnit[] => units.filter(unit => unit.state === 'idle' && !planned.has(unit));
 
 const workersByPool = ({store, workers}: SchedulingInput): Map<string, CandidateWorker[]> => {
 	const candidates = workers.map(worker => {
@@ -92,13 +101,29 @@
 /** Plans the runs to start in one pass. */
 export const planStarts = (input: SchedulingInput): SchedulingPass => {
 	const {store, manifest, estimates, wallMs} = input;
-	const pools = new Map([...workersByPool(input)].map(([name, workers]): [string, PoolWorkers] => [name, {workers, refused: []}]));
+	const pools = new Map([...workersByPool(input)].map(([name, workers]): [string, PoolWorkers] => [name, {name, workers, refused: []}]));
 	const quota = createQuotaLedger(store, manifest);
 	const pass: SchedulingPass = {
-		starts: [], waiting: new Map(), unadvised: [], workersExamined: 0,
+		starts: [], waiting: new Map(), unadvised: [], cutSteps: new Map(), workersExamined: 0,
 	};
 
-	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => unit.state === 'running' && unit.worker === life).length + (started.get(life) ?? 0);
+	/** Life of each work unit that the pass starts. */
+	const planned = new Map<WorkUnit, string>();
+	/** Number of starts in the pass from which no more may be planned for now. */
+	let limit = input.maxStarts;
+
+	/** Number of a step's work units on each life, running or planned. */
+	const countByLife = (units: readonly WorkUnit[]): Map<string, number> => {
+		const counts = new Map<string, number>();
+		for (const unit of units) {
+			const life = planned.get(unit) ?? (unit.state === 'running' ? unit.worker : undefined);
+			if (life !== undefined) {
+				counts.set(life, (counts.get(life) ?? 0) + 1);
+			}
+		}
+
+		return counts;
+	};
 
 	/** Finds a worker with room. Records a size that fits nowhere, so that it is not searched for again, unless resources reserved so far may still be released. */
 	const findWorker = (step: JobStep, pool: PoolWorkers, isAllowed: ((worker: CandidateWorker) => boolean) | undefined, isKept: boolean): CandidateWorker | undefined => {
@@ -116,11 +141,23 @@
 		return worker;
 	};
 
+	/** Checks a gang as a whole, so that one that cannot start costs little; undefined if it must be tried because members avoid workers. */
+	const checkGang = (job: Job, step: JobStep, idle: readonly WorkUnit[], pool: PoolWorkers, approved: ReadonlySet<string> | undefined): {canStart: boolean; isAtLimit: boolean} | undefined => {
+		if (!step.gang || pass.starts.length >= limit || idle.some(unit => input.avoided(unit.name))) {
+			return undefined;
+		}
+
+		pass.workersExamined += pool.workers.length;
+		const room = countRoom(step, pool.workers.filter(({life, labels}) => (step.label === undefined || labels.has(step.label)) && approved?.has(life) !== false).map(({free}) => free));
+		const withinLimit = quota.maxWithinLimit(job.order.workspace, step.resources, idle.length);
+		return {canStart: Math.min(room, withinLimit) >= idle.length, isAtLimit: withinLimit <= room && withinLimit < idle.length};
+	};
+
 	/** Starts the work units of a step that fit; returns how many found no room. */
 	const startStep = (job: Job, occurrence: Occurrence, number: number, pool: PoolWorkers): number => {
 		const step = job.order.steps[number]!;
 		const units = occurrence.steps[number]!;
-		const idle = idleUnits(units);
+		const idle = idleUnits(units, planned);
 		if (idle.length === 0) {
 			return 0;
 		}
@@ -137,18 +174,19 @@
 			return idle.length;
 		}
 
-		const started = new Map<string, number>();
+		const onLife = step.perWorker === undefined ? undefined : countByLife(units);
 		const placements: Array<{unit: WorkUnit; worker: CandidateWorker}> = [];
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
+		const gang = checkGang(job, step, idle, pool, approved);
 		let isAtLimit = false;
 		for (const unit of idle) {
-			isAtLimit = quota.maxWithinLimit(job.order.workspace, step.resources, 1) === 0;
+			isAtLimit = gang?.isAtLimit ?? quota.maxWithinLimit(job.order.workspace, step.resources, 1) === 0;
 			const avoided = avoidable(input.avoided(unit.name), pool.workers);
 			const isRestricted = avoided !== undefined || approved !== undefined || step.perWorker !== undefined;
 			const isAllowed = (candidate: CandidateWorker): boolean => avoided?.has(candidate.life) !== true
 				&& approved?.has(candidate.life) !== false
-				&& (step.perWorker === undefined || countOn(units, started, candidate.life) < step.perWorker);
-			const mayStart = pass.starts.length + placements.length < input.maxStarts && !isAtLimit;
+				&& (step.perWorker === undefined || (onLife!.get(candidate.life) ?? 0) < step.perWorker);
+			const mayStart = pass.starts.length + (step.gang ? 0 : placements.length) < limit && !isAtLimit && gang?.canStart !== false;
 			// A gang that cannot start as a whole releases its reservations.
 			const isKept = !(step.gang && placements.length > 0);
 			const worker = mayStart ? findWorker(step, pool, isRestricted ? isAllowed : undefined, isKept) : undefined;
@@ -163,11 +201,17 @@
 
 			reserveResources(step, worker);
 			quota.reserve(job.order.workspace, step.resources, 1);
-			started.set(worker.life, (started.get(worker.life) ?? 0) + 1);
+			onLife?.set(worker.life, (onLife.get(worker.life) ?? 0) + 1);
 			placements.push({unit, worker});
 		}
 
-		const isFull = pass.starts.length + placements.length >= input.maxStarts;
+		const isFull = pass.starts.length + (step.gang ? 0 : placements.length) >= limit;
+		if (isFull && placements.length < idle.length && !isAtLimit) {
+			pass.cutSteps.set(units, {pool: pool.name, left: idle.length - placements.length});
+		} else {
+			pass.cutSteps.delete(units);
+		}
+
 		if (approved !== undefined && placements.length < idle.length && !isAtLimit && !isFull) {
 			const others = advisable(step, pool).filter(worker => fits(step, worker) && !approved.has(worker.life));
 			if (others.length > 0) {
@@ -186,34 +230,73 @@
 			return isAtLimit ? 0 : idle.length;
 		}
 
-		pass.starts.push(...placements.map(({unit, worker}) => ({unit: unit.name, attempt: attempt ?? unit.attempt + 1, life: worker.life})));
+		for (const {unit, worker} of placements) {
+			planned.set(unit, worker.life);
+			pass.starts.push({unit: unit.name, attempt: attempt ?? unit.attempt + 1, life: worker.life});
+		}
+
 		return isAtLimit ? 0 : idle.length - placements.length;
 	};
 
-	const startJob = (job: Job, poolName: string): void => {
-		const pool = pools.get(poolName) ?? {workers: [], refused: []};
-		let unplaced = 0;
+	/** Adds a job's ready steps to a list; their number is large, so no list is made for each job. */
+	const addReadySteps = (job: Job, steps: ReadyStep[]): void => {
+		const {pool} = manifest.queue(job.order.queue) ?? job.queue;
 		for (const occurrence of job.occurrences) {
-			if (occurrence.dueMs > wallMs) {
-				continue;
-			}
-
-			for (const [number, step] of job.order.steps.entries()) {
-				if (occurrence.doneInStep[number]! < step.count && isStepReady(job, occurrence, number)) {
-					unplaced += startStep(job, occurrence, number, pool);
+			for (let number = 0; occurrence.dueMs <= wallMs && number < job.order.steps.length; number += 1) {
+				if (occurrence.doneInStep[number]! < job.order.steps[number]!.count && isStepReady(job, occurrence, number)) {
+					steps.push({
+						job, occurrence, number, pool,
+					});
 				}
 			}
 		}
+	};
+
+	/** Starts a ready step until the pass has planned `until` starts; returns false if the step was cut. */
+	const startUntil = ({job, occurrence, number, pool: name}: ReadyStep, until: number, isLast: boolean): boolean => {
+		const pool = pools.get(name) ?? {name, workers: [], refused: []};
+		pools.set(name, pool);
+		limit = until;
+		const unplaced = startStep(job, occurrence, number, pool);
+		if (unplaced > 0 && pass.starts.length >= until && !isLast) {
+			return false;
+		}
 
 		if (unplaced > 0) {
-			pass.waiting.set(poolName, (pass.waiting.get(poolName) ?? 0) + unplaced);
+			pass.waiting.set(name, (pass.waiting.get(name) ?? 0) + unplaced);
 		}
+
+		return true;
+	};
+
+	/** Gives each pool its guaranteed starts, in order of rank; returns the steps that need more. */
+	const startGuaranteed = (steps: readonly ReadyStep[]): ReadyStep[] => {
+		const poolCount = new Set(steps.map(({pool}) => pool)).size;
+		const share = Math.max(1, Math.floor(input.maxStarts * GUARANTEED_SHARE / poolCount));
+		const used = new Map<string, number>();
+		let unused = input.maxStarts;
+		return steps.filter(step => {
+			const before = pass.starts.length;
+			const usedBefore = used.get(step.pool) ?? 0;
+			const mine = Math.min(share - usedBefore, unused);
+			const isCut = mine <= 0 || !startUntil(step, before + mine, false);
+			// What a gang starts beyond its pool's share is not taken from the others.
+			const usedNow = Math.min(mine, pass.starts.length - before);
+			used.set(step.pool, isCut ? share : usedBefore + usedNow);
+			unused -= Math.max(0, usedNow);
+			return isCut;
+		});
 	};
 
 	const ranks: JobRank[] = [...store.openJobs()].filter(job => isOpen(job)).map(job => rankJob(job, wallMs, estimates, quota.shareOf, manifest));
 	ranks.sort(input.compare ?? compareRanks);
+	const steps: ReadyStep[] = [];
 	for (const {job} of ranks) {
-		startJob(job, (manifest.queue(job.order.queue) ?? job.queue).pool);
+		addReadySteps(job, steps);
+	}
+
+	for (const step of startGuaranteed(steps)) {
+		startUntil(step, input.maxStarts, true);
 	}
 
 	return pass;
