Reserve workers for wide work units that find no room

The cause: a unit that fits on no worker now got nothing reserved, so in each pass smaller units of lower ranks took whatever had come free, and no worker ever had enough of it. Ruled out: the order of ranks (lasting jobs come first there) and the limit on starts in a pass (200, never reached).

A unit that finds no room now reserves the worker whose runs are expected to make room soonest: for the rest of the pass it counts as placed there, so others take nothing that it lacks. Recomputed in every pass, as nothing is kept: a reserved worker only gets closer to having the room. Bounded to half of a pool for lasting work and a quarter for all other, and only for steps that last or take over a quarter of a worker. Gangs reserve for all members or for none.

It covers more than before: durations, slowness and waits differ, and the reserved workers are compared.

--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -28,19 +28,24 @@
 /** Slowness above which a worker gets work only if no other has room. */
 const SLOW_RATIO = 2;
 
-/** True if a work unit fits into the worker's free resources; one that fills spare capacity needs no free cores. */
-export const fits = (step: JobStep, worker: CandidateWorker): boolean => (step.fillsSpare || step.resources.cpu <= worker.free.cpu)
-	&& step.resources.memoryMb <= worker.free.memoryMb
-	&& step.resources.gpu <= worker.free.gpu;
+/** True if a work unit fits into free resources; one that fills spare capacity needs no free cores. */
+export const fitsIn = ({resources, fillsSpare}: JobStep, free: Resources): boolean => (fillsSpare || resources.cpu <= free.cpu)
+	&& resources.memoryMb <= free.memoryMb
+	&& resources.gpu <= free.gpu;
+
+/** True if a work unit fits into the worker's free resources. */
+export const fits = (step: JobStep, worker: CandidateWorker): boolean => fitsIn(step, worker.free);
+
+/** True if a work unit that fills spare capacity and one that serves users would share the worker. */
+export const disturbs = (step: JobStep, worker: CandidateWorker): boolean => (step.fillsSpare && worker.serves) || (step.targetMs !== undefined && worker.fills);
 
 /** Cost of placing a work unit on a worker; lower is better. */
 const costOf = (step: JobStep, worker: CandidateWorker): number => {
-	const disturbs = (step.fillsSpare && worker.serves) || (step.targetMs !== undefined && worker.fills);
 	const remote = step.dataRack !== undefined && !worker.labels.has(step.dataRack);
 	const freeShare = (worker.free.cpu - (step.fillsSpare ? 0 : step.resources.cpu)) / Math.max(1, worker.capacity.cpu);
 	// Work with a target response time is slowed by any neighbours, so it spreads instead of packing.
 	const packingCost = step.targetMs === undefined ? freeShare + (worker.isPinned ? 0 : 1) : -freeShare;
-	return (disturbs ? 100 : 0) + (remote ? 20 : 0) + (worker.slowness > SLOW_RATIO ? 10 + worker.slowness : 0) + packingCost;
+	return (disturbs(step, worker) ? 100 : 0) + (remote ? 20 : 0) + (worker.slowness > SLOW_RATIO ? 10 + worker.slowness : 0) + packingCost;
 };
 
 /** Chooses the worker with the lowest cost among those with room; undefined if none has. */
--- /dev/null
+++ b/packages/core/src/jobs/reservations.ts
@@ -0,0 +1,192 @@
+/**
+Reserves workers for work units that find no room.
+
+Handles wide work units in a busy pool: any room that comes free would go to smaller work units of
+lower ranks, so that no worker ever has enough of it. A work unit with a reservation counts as
+placed for the rest of the pass, hence the resources that it lacks stay free until it fits.
+*/
+import type {Resources} from './fleet-manifest.js';
+import type {Job, JobStep} from './job.js';
+import {
+	remainingMs, type Tier, tierOf, Tiers,
+} from './job-ranking.js';
+import {
+	type CandidateWorker, disturbs, fitsIn, reserveResources,
+} from './placement.js';
+import type {SchedulingInput} from './scheduler.js';
+
+/** Share of a pool's workers that may be reserved, by tier: lasting work must start soon however full the pool is, and other work must not idle much of it. */
+const RESERVED_SHARES: Record<Tier, number> = {
+	[Tiers.lasting]: 1 / 2,
+	[Tiers.inTime]: 1 / 4,
+	[Tiers.late]: 1 / 4,
+	[Tiers.deferrable]: 0,
+};
+/** Share of a worker above which work is wide; smaller work finds room as soon as a few runs end. */
+const WIDE_SHARE = 1 / 4;
+/** Time by which a worker whose present work would be disturbed must be free sooner to be preferred, in milliseconds. */
+const DISTURBANCE_MS = 3000;
+
+/** A run that ends by itself. */
+type EndingRun = {resources: Resources; expectedMs: number};
+
+/** Resources that a work unit takes from a worker. */
+const takenBy = ({resources, fillsSpare}: JobStep): Resources => (fillsSpare ? {...resources, cpu: 0} : resources);
+
+/** Largest share that an amount has of any resource of a capacity. */
+const shareOf = (amount: Resources, capacity: Resources): number => {
+	const shares = (['cpu', 'memoryMb', 'gpu'] as const).map(kind => amount[kind] / Math.max(1, capacity[kind]));
+	return Math.max(...shares);
+};
+
+const difference = (left: Resources, right: Resources): Resources => ({cpu: left.cpu - right.cpu, memoryMb: left.memoryMb - right.memoryMb, gpu: left.gpu - right.gpu});
+
+/** What a work unit lacks on a worker; no amount above 0 if it fits. */
+const lacking = (step: JobStep, free: Resources): Resources => {
+	const amount = difference(takenBy(step), free);
+	return step.fillsSpare ? {...amount, cpu: 0} : amount;
+};
+
+const isNothing = ({cpu, memoryMb, gpu}: Resources): boolean => cpu <= 0 && memoryMb <= 0 && gpu <= 0;
+
+/** Time until the expected end of the runs that make room for a work unit, in milliseconds; undefined if their ends do not suffice. */
+const roomAfterMs = (step: JobStep, free: Resources, runs: readonly EndingRun[]): number | undefined => {
+	let left = lacking(step, free);
+	let afterMs = 0;
+	for (const run of runs) {
+		if (isNothing(left)) {
+			break;
+		}
+
+		left = difference(left, run.resources);
+		afterMs = run.expectedMs;
+	}
+
+	return isNothing(left) ? afterMs : undefined;
+};
+
+/** The largest capacity of any worker, by resource. */
+const largestCapacity = (workers: readonly CandidateWorker[]): Resources => {
+	const largest = {cpu: 0, memoryMb: 0, gpu: 0};
+	for (const {capacity} of workers) {
+		largest.cpu = Math.max(largest.cpu, capacity.cpu);
+		largest.memoryMb = Math.max(largest.memoryMb, capacity.memoryMb);
+		largest.gpu = Math.max(largest.gpu, capacity.gpu);
+	}
+
+	return largest;
+};
+
+/** True if a work unit, or all of a gang, takes a large part of a worker. */
+const isWide = (step: JobStep, capacity: Resources): boolean => shareOf(takenBy(step), capacity) * (step.gang ? step.count : 1) > WIDE_SHARE;
+
+/** True if one step is no harder to place than another: its work units need no more of any resource, and as a gang it has no more of them. */
+const isNoHarder = (one: JobStep, other: JobStep): boolean => (!one.gang || (other.gang && one.count <= other.count))
+	&& (one.fillsSpare || (!other.fillsSpare && one.resources.cpu <= other.resources.cpu))
+	&& one.resources.memoryMb <= other.resources.memoryMb
+	&& one.resources.gpu <= other.resources.gpu;
+
+/** Creates the reservations of one pool's workers in one scheduling pass. */
+export const createReservations = (workers: readonly CandidateWorker[], {store, estimates, wallMs}: SchedulingInput) => {
+	let reserved = new Set<string>();
+	let examined = 0;
+	/** Steps whose work units no worker can have room for, and gangs that cannot have room for all members. */
+	const hopeless: JobStep[] = [];
+	const runsByLife = new Map<string, EndingRun[]>();
+	const largest = largestCapacity(workers);
+
+	/** Runs of a life that end, the shortest first. */
+	const endingRuns = (life: string): EndingRun[] => {
+		const known = runsByLife.get(life);
+		if (known) {
+			return known;
+		}
+
+		const runs = [...store.runsOf(life).values()].filter(({job, step}) => !job.order.steps[step]!.lasting).map(({job, step}) => ({
+			resources: store.reserved(job, step), expectedMs: estimates.expectedMs(job.order.queue, job.order.steps[step]!.estimateMs),
+		}));
+		runs.sort((left, right) => left.expectedMs - right.expectedMs);
+		runsByLife.set(life, runs);
+		return runs;
+	};
+
+	/** Number of workers that may be reserved once a step of the job has its reservations; 0 if it is too narrow to need any, or has no hope of one. */
+	const limitFor = (job: Job, step: JobStep): number => {
+		const isNarrow = !step.lasting && !isWide(step, largest);
+		if (isNarrow || !fitsIn(step, largest) || hopeless.some(other => isNoHarder(other, step))) {
+			return 0;
+		}
+
+		const share = RESERVED_SHARES[tierOf(job, wallMs, remainingMs(job, estimates))];
+		return share === 0 ? 0 : Math.max(1, Math.floor(workers.length * share));
+	};
+
+	/** Finds the worker that is expected to have room for a work unit soonest. */
+	const findSoonest = (step: JobStep, allows: (worker: CandidateWorker) => boolean): CandidateWorker | undefined => {
+		let best: CandidateWorker | undefined;
+		let bestMs = Infinity;
+		let bestLack = Infinity;
+		examined += workers.length;
+		for (const worker of workers) {
+			if ((step.label !== undefined && !worker.labels.has(step.label)) || !allows(worker)) {
+				continue;
+			}
+
+			const afterMs = roomAfterMs(step, worker.free, endingRuns(worker.life));
+			if (afterMs === undefined) {
+				continue;
+			}
+
+			const costMs = (afterMs * worker.slowness) + (disturbs(step, worker) ? DISTURBANCE_MS : 0);
+			const lack = shareOf(lacking(step, worker.free), worker.capacity);
+			if (costMs < bestMs || (costMs === bestMs && lack < bestLack)) {
+				best = worker;
+				bestMs = costMs;
+				bestLack = lack;
+			}
+		}
+
+		return best;
+	};
+
+	return {
+		limitFor,
+
+		/** Reserves a worker for a work unit, among those allowed or among all; undefined if none can have room, or more than the limit would be reserved. */
+		reserve(step: JobStep, limit: number, allows: ((worker: CandidateWorker) => boolean) | undefined): CandidateWorker | undefined {
+			if (reserved.size >= limit) {
+				return undefined;
+			}
+
+			const worker = findSoonest(step, allows ?? (() => true));
+			if (worker) {
+				reserved.add(worker.life);
+				reserveResources(step, worker);
+			} else if (!allows && step.label === undefined && !step.gang) {
+				hopeless.push(step);
+			}
+
+			return worker;
+		},
+
+		/** Lives that are reserved. */
+		lives: (): readonly string[] => [...reserved],
+
+		/** Counts the workers that hold the placed members of a gang as reserved. */
+		add(workers: readonly CandidateWorker[]): void {
+			reserved = new Set([...reserved, ...workers.map(worker => worker.life)]);
+		},
+
+		/** Restores the lives that were reserved before a gang which cannot have room; none that is as hard to place is tried after it, since each costs a search for every member. */
+		refuseGang(step: JobStep, before: readonly string[]): void {
+			reserved = new Set(before);
+			hopeless.push(step);
+		},
+
+		/** Number of times a worker was checked. */
+		examined: () => examined,
+	};
+};
+
+/** Reservations of one pool's workers. */
+export type Reservations = ReturnType<typeof createReservations>;
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -10,6 +10,7 @@
 import {
 	chooseWorker, fits, reserveResources, type CandidateWorker,
 } from './placement.js';
+import {createReservations, type Reservations} from './reservations.js';
 import type {RunEstimates} from './run-estimates.js';
 import {createQuotaLedger} from './quota-ledger.js';
 
@@ -38,14 +39,16 @@
 	starts: RunStart[];
 	/** Number of work units that found no room, by pool; those held back by their workspace's limit do not count. */
 	waiting: Map<string, number>;
+	/** Number of workers reserved for work units that found no room, by pool; pools without any are absent. */
+	reserved: Map<string, number>;
 	/** Steps for which the decisions of their queue's policy on more workers would help, with these workers, the most useful first. */
 	unadvised: Array<{job: Job; occurrence: number; step: number; workers: CandidateWorker[]}>;
 	/** Number of times a worker was checked for room; the cost of a pass grows with it. */
 	workersExamined: number;
 };
 
-/** A pool's workers in one pass, and the sizes that fit on none of them. */
-type PoolWorkers = {workers: CandidateWorker[]; refused: Resources[]};
+/** A pool's workers in one pass, the sizes that fit on none of them, and the workers reserved for what finds no room. */
+type PoolWorkers = {workers: CandidateWorker[]; refused: Resources[]; reservations: Reservations};
 
 /** Workers to avoid; undefined if the pool has no others, since a work unit that failed on all of them must still run. */
 const avoidable = (avoided: ReadonlySet<string> | undefined, pool: readonly CandidateWorker[]): ReadonlySet<string> | undefined => (
@@ -92,10 +95,11 @@
 /** Plans the runs to start in one pass. */
 export const planStarts = (input: SchedulingInput): SchedulingPass => {
 	const {store, manifest, estimates, wallMs} = input;
-	const pools = new Map([...workersByPool(input)].map(([name, workers]): [string, PoolWorkers] => [name, {workers, refused: []}]));
+	const poolOf = (workers: CandidateWorker[]): PoolWorkers => ({workers, refused: [], reservations: createReservations(workers, input)});
+	const pools = new Map([...workersByPool(input)].map(([name, workers]) => [name, poolOf(workers)]));
 	const quota = createQuotaLedger(store, manifest);
 	const pass: SchedulingPass = {
-		starts: [], waiting: new Map(), unadvised: [], workersExamined: 0,
+		starts: [], waiting: new Map(), reserved: new Map(), unadvised: [], workersExamined: 0,
 	};
 
 	const countOn = (units: readonly WorkUnit[], started: ReadonlyMap<string, number>, life: string): number => units.filter(unit => unit.state === 'running' && unit.worker === life).length + (started.get(life) ?? 0);
@@ -141,17 +145,28 @@
 		const placements: Array<{unit: WorkUnit; worker: CandidateWorker}> = [];
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
 		let isAtLimit = false;
+		/** The test for workers on which a work unit may run; undefined if it may run on any. */
+		const allowedFor = (avoided: ReadonlySet<string> | undefined): ((candidate: CandidateWorker) => boolean) | undefined => {
+			const isRestricted = avoided !== undefined || approved !== undefined || step.perWorker !== undefined;
+			return isRestricted
+				? candidate => avoided?.has(candidate.life) !== true
+					&& approved?.has(candidate.life) !== false
+					&& (step.perWorker === undefined || countOn(units, started, candidate.life) < step.perWorker)
+				: undefined;
+		};
+
+		const take = (worker: CandidateWorker): void => {
+			quota.reserve(job.order.workspace, step.resources, 1);
+			started.set(worker.life, (started.get(worker.life) ?? 0) + 1);
+		};
+
 		for (const unit of idle) {
 			isAtLimit = quota.maxWithinLimit(job.order.workspace, step.resources, 1) === 0;
 			const avoided = avoidable(input.avoided(unit.name), pool.workers);
-			const isRestricted = avoided !== undefined || approved !== undefined || step.perWorker !== undefined;
-			const isAllowed = (candidate: CandidateWorker): boolean => avoided?.has(candidate.life) !== true
-				&& approved?.has(candidate.life) !== false
-				&& (step.perWorker === undefined || countOn(units, started, candidate.life) < step.perWorker);
 			const mayStart = pass.starts.length + placements.length < input.maxStarts && !isAtLimit;
 			// A gang that cannot start as a whole releases its reservations.
 			const isKept = !(step.gang && placements.length > 0);
-			const worker = mayStart ? findWorker(step, pool, isRestricted ? isAllowed : undefined, isKept) : undefined;
+			const worker = mayStart ? findWorker(step, pool, allowedFor(avoided), isKept) : undefined;
 			if (!worker) {
 				// Work units of a step are identical, so the others have no room either, unless this one avoids a worker.
 				if (step.gang || isAtLimit || avoided === undefined) {
@@ -162,8 +177,7 @@
 			}
 
 			reserveResources(step, worker);
-			quota.reserve(job.order.workspace, step.resources, 1);
-			started.set(worker.life, (started.get(worker.life) ?? 0) + 1);
+			take(worker);
 			placements.push({unit, worker});
 		}
 
@@ -177,11 +191,54 @@
 			}
 		}
 
-		if (step.gang && placements.length < idle.length) {
-			for (const {worker} of placements) {
+		const release = (workers: readonly CandidateWorker[]): void => {
+			for (const worker of workers) {
 				reserveResources(step, worker, -1);
 				quota.reserve(job.order.workspace, step.resources, -1);
 			}
+		};
+
+		/** Reserves workers for the work units that found no room, all of a gang or none; returns true if each of them has one. */
+		const reserveRest = (): boolean => {
+			const {reservations} = pool;
+			const limit = reservations.limitFor(job, step);
+			if (limit === 0) {
+				return false;
+			}
+
+			const before = reservations.lives();
+			if (step.gang) {
+				reservations.add(placements.map(({worker}) => worker));
+			}
+
+			const placed = new Set(placements.map(({unit}) => unit));
+			const reserved: CandidateWorker[] = [];
+			for (const unit of idle.filter(each => !placed.has(each))) {
+				const avoided = avoidable(input.avoided(unit.name), pool.workers);
+				const worker = quota.maxWithinLimit(job.order.workspace, step.resources, 1) === 0 ? undefined : reservations.reserve(step, limit, allowedFor(avoided));
+				if (worker) {
+					take(worker);
+					reserved.push(worker);
+				} else if (step.gang || avoided === undefined) {
+					break;
+				}
+			}
+
+			const isComplete = placements.length + reserved.length === idle.length;
+			if (step.gang && !isComplete) {
+				release(reserved);
+				reservations.refuseGang(step, before);
+			}
+
+			return isComplete;
+		};
+
+		const isPlaced = placements.length === idle.length;
+		const isReserved = !isPlaced && !isAtLimit && !isFull && reserveRest();
+		if (step.gang && !isPlaced) {
+			if (!isReserved) {
+				release(placements.map(({worker}) => worker));
+			}
 
 			return isAtLimit ? 0 : idle.length;
 		}
@@ -191,7 +248,7 @@
 	};
 
 	const startJob = (job: Job, poolName: string): void => {
-		const pool = pools.get(poolName) ?? {workers: [], refused: []};
+		const pool = pools.get(poolName) ?? poolOf([]);
 		let unplaced = 0;
 		for (const occurrence of job.occurrences) {
 			if (occurrence.dueMs > wallMs) {
@@ -216,5 +273,12 @@
 		startJob(job, (manifest.queue(job.order.queue) ?? job.queue).pool);
 	}
 
+	for (const [name, {reservations}] of pools) {
+		pass.workersExamined += reservations.examined();
+		if (reservations.lives().length > 0) {
+			pass.reserved.set(name, reservations.lives().length);
+		}
+	}
+
 	return pass;
 };
--- a/tests/core/jobs/scheduling-work.spec.ts
+++ b/tests/core/jobs/scheduling-work.spec.ts
@@ -14,7 +14,7 @@
 const workersOf = (count: number, capacity: {cpu: number; memoryMb: number; gpu: number}): SchedulableWorker[] => Array.from({length: count}, (_, number) => {
 	const {life, id, pool} = lifeNamed(`w${number}`);
 	return {
-		life, id, pool, capacity, labels: ['kind', `rack-${number % 3}`], slowness: 1,
+		life, id, pool, capacity, labels: ['kind', `rack-${number % 3}`], slowness: 1 + (number % 2),
 	};
 });
 
@@ -29,6 +29,7 @@
 	return stepOf({
 		count: 1 + randomBelow(random, 5),
 		resources: {cpu: 500 * randomBelow(random, 7), memoryMb: 400 * randomBelow(random, 8), gpu: randomBelow(random, 6) === 0 ? 1 : 0},
+		estimateMs: 500 * (1 + randomBelow(random, 4)),
 		gang: kind === 0,
 		label: kind === 1 ? `rack-${randomBelow(random, 4)}` : undefined,
 		dataRack: kind === 2 ? `rack-${randomBelow(random, 4)}` : undefined,
@@ -58,14 +59,15 @@
 			const workers = workersOf(1 + randomBelow(random, 8), {cpu: 4000, memoryMb: 4000, gpu: randomBelow(random, 2)});
 			const avoided = new Set(workers.filter(() => random() < 0.3).map(worker => worker.life));
 			const input = inputOf(store, workers, {
+				wallMs: 100 + (3000 * randomBelow(random, 4)),
 				maxStarts: 5 + randomBelow(random, 60),
 				avoided: unit => (unit.endsWith('1') ? avoided : undefined),
 				approved: job => (job.order.id.startsWith('1') ? new Set(workers.slice(1).map(worker => worker.life)) : undefined),
 			});
 			for (let round = 0; round < 3; round += 1) {
 				const expected = planExhaustively(input);
-				const {starts, waiting} = planStarts(input);
-				assert.deepEqual({starts, waiting}, expected, `seed ${seed}`);
+				const {starts, waiting, reserved} = planStarts(input);
+				assert.deepEqual({starts, waiting, reserved}, expected, `seed ${seed}`);
 				store.apply({type: 'runs-start', lives: workers.map(worker => lifeNamed(worker.id)), runs: starts});
 				for (const [index, {unit, attempt, life}] of starts.entries()) {
 					if (index % 2 === 0) {
