Choose the worker to reserve by since when its runs last

A lasting work unit waited for as long as one run that overran its estimate: the worker that lacked least stayed the best one, however long its last run went on.

The scheduler did not know since when runs last. The leader does, from its sessions, and gives it to the pass now; a run past its estimate is expected to last another quarter of the time that it has lasted. So another worker that empties sooner is chosen.

--- a/packages/core/src/jobs/reservations.ts
+++ b/packages/core/src/jobs/reservations.ts
@@ -27,8 +27,11 @@
 /** Time by which a worker whose present work would be disturbed must be free sooner to be preferred, in milliseconds. */
 const DISTURBANCE_MS = 3000;
 
-/** A run that ends by itself. */
-type EndingRun = {resources: Resources; expectedMs: number};
+/** Share of the time that a run has lasted for which it is expected to last on at least; one that takes far longer than estimated may do so for long. */
+const OVERRUN_SHARE = 1 / 4;
+
+/** A run that ends by itself, and the time until its expected end. */
+type EndingRun = {resources: Resources; endsInMs: number};
 
 /** Resources that a work unit takes from a worker. */
 const takenBy = ({resources, fillsSpare}: JobStep): Resources => (fillsSpare ? {...resources, cpu: 0} : resources);
@@ -59,7 +62,7 @@
 		}
 
 		left = difference(left, run.resources);
-		afterMs = run.expectedMs;
+		afterMs = run.endsInMs;
 	}
 
 	return isNothing(left) ? afterMs : undefined;
@@ -87,7 +90,7 @@
 	&& one.resources.gpu <= other.resources.gpu;
 
 /** Creates the reservations of one pool's workers in one scheduling pass. */
-export const createReservations = (workers: readonly CandidateWorker[], {store, estimates, wallMs}: SchedulingInput) => {
+export const createReservations = (workers: readonly CandidateWorker[], {store, estimates, wallMs, ranMs}: SchedulingInput) => {
 	let reserved = new Set<string>();
 	let examined = 0;
 	/** Steps whose work units no worker can have room for, and gangs that cannot have room for all members. */
@@ -102,10 +105,12 @@
 			return known;
 		}
 
-		const runs = [...store.runsOf(life).values()].filter(({job, step}) => !job.order.steps[step]!.lasting).map(({job, step}) => ({
-			resources: store.reserved(job, step), expectedMs: estimates.expectedMs(job.order.queue, job.order.steps[step]!.estimateMs),
-		}));
-		runs.sort((left, right) => left.expectedMs - right.expectedMs);
+		const runs = [...store.runsOf(life).values()].filter(({job, step}) => !job.order.steps[step]!.lasting).map(({unit, job, step}) => {
+			const expectedMs = estimates.expectedMs(job.order.queue, job.order.steps[step]!.estimateMs);
+			const lastedMs = ranMs?.(life, unit.name) ?? 0;
+			return {resources: store.reserved(job, step), endsInMs: Math.max(expectedMs - lastedMs, lastedMs * OVERRUN_SHARE)};
+		});
+		runs.sort((left, right) => left.endsInMs - right.endsInMs);
 		runsByLife.set(life, runs);
 		return runs;
 	};
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -28,6 +28,8 @@
 	avoided: (unit: string) => ReadonlySet<string> | undefined;
 	/** Returns the lives that a step's policy is known to approve; undefined if the queue has no policy, or while nothing is known. */
 	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
+	/** Returns for how long a life has run a work unit, in milliseconds; undefined if that is unknown, as for the runs of an earlier leader. */
+	ranMs?: (life: string, unit: string) => number | undefined;
 	/** Upper limit on runs started in one pass. */
 	maxStarts: number;
 	/** Order of jobs; by default that of `compareRanks`. */
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -152,6 +152,10 @@
 			approved(job, occurrence, step) {
 				return manifest.queue(job.order.queue)?.recommendation ? advice.approved(job, occurrence, step) : undefined;
 			},
+			ranMs(life, unit) {
+				const startedMs = fleet.trackOf(life)?.runs.get(unit)?.startedMs;
+				return startedMs === undefined ? undefined : clock.monotonicMs() - startedMs;
+			},
 			maxStarts: MAX_STARTS_PER_PASS,
 		});
 		waitingUnits = waiting;
--- a/tests/core/jobs/scheduling-work.spec.ts
+++ b/tests/core/jobs/scheduling-work.spec.ts
@@ -62,6 +62,7 @@
 				wallMs: 100 + (3000 * randomBelow(random, 4)),
 				maxStarts: 5 + randomBelow(random, 60),
 				avoided: unit => (unit.endsWith('1') ? avoided : undefined),
+				ranMs: (life, unit) => (unit.endsWith('2') ? undefined : 700 * (unit.length + Number(life.slice(1, 2)) + Number(unit.at(-1)))),
 				approved: job => (job.order.id.startsWith('1') ? new Set(workers.slice(1).map(worker => worker.life)) : undefined),
 			});
 			for (let round = 0; round < 3; round += 1) {
