Bound what a pass spends on reservations

A backlog of 500 wide steps in a pool of 250 workers made a pass search for 62 reservations: 15,750 checks of a worker, each with an object for each of its runs. The median of 60 passes was 6.4 ms, beside other work on the machine.

At most 32 workers of a pool are reserved at once, the search makes no objects for each run, and steps count as wide from a third of a worker instead of a quarter, so that the common jobs of small workers (up to 0.27 of one) do not reserve. Not bounded by this, and as before: 500 lasting steps with a limit per worker cost a pass 133,000 checks, of which 8,000 are of reservations.

--- a/packages/core/src/jobs/reservations.ts
+++ b/packages/core/src/jobs/reservations.ts
@@ -22,11 +22,12 @@
 	[Tiers.late]: 1 / 4,
 	[Tiers.deferrable]: 0,
 };
+/** Workers of one pool that may be reserved at once; the search for each takes time from the pass. */
+const MAX_RESERVED = 32;
 /** Share of a worker above which work is wide; smaller work finds room as soon as a few runs end. */
-const WIDE_SHARE = 1 / 4;
+const WIDE_SHARE = 1 / 3;
 /** Time by which a worker whose present work would be disturbed must be free sooner to be preferred, in milliseconds. */
 const DISTURBANCE_MS = 3000;
-
 /** Share of the time that a run has lasted for which it is expected to last on at least; one that takes far longer than estimated may do so for long. */
 const OVERRUN_SHARE = 1 / 4;
 
@@ -37,35 +38,33 @@
 const takenBy = ({resources, fillsSpare}: JobStep): Resources => (fillsSpare ? {...resources, cpu: 0} : resources);
 
 /** Largest share that an amount has of any resource of a capacity. */
-const shareOf = (amount: Resources, capacity: Resources): number => {
-	const shares = (['cpu', 'memoryMb', 'gpu'] as const).map(kind => amount[kind] / Math.max(1, capacity[kind]));
-	return Math.max(...shares);
-};
-
-const difference = (left: Resources, right: Resources): Resources => ({cpu: left.cpu - right.cpu, memoryMb: left.memoryMb - right.memoryMb, gpu: left.gpu - right.gpu});
-
-/** What a work unit lacks on a worker; no amount above 0 if it fits. */
-const lacking = (step: JobStep, free: Resources): Resources => {
-	const amount = difference(takenBy(step), free);
-	return step.fillsSpare ? {...amount, cpu: 0} : amount;
-};
-
-const isNothing = ({cpu, memoryMb, gpu}: Resources): boolean => cpu <= 0 && memoryMb <= 0 && gpu <= 0;
-
-/** Time until the expected end of the runs that make room for a work unit, in milliseconds; undefined if their ends do not suffice. */
-const roomAfterMs = (step: JobStep, free: Resources, runs: readonly EndingRun[]): number | undefined => {
-	let left = lacking(step, free);
+const shareOf = (amount: Resources, capacity: Resources): number => Math.max(
+	amount.cpu / Math.max(1, capacity.cpu),
+	amount.memoryMb / Math.max(1, capacity.memoryMb),
+	amount.gpu / Math.max(1, capacity.gpu),
+);
+
+/** What a work unit lacks of free resources; no amount above 0 if it fits. */
+const lacking = ({resources, fillsSpare}: JobStep, free: Resources): Resources => ({
+	cpu: fillsSpare ? 0 : resources.cpu - free.cpu, memoryMb: resources.memoryMb - free.memoryMb, gpu: resources.gpu - free.gpu,
+});
+
+/** Time until the expected end of the runs that make up for what is lacking, in milliseconds; undefined if their ends do not suffice. */
+const roomAfterMs = (lack: Resources, runs: readonly EndingRun[]): number | undefined => {
+	let {cpu, memoryMb, gpu} = lack;
 	let afterMs = 0;
 	for (const run of runs) {
-		if (isNothing(left)) {
+		if (cpu <= 0 && memoryMb <= 0 && gpu <= 0) {
 			break;
 		}
 
-		left = difference(left, run.resources);
+		cpu -= run.resources.cpu;
+		memoryMb -= run.resources.memoryMb;
+		gpu -= run.resources.gpu;
 		afterMs = run.endsInMs;
 	}
 
-	return isNothing(left) ? afterMs : undefined;
+	return cpu <= 0 && memoryMb <= 0 && gpu <= 0 ? afterMs : undefined;
 };
 
 /** The largest capacity of any worker, by resource. */
@@ -123,7 +122,7 @@
 		}
 
 		const share = RESERVED_SHARES[tierOf(job, wallMs, remainingMs(job, estimates))];
-		return share === 0 ? 0 : Math.max(1, Math.floor(workers.length * share));
+		return share === 0 ? 0 : Math.min(MAX_RESERVED, Math.max(1, Math.floor(workers.length * share)));
 	};
 
 	/** Finds the worker that is expected to have room for a work unit soonest. */
@@ -137,13 +136,14 @@
 				continue;
 			}
 
-			const afterMs = roomAfterMs(step, worker.free, endingRuns(worker.life));
+			const missing = lacking(step, worker.free);
+			const afterMs = roomAfterMs(missing, endingRuns(worker.life));
 			if (afterMs === undefined) {
 				continue;
 			}
 
 			const costMs = (afterMs * worker.slowness) + (disturbs(step, worker) ? DISTURBANCE_MS : 0);
-			const lack = shareOf(lacking(step, worker.free), worker.capacity);
+			const lack = shareOf(missing, worker.capacity);
 			if (costMs < bestMs || (costMs === bestMs && lack < bestLack)) {
 				best = worker;
 				bestMs = costMs;
