--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,5 +1,4 @@
 /** Decides which work units start on which workers, from the job store and the known state of the workers. */
-import {groupBy} from '../utils/group-by.js';
 import {countRoom} from './gang-room.js';
 import type {ManifestIndex, Resources} from './fleet-manifest.js';
 import type {JobStore} from './job-store.js';
@@ -11,6 +10,9 @@
 import {
 	chooseWorker, fits, reserveResources, type CandidateWorker,
 } from './placement.js';
+import {
+	advisable, avoidable, createPoolWorkers, isRefused, type PoolWorkers, poolsOf, requiredResources,
+} from './pool-workers.js';
 import type {RunEstimates} from './run-estimates.js';
 import {createQuotaLedger} from './quota-ledger.js';
 
@@ -28,6 +30,8 @@
 	avoided: (unit: string) => ReadonlySet<string> | undefined;
 	/** Returns the lives that a step's policy is known to approve; undefined if the queue has no policy, or while nothing is known. */
 	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
+	/** Returns for how long a life has run a work unit, in milliseconds; undefined if that is unknown, as for the runs of an earlier leader. */
+	ranMs?: (life: string, unit: string) => number | undefined;
 	/** Upper limit on runs started in one pass, shared by all pools; a gang that begins below it starts whole. */
 	maxStarts: number;
 	/** Order of jobs; by default that of `compareRanks`. */
@@ -39,6 +43,8 @@
 	starts: RunStart[];
 	/** Number of work units that found no room, by pool; those held back by their workspace's limit do not count. */
 	waiting: Map<string, number>;
+	/** Number of workers reserved for work units that found no room, by pool; pools without any are absent. */
+	reserved: Map<string, number>;
 	/** Steps for which the decisions of their queue's policy on more workers would help, with these workers, the most useful first. */
 	unadvised: Array<{job: Job; occurrence: number; step: number; workers: CandidateWorker[]}>;
 	/** Ready steps that the limit of starts kept from being tried in full, with the number of their work units that it left. */
@@ -50,61 +56,19 @@
 /** Share of a pass's starts that is divided evenly between the pools with ready work, so that no backlog of one pool stops the others; the rest goes by rank. */
 const GUARANTEED_SHARE = 0.5;
 
-/** A pool's workers in one pass, and the sizes that fit on none of them. */
-type PoolWorkers = {name: string; workers: CandidateWorker[]; refused: Resources[]};
-
 /** A step whose turn has come. */
 type ReadyStep = {job: Job; occurrence: Occurrence; number: number; pool: string};
 
-/** Workers to avoid; undefined if the pool has no others, since a work unit that failed on all of them must still run. */
-const avoidable = (avoided: ReadonlySet<string> | undefined, pool: readonly CandidateWorker[]): ReadonlySet<string> | undefined => (
-	avoided && pool.some(worker => !avoided.has(worker.life)) ? avoided : undefined
-);
-
-/** Workers of a pool that a step's policy may be asked about, those with room first. */
-const advisable = (step: JobStep, {workers}: PoolWorkers): CandidateWorker[] => {
-	const labelled = workers.filter(worker => step.label === undefined || worker.labels.has(step.label));
-	return [...labelled.filter(worker => fits(step, worker)), ...labelled.filter(worker => !fits(step, worker))];
-};
-
 /** Work units of a step that can start now and are not planned yet. */
 const idleUnits = (units: readonly WorkUnit[], planned: ReadonlyMap<WorkUnit, string>): WorkUnit[] => units.filter(unit => unit.state === 'idle' && !planned.has(unit));
 
-const workersByPool = ({store, workers}: SchedulingInput): Map<string, CandidateWorker[]> => {
-	const candidates = workers.map(worker => {
-		const used = store.usageOfLife(worker.life);
-		const steps = [...store.runsOf(worker.life).values()].map(run => run.job.order.steps[run.step]!);
-		return {
-			pool: worker.pool,
-			candidate: {
-				life: worker.life,
-				id: worker.id,
-				capacity: worker.capacity,
-				free: {cpu: worker.capacity.cpu - used.cpu, memoryMb: worker.capacity.memoryMb - used.memoryMb, gpu: worker.capacity.gpu - used.gpu},
-				labels: new Set(worker.labels),
-				serves: steps.some(step => step.targetMs !== undefined),
-				fills: steps.some(step => step.fillsSpare),
-				isPinned: steps.some(step => step.lasting),
-				slowness: worker.slowness,
-			},
-		};
-	});
-	return new Map([...groupBy(candidates, entry => entry.pool)].map(([pool, entries]) => [pool, entries.map(entry => entry.candidate)]));
-};
-
-/** Resources that must be free for a work unit; one that fills spare capacity needs no free cores. */
-const requiredResources = ({resources, fillsSpare}: JobStep): Resources => (fillsSpare ? {...resources, cpu: -Infinity} : resources);
-
-/** True if a size that is no larger was refused before; free resources only shrink during a pass. */
-const isRefused = (needed: Resources, {refused}: PoolWorkers): boolean => refused.some(size => size.cpu <= needed.cpu && size.memoryMb <= needed.memoryMb && size.gpu <= needed.gpu);
-
 /** Plans the runs to start in one pass. */
 export const planStarts = (input: SchedulingInput): SchedulingPass => {
 	const {store, manifest, estimates, wallMs} = input;
-	const pools = new Map([...workersByPool(input)].map(([name, workers]): [string, PoolWorkers] => [name, {name, workers, refused: []}]));
+	const pools = poolsOf(input);
 	const quota = createQuotaLedger(store, manifest);
 	const pass: SchedulingPass = {
-		starts: [], waiting: new Map(), unadvised: [], cutSteps: new Map(), workersExamined: 0,
+		starts: [], waiting: new Map(), reserved: new Map(), unadvised: [], cutSteps: new Map(), workersExamined: 0,
 	};
 
 	/** Life of each work unit that the pass starts. */
@@ -179,17 +143,28 @@
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
 		const gang = checkGang(job, step, idle, pool, approved);
 		let isAtLimit = false;
+		/** The test for workers on which a work unit may run; undefined if it may run on any. */
+		const allowedFor = (avoided: ReadonlySet<string> | undefined): ((candidate: CandidateWorker) => boolean) | undefined => {
+			const isRestricted = avoided !== undefined || approved !== undefined || step.perWorker !== undefined;
+			return isRestricted
+				? candidate => avoided?.has(candidate.life) !== true
+					&& approved?.has(candidate.life) !== false
+					&& (step.perWorker === undefined || (onLife!.get(candidate.life) ?? 0) < step.perWorker)
+				: undefined;
+		};
+
+		const take = (worker: CandidateWorker): void => {
+			quota.reserve(job.order.workspace, step.resources, 1);
+			onLife?.set(worker.life, (onLife.get(worker.life) ?? 0) + 1);
+		};
+
 		for (const unit of idle) {
 			isAtLimit = gang?.isAtLimit ?? quota.maxWithinLimit(job.order.workspace, step.resources, 1) === 0;
 			const avoided = avoidable(input.avoided(unit.name), pool.workers);
-			const isRestricted = avoided !== undefined || approved !== undefined || step.perWorker !== undefined;
-			const isAllowed = (candidate: CandidateWorker): boolean => avoided?.has(candidate.life) !== true
-				&& approved?.has(candidate.life) !== false
-				&& (step.perWorker === undefined || (onLife!.get(candidate.life) ?? 0) < step.perWorker);
 			const mayStart = pass.starts.length + (step.gang ? 0 : placements.length) < limit && !isAtLimit && gang?.canStart !== false;
 			// A gang that cannot start as a whole releases its reservations.
 			const isKept = !(step.gang && placements.length > 0);
-			const worker = mayStart ? findWorker(step, pool, isRestricted ? isAllowed : undefined, isKept) : undefined;
+			const worker = mayStart ? findWorker(step, pool, allowedFor(avoided), isKept) : undefined;
 			if (!worker) {
 				// Work units of a step are identical, so the others have no room either, unless this one avoids a worker.
 				if (step.gang || isAtLimit || avoided === undefined) {
@@ -200,8 +175,7 @@
 			}
 
 			reserveResources(step, worker);
-			quota.reserve(job.order.workspace, step.resources, 1);
-			onLife?.set(worker.life, (onLife.get(worker.life) ?? 0) + 1);
+			take(worker);
 			placements.push({unit, worker});
 		}
 
@@ -221,15 +195,53 @@
 			}
 		}
 
-		if (step.gang && placements.length < idle.length) {
-			for (const {worker} of placements) {
+		const release = (workers: readonly CandidateWorker[]): void => {
+			for (const worker of workers) {
 				reserveResources(step, worker, -1);
 				quota.reserve(job.order.workspace, step.resources, -1);
+				onLife?.set(worker.life, onLife.get(worker.life)! - 1);
+			}
+		};
+
+		/** Reserves workers for the work units that found no room, all of a gang or none. */
+		const reserveRest = (units: readonly WorkUnit[]): void => {
+			const {reservations} = pool;
+			const most = reservations.limitFor(job, step);
+			const before = reservations.lives();
+			const reserved: CandidateWorker[] = [];
+			for (const unit of most === 0 ? [] : units) {
+				const avoided = avoidable(input.avoided(unit.name), pool.workers);
+				const worker = quota.maxWithinLimit(job.order.workspace, step.resources, 1) === 0 ? undefined : reservations.reserve(step, most, allowedFor(avoided));
+				if (worker) {
+					take(worker);
+					reserved.push(worker);
+				} else if (step.gang || avoided === undefined) {
+					break;
+				}
+			}
+
+			if (step.gang && most > 0 && reserved.length < units.length) {
+				release(reserved);
+				reservations.refuseGang(step, before);
+			}
+		};
+
+		const isPlaced = placements.length === idle.length;
+		const mayReserve = !isPlaced && !isAtLimit && !isFull;
+		if (step.gang && !isPlaced) {
+			release(placements.map(({worker}) => worker));
+			if (mayReserve) {
+				reserveRest(idle);
 			}
 
 			return isAtLimit ? 0 : idle.length;
 		}
 
+		if (mayReserve) {
+			const placed = new Set(placements.map(({unit}) => unit));
+			reserveRest(idle.filter(unit => !placed.has(unit)));
+		}
+
 		for (const {unit, worker} of placements) {
 			planned.set(unit, worker.life);
 			pass.starts.push({unit: unit.name, attempt: attempt ?? unit.attempt + 1, life: worker.life});
@@ -254,7 +266,7 @@
 
 	/** Starts a ready step until the pass has planned `until` starts; returns false if the step was cut. */
 	const startUntil = ({job, occurrence, number, pool: name}: ReadyStep, until: number, isLast: boolean): boolean => {
-		const pool = pools.get(name) ?? {name, workers: [], refused: []};
+		const pool = pools.get(name) ?? createPoolWorkers(name, [], input);
 		pools.set(name, pool);
 		limit = until;
 		const unplaced = startStep(job, occurrence, number, pool);
@@ -299,5 +311,12 @@
 		startUntil(step, input.maxStarts, true);
 	}
 
+	for (const [name, {reservations}] of pools) {
+		pass.workersExamined += reservations.examined();
+		if (reservations.lives().length > 0) {
+			pass.reserved.set(name, reservations.lives().length);
+		}
+	}
+
 	return pass;
 };
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -138,7 +138,18 @@
 		}
 
 		const {starts, unadvised, waiting, cutSteps} = planStarts({
-			store, manifest, workers: workers.list(), estimates: monitor.estimates, wallMs: clock.wallMs(), avoided: monitor.avoided, approved, maxStarts: MAX_STARTS_PER_PASS,
+			store,
+			manifest,
+			workers: workers.list(),
+			estimates: monitor.estimates,
+			wallMs: clock.wallMs(),
+			avoided: monitor.avoided,
+			approved,
+			ranMs(life, unit) {
+				const startedMs = fleet.trackOf(life)?.runs.get(unit)?.startedMs;
+				return startedMs === undefined ? undefined : clock.monotonicMs() - startedMs;
+			},
+			maxStarts: MAX_STARTS_PER_PASS,
 		});
 		waitingUnits = waiting;
 		for (const {job, occurrence, step, workers: candidates} of unadvised) {
--- a/tests/core/jobs/scheduling-work.spec.ts
+++ b/tests/core/jobs/scheduling-work.spec.ts
@@ -19,7 +19,7 @@
 const workersOf = (count: number, capacity: {cpu: number; memoryMb: number; gpu: number}): SchedulableWorker[] => Array.from({length: count}, (_, number) => {
 	const {life, id, pool} = lifeNamed(`w${number}`);
 	return {
-		life, id, pool, capacity, labels: ['kind', `rack-${number % 3}`], slowness: 1,
+		life, id, pool, capacity, labels: ['kind', `rack-${number % 3}`], slowness: 1 + (number % 2),
 	};
 });
 
@@ -34,6 +34,7 @@
 	return stepOf({
 		count: 1 + randomBelow(random, 5),
 		resources: {cpu: 500 * randomBelow(random, 7), memoryMb: 400 * randomBelow(random, 8), gpu: randomBelow(random, 6) === 0 ? 1 : 0},
+		estimateMs: 500 * (1 + randomBelow(random, 4)),
 		gang: kind === 0,
 		label: kind === 1 ? `rack-${randomBelow(random, 4)}` : undefined,
 		dataRack: kind === 2 ? `rack-${randomBelow(random, 4)}` : undefined,
@@ -70,6 +71,19 @@
 		assert.ok(counted.reads <= 10 * 2000, `${counted.reads} reads`);
 	});
 
+	it('should stay bounded while many wide steps look for a reservation', () => {
+		const workers = workersOf(150, {cpu: 2000, memoryMb: 4000, gpu: 0});
+		const store = storeWith([orderOf('a', [stepOf({count: 150, resources: {cpu: 1000, memoryMb: 10, gpu: 0}})])]);
+		store.apply({type: 'runs-start', lives: workers.map(worker => lifeNamed(worker.id)), runs: workers.map(({life}, index) => ({unit: `${'a'.padEnd(16, '0')}.0.0.${index}`, attempt: 1, life}))});
+		for (let number = 0; number < 500; number += 1) {
+			store.apply({type: 'submit', atMs: 0, order: orderOf(`${number.toString(16)}x`, [stepOf({count: 3, resources: {cpu: 1100 + number, memoryMb: 10, gpu: 0}})])});
+		}
+
+		const pass = planStarts(inputOf(store, workers));
+		assert.equal(pass.reserved.get('bench'), 32);
+		assert.ok(pass.workersExamined <= MAX_CHECKS, `${pass.workersExamined} checks`);
+	});
+
 	it('should place exactly the same as a pass that checks every worker for every work unit', () => {
 		for (let seed = 1; seed <= 400; seed += 1) {
 			const random = createRandom(seed);
@@ -80,14 +94,16 @@
 			const workers = workersOf(1 + randomBelow(random, 8), {cpu: 4000, memoryMb: 4000, gpu: randomBelow(random, 2)});
 			const avoided = new Set(workers.filter(() => random() < 0.3).map(worker => worker.life));
 			const input = inputOf(store, workers, {
+				wallMs: 100 + (3000 * randomBelow(random, 4)),
 				maxStarts: 5 + randomBelow(random, 60),
 				avoided: unit => (unit.endsWith('1') ? avoided : undefined),
+				ranMs: (life, unit) => (unit.endsWith('2') ? undefined : 700 * (unit.length + Number(life.slice(1, 2)) + Number(unit.at(-1)))),
 				approved: job => (job.order.id.startsWith('1') ? new Set(workers.slice(1).map(worker => worker.life)) : undefined),
 			});
 			for (let round = 0; round < 3; round += 1) {
 				const expected = planExhaustively(input);
-				const {starts, waiting} = planStarts(input);
-				assert.deepEqual({starts, waiting}, expected, `seed ${seed}`);
+				const {starts, waiting, reserved} = planStarts(input);
+				assert.deepEqual({starts, waiting, reserved}, expected, `seed ${seed}`);
 				store.apply({type: 'runs-start', lives: workers.map(worker => lifeNamed(worker.id)), runs: starts});
 				for (const [index, {unit, attempt, life}] of starts.entries()) {
 					if (index % 2 === 0) {
@@ -123,7 +139,7 @@
 			for (let round = 0; round < 3; round += 1) {
 				const expected = planExhaustively(input);
 				const pass = planStarts(input);
-				assert.deepEqual({starts: pass.starts, waiting: pass.waiting}, expected, `seed ${seed}`);
+				assert.deepEqual({starts: pass.starts, waiting: pass.waiting, reserved: pass.reserved}, expected, `seed ${seed}`);
 				recordStarts(store, workers, pass);
 				recordEnds(store, {starts: pass.starts.filter((_, index) => index % 2 === 0)});
 			}
