--- a/tests/core/jobs/wide-work.spec.ts
+++ b/tests/core/jobs/wide-work.spec.ts
@@ -11,8 +11,12 @@
 const serving: Partial<JobStep> = {...lasting, targetMs: 100, resources: {cpu: 9600, memoryMb: 120_000, gpu: 0}};
 const wide: Partial<JobStep> = {count: 8, estimateMs: 1300, resources: {cpu: 55_000, memoryMb: 60_000, gpu: 0}};
 
-const assertStarted = (pool: Omit<BusyPool, 'seed'>): void => {
-	for (const seed of SEEDS) {
+const gang: Partial<JobStep> = {
+	count: 3, gang: true, estimateMs: 1300, resources: {cpu: 40_000, memoryMb: 30_000, gpu: 0},
+};
+
+const assertStarted = (pool: Omit<BusyPool, 'seed'>, seeds = SEEDS): void => {
+	for (const seed of seeds) {
 		const {waitsMs} = playBusyPool({...pool, seed});
 		const late = waitsMs.filter(wait => wait === undefined);
 		assert.equal(late.length, 0, `${late.length} of ${waitsMs.length} work units did not start within ${BOUND_MS} ms at load ${pool.load}, seed ${seed}`);
@@ -36,6 +40,10 @@
 		});
 	}
 
+	it('should start a gang whose members find no room at once', () => {
+		assertStarted({load: 0.9, wide: gang}, [8, 9, 10, 11]);
+	});
+
 	it('should start all of a lasting step under a leader that does not know since when the runs last', () => {
 		assertStarted({load: 1.2, wide: serving, knowsStarts: false});
 	});
