Write calls to a worker only where its life has named itself

What callers saw: a work unit could start again after its end as done. Starts and renewals of an earlier life reached the next one by the same way.

Cause: a call names the worker's ID, which the next life may have too, and the pool reopened its connections unnoticed.

The client now holds its connections itself. Starts, and polls that renew or acknowledge, are written only on a connection on which a poll with neither has shown the start of the life. The check is made in the turn in which the request is written, so a connection that is opened again is checked again. Where another life answers, the call is answered as gone; where nothing clear does, a start counts as not sent and a poll as unknown. Stops go out as before: on another life they do nothing but reject the attempt, and the session wants that of the next life.

Ruled out: no test was relaxed. The stand-ins of order-answers and worker-client answered every path with one body; they now answer polls as a worker does, and still count and answer orders as before.

--- a/tests/platform/order-answers.spec.ts
+++ b/tests/platform/order-answers.spec.ts
@@ -14,9 +14,13 @@
 };
 
 describe('the answer to an order', () => {
-	const answer = {status: 200, body: '{}'};
-	const server = http.createServer((_req, res) => {
-		res.writeHead(answer.status).end(answer.body);
+	const answer = {path: '/run-start', status: 200, body: '{}'};
+	const server = http.createServer((req, res) => {
+		if (req.url === answer.path) {
+			res.writeHead(answer.status).end(answer.body);
+		} else {
+			res.end('{"clock-ms":1,"active":[],"finished":[]}');
+		}
 	});
 	let worker: ReturnType<typeof connectWorker>;
 	before(async () => {
@@ -32,12 +36,12 @@
 	});
 
 	const startAnswered = async (status: number, body: string) => {
-		Object.assign(answer, {status, body});
+		Object.assign(answer, {path: '/run-start', status, body});
 		return worker.start(start);
 	};
 
 	const holdAnswered = async (status: number, body: string) => {
-		Object.assign(answer, {status, body});
+		Object.assign(answer, {path: '/hold', status, body});
 		const {type} = await worker.hold(hold);
 		return type;
 	};
