End the pause after an unsent start with the next answered poll too

A start now counts as unsent if the first poll on its connection got no answer, so one lost answer would have taken a fresh worker out of use for 1.5 s by this way. It ends like the pause after an unanswered start, at most twice in a row without a run that was done.

--- a/packages/core/src/jobs/start-pauses.ts
+++ b/packages/core/src/jobs/start-pauses.ts
@@ -9,7 +9,7 @@
 const REJECTED_PAUSE_MS = 300;
 /** Pause after a start without an answer, or a lost connection, in milliseconds. */
 const SILENT_PAUSE_MS = 1500;
-/** Unanswered starts, without a run that was done since, from which answers to other calls no longer end the pause. */
+/** Unanswered or unsent starts, without a run that was done since, from which answers to other calls no longer end the pause. */
 const MAX_UNANSWERED = 3;
 
 /** Pauses of starts by life. */
@@ -33,7 +33,7 @@
 			begin(life, nowMs + REJECTED_PAUSE_MS, false);
 		},
 
-		/** Records that a start got no answer. */
+		/** Records that a start got no answer, or could not be sent because its connection got none. */
 		unanswered(life: string, nowMs: number): void {
 			const count = (unanswered.get(life) ?? 0) + 1;
 			unanswered.set(life, count);
--- a/packages/daemon/src/jobs/run-monitor.ts
+++ b/packages/daemon/src/jobs/run-monitor.ts
@@ -57,13 +57,9 @@
 		startFailed(start: RunStart, reason: string): void {
 			const nowMs = clock.monotonicMs();
 			switch (reason) {
-				case 'no-answer': {
-					pauses.unanswered(start.life, nowMs);
-					break;
-				}
-
+				case 'no-answer':
 				case 'unsent': {
-					pauses.unreachable(start.life, nowMs);
+					pauses.unanswered(start.life, nowMs);
 					break;
 				}
 
