--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -32,7 +32,7 @@
 	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
 	/** Returns for how long a life has run a work unit, in milliseconds; undefined if that is unknown, as for the runs of an earlier leader. */
 	ranMs?: (life: string, unit: string) => number | undefined;
-	/** Upper limit on runs started in one pass, shared by all pools; a gang that begins below it starts whole. */
+	/** Upper limit on runs started in one pass, shared by all pools; a gang that begins below it, or below its pool's guaranteed part, starts whole. */
 	maxStarts: number;
 	/** Order of jobs; by default that of `compareRanks`. */
 	compare?: (left: JobRank, right: JobRank) => number;
@@ -153,9 +153,8 @@
 				: undefined;
 		};
 
-		const take = (worker: CandidateWorker): void => {
-			quota.reserve(job.order.workspace, step.resources, 1);
-			onLife?.set(worker.life, (onLife.get(worker.life) ?? 0) + 1);
+		const countOnLife = (worker: CandidateWorker, change: 1 | -1): void => {
+			onLife?.set(worker.life, (onLife.get(worker.life) ?? 0) + change);
 		};
 
 		for (const unit of idle) {
@@ -175,7 +174,8 @@
 			}
 
 			reserveResources(step, worker);
-			take(worker);
+			quota.reserve(job.order.workspace, step.resources, 1);
+			countOnLife(worker, 1);
 			placements.push({unit, worker});
 		}
 
@@ -198,22 +198,22 @@
 		const release = (workers: readonly CandidateWorker[]): void => {
 			for (const worker of workers) {
 				reserveResources(step, worker, -1);
-				quota.reserve(job.order.workspace, step.resources, -1);
-				onLife?.set(worker.life, onLife.get(worker.life)! - 1);
+				countOnLife(worker, -1);
 			}
 		};
 
-		/** Reserves workers for the work units that found no room, all of a gang or none. */
+		/** Reserves workers for the work units that found no room, all of a gang or none. What waits takes nothing of its workspace's limit, which other pools share. */
 		const reserveRest = (units: readonly WorkUnit[]): void => {
 			const {reservations} = pool;
 			const most = reservations.limitFor(job, step);
 			const before = reservations.lives();
+			const withinLimit = quota.maxWithinLimit(job.order.workspace, step.resources, units.length);
 			const reserved: CandidateWorker[] = [];
 			for (const unit of most === 0 ? [] : units) {
 				const avoided = avoidable(input.avoided(unit.name), pool.workers);
-				const worker = quota.maxWithinLimit(job.order.workspace, step.resources, 1) === 0 ? undefined : reservations.reserve(step, most, allowedFor(avoided));
+				const worker = reserved.length < withinLimit ? reservations.reserve(step, most, allowedFor(avoided)) : undefined;
 				if (worker) {
-					take(worker);
+					countOnLife(worker, 1);
 					reserved.push(worker);
 				} else if (step.gang || avoided === undefined) {
 					break;
@@ -230,6 +230,7 @@
 		const mayReserve = !isPlaced && !isAtLimit && !isFull;
 		if (step.gang && !isPlaced) {
 			release(placements.map(({worker}) => worker));
+			quota.reserve(job.order.workspace, step.resources, -placements.length);
 			if (mayReserve) {
 				reserveRest(idle);
 			}
--- a/packages/core/src/jobs/start-pauses.ts
+++ b/packages/core/src/jobs/start-pauses.ts
@@ -9,7 +9,7 @@
 const REJECTED_PAUSE_MS = 300;
 /** Pause after a start without an answer, or a lost connection, in milliseconds. */
 const SILENT_PAUSE_MS = 1500;
-/** Unanswered or unsent starts, without a run that was done since, from which answers to other calls no longer end the pause. */
+/** Unanswered or unsent starts in a row from which answers to other calls no longer end the pause. */
 const MAX_UNANSWERED = 3;
 
 /** Pauses of starts by life. */
@@ -17,46 +17,43 @@
 
 /** Creates the pauses, none at first. Times are in milliseconds on one monotonic clock. */
 export const createStartPauses = () => {
-	const pauses = new Map<string, {untilMs: number; endsWithAnswer: boolean}>();
+	const pausedUntilMs = new Map<string, number>();
+	/** Ends of the pauses that the worker's next answer ends. */
+	const silentUntilMs = new Map<string, number>();
 	const unanswered = new Map<string, number>();
 
-	const begin = (life: string, untilMs: number, endsWithAnswer: boolean): void => {
-		const current = pauses.get(life);
-		if (current === undefined || untilMs >= current.untilMs) {
-			pauses.set(life, {untilMs, endsWithAnswer});
-		}
+	const pause = (ends: Map<string, number>, life: string, untilMs: number): void => {
+		ends.set(life, Math.max(untilMs, ends.get(life) ?? -Infinity));
 	};
 
 	return {
 		/** Records that a worker rejected a start. */
 		rejected(life: string, nowMs: number): void {
-			begin(life, nowMs + REJECTED_PAUSE_MS, false);
+			pause(pausedUntilMs, life, nowMs + REJECTED_PAUSE_MS);
 		},
 
 		/** Records that a start got no answer, or could not be sent because its connection got none. */
 		unanswered(life: string, nowMs: number): void {
 			const count = (unanswered.get(life) ?? 0) + 1;
 			unanswered.set(life, count);
-			begin(life, nowMs + SILENT_PAUSE_MS, count < MAX_UNANSWERED);
+			pause(count < MAX_UNANSWERED ? silentUntilMs : pausedUntilMs, life, nowMs + SILENT_PAUSE_MS);
 		},
 
 		/** Records that a worker could not be reached. */
 		unreachable(life: string, nowMs: number): void {
-			begin(life, nowMs + SILENT_PAUSE_MS, false);
+			pause(pausedUntilMs, life, nowMs + SILENT_PAUSE_MS);
 		},
 
 		/** Records that a worker has just answered another call, so that one lost answer does not count as silence. */
 		answered(life: string): void {
-			if (pauses.get(life)?.endsWithAnswer) {
-				pauses.delete(life);
-			}
+			silentUntilMs.delete(life);
 		},
 
-		/** Records that a run was done, so that the worker carries out starts. */
-		done(life: string): void {
+		/** Records that a worker accepted a start. */
+		accepted(life: string): void {
 			unanswered.delete(life);
 		},
 
-		isPaused: (life: string, nowMs: number): boolean => nowMs < (pauses.get(life)?.untilMs ?? -Infinity),
+		isPaused: (life: string, nowMs: number): boolean => nowMs < Math.max(pausedUntilMs.get(life) ?? -Infinity, silentUntilMs.get(life) ?? -Infinity),
 	};
 };
--- a/packages/daemon/src/jobs/run-monitor.ts
+++ b/packages/daemon/src/jobs/run-monitor.ts
@@ -80,6 +80,8 @@
 
 		/** Records that a worker answered a poll. */
 		answered: pauses.answered,
+		/** Records that a worker accepted a start. */
+		accepted: pauses.accepted,
 
 		/** Learns from runs whose ends have been committed. */
 		ended(life: string, over: readonly EndedRun[], track: WorkerTrack | undefined): void {
@@ -103,7 +105,6 @@
 				});
 				const {estimateMs, lasting} = job.order.steps[step]!;
 				if (how === RunEnds.done) {
-					pauses.done(life);
 					health.done(life, tookMs / Math.max(1, estimates.expectedMs(job.order.queue, estimateMs)));
 					if (found.unit.checkpoint === '') {
 						estimates.recordRun(job.order.queue, estimateMs, tookMs);
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -177,6 +177,7 @@
 			metrics,
 			recordEnds,
 			onPolled,
+			onStartAccepted: monitor.accepted,
 			onStartFailed(start, reason) {
 				monitor.startFailed(start, reason);
 			},
--- a/packages/daemon/src/jobs/worker-session-options.ts
+++ b/packages/daemon/src/jobs/worker-session-options.ts
@@ -28,6 +28,8 @@
 	recordEnds(life: string, over: EndedRun[], proof: EndProof): Promise<boolean>;
 	/** Called after each poll of the lists. */
 	onPolled(track: WorkerTrack): void;
+	/** Called when the worker accepted a start. */
+	onStartAccepted(life: string): void;
 	/** Called when a start had no effect or got no answer. */
 	onStartFailed(start: RunStart, reason: string): void;
 	/** Called when a poll could not be sent to the worker. */
--- a/tests/core/jobs/reservations.spec.ts
+++ b/tests/core/jobs/reservations.spec.ts
@@ -4,7 +4,7 @@
 	createRunEstimates, planStarts, type JobOrder, type JobStep, type JobStore, type SchedulableWorker, type SchedulingInput,
 } from '@bronzebend/core';
 import {
-	lifeNamed, manifestOf, orderOf, stepOf, storeWith,
+	lifeNamed, manifestOf, orderOf, queueOf, stepOf, storeWith,
 } from '../../fixtures/job-fixtures.js';
 
 /** Four workers with 4 cores each. */
@@ -88,4 +88,21 @@
 		assert.equal(none.reserved.size, 0);
 		assert.equal(none.starts.length, 8);
 	});
+
+	it('should take nothing of the limit of a workspace whose work in another pool has room', () => {
+		const manifest = manifestOf({
+			queues: [queueOf(), queueOf({name: 'other', pool: 'other', pathPrefix: '/other/'})],
+			pools: ['bench', 'other'].map(name => ({name, guardsCapacity: true, standby: false})),
+		});
+		manifest.workspaces[0]!.cap = {cpu: 14_000, memoryMb: 0, gpu: 0};
+		const store = busyStore([
+			orderOf('b', [stepOf({count: 2, lasting: true, resources: coresOf(3000)})]), orderOf('c', [stepOf({resources: coresOf(1000)})], {queue: 'other'}),
+		], {}, manifest);
+		const other: SchedulableWorker = {
+			...workers[0]!, life: 'other@1', id: 'other', pool: 'other',
+		};
+		const pass = planned(store, {workers: [...workers, other]});
+		assert.deepEqual(pass.starts.map(({life}) => life), ['other@1']);
+		assert.equal(pass.reserved.get('bench'), 2);
+	});
 });
--- a/tests/core/jobs/scheduling-work.spec.ts
+++ b/tests/core/jobs/scheduling-work.spec.ts
@@ -72,8 +72,8 @@
 	});
 
 	it('should stay bounded while many wide steps look for a reservation', () => {
-		const workers = workersOf(150, {cpu: 2000, memoryMb: 4000, gpu: 0});
-		const store = storeWith([orderOf('a', [stepOf({count: 150, resources: {cpu: 1000, memoryMb: 10, gpu: 0}})])]);
+		const workers = workersOf(350, {cpu: 2000, memoryMb: 4000, gpu: 0});
+		const store = storeWith([orderOf('a', [stepOf({count: 350, resources: {cpu: 1000, memoryMb: 10, gpu: 0}})])]);
 		store.apply({type: 'runs-start', lives: workers.map(worker => lifeNamed(worker.id)), runs: workers.map(({life}, index) => ({unit: `${'a'.padEnd(16, '0')}.0.0.${index}`, attempt: 1, life}))});
 		for (let number = 0; number < 500; number += 1) {
 			store.apply({type: 'submit', atMs: 0, order: orderOf(`${number.toString(16)}x`, [stepOf({count: 3, resources: {cpu: 1100 + number, memoryMb: 10, gpu: 0}})])});
--- a/tests/core/jobs/start-pauses.spec.ts
+++ b/tests/core/jobs/start-pauses.spec.ts
@@ -27,7 +27,7 @@
 
 		pauses.answered('w1');
 		assert.equal(pauses.isPaused('w1', 1400), true);
-		pauses.done('w1');
+		pauses.accepted('w1');
 		pauses.unanswered('w1', 2000);
 		pauses.answered('w1');
 		assert.equal(pauses.isPaused('w1', 2100), false);
@@ -43,6 +43,14 @@
 		assert.deepEqual([pauses.isPaused('w2', 1400), pauses.isPaused('w2', 1600)], [true, false]);
 	});
 
+	it('should keep the pause after a rejected start when the worker answers another call', () => {
+		const pauses = createStartPauses();
+		pauses.unanswered('w1', 0);
+		pauses.rejected('w1', 100);
+		pauses.answered('w1');
+		assert.deepEqual([pauses.isPaused('w1', 300), pauses.isPaused('w1', 500)], [true, false]);
+	});
+
 	it('should not become shorter with another failure', () => {
 		const pauses = createStartPauses();
 		pauses.unreachable('w1', 0);
--- a/tests/core/jobs/wide-work.spec.ts
+++ b/tests/core/jobs/wide-work.spec.ts
@@ -51,4 +51,8 @@
 	it('should not wait for a worker whose runs take ten times as long as estimated while others make room', () => {
 		assertStarted({load: 0.9, wide: {...serving, count: 10}, overrunShare: 0.02});
 	});
+
+	it('should start all of a lasting step that needs most of the pool while some runs take ten times as long as estimated (seed 9)', () => {
+		assertStarted({load: 0.9, wide: serving, overrunShare: 0.02}, [9]);
+	});
 });
--- a/tests/daemon/jobs/restarted-worker-lease.spec.ts
+++ b/tests/daemon/jobs/restarted-worker-lease.spec.ts
@@ -61,6 +61,7 @@
 			life, store, port, clock, fence: 2, leaseMs: LEASE_MS, maxLeaseMs: MAX_LEASE_MS, maxStopMs: 200, inherited: false, hasEarlierLife: true, announcedClock: {clockMs: 0, receivedMs: nowMs}, log: silentLogs('test'), metrics: createJobMetrics(),
 			recordEnds: async () => true,
 			onPolled: () => undefined,
+			onStartAccepted: () => undefined,
 			onStartFailed: () => undefined,
 			onUnreachable: () => undefined,
 			onLifeOver: () => undefined,
--- a/tests/daemon/jobs/worker-session.spec.ts
+++ b/tests/daemon/jobs/worker-session.spec.ts
@@ -93,6 +93,7 @@
 			return true;
 		},
 		onPolled: () => undefined,
+		onStartAccepted: () => undefined,
 		onStartFailed(_start, reason) {
 			calls.failed.push(reason);
 		},
