--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -39,7 +39,6 @@
 export * from './jobs/worker-calls.js';
 export * from './jobs/end-proof.js';
 export * from './jobs/worker-track.js';
-export * from './jobs/worker-yields.js';
 export * from './limits/grant-planner.js';
 export * from './utils/canonical-json.js';
 export * from './utils/clock.js';
--- a/packages/core/src/jobs/fleet-balancer.ts
+++ b/packages/core/src/jobs/fleet-balancer.ts
@@ -2,13 +2,11 @@
 Decides which machines move between pools.
 
 Handles load that alternates between queues: a pool with more demand than workers gets machines from
-standby and from pools with a surplus, and surplus machines return to standby. While a pool lacks
-workers for work that can still be in time, those that the others use for late work yield to it.
-Only idle machines are moved, so a move never costs work or availability.
+standby and from pools with a surplus, and surplus machines return to standby. Only idle machines
+are moved, so a move never costs work or availability.
 */
 import type {JobPool, Resources} from './fleet-manifest.js';
 import type {MachineDemand} from './machine-demand.js';
-import {planYields, surplusesOf, type PoolPosition} from './worker-yields.js';
 
 /** Workers that a pool keeps after its latest busy period, as a share of the fleet. */
 const MIN_RESERVE_SHARE = 0.07;
@@ -45,23 +43,20 @@
 /** A move of one machine between pools. */
 export type MachineMove = {machine: string; from: string; to: string};
 
-/** Number of workers needed for a demand, or for the given part of its running and waiting work. */
-export const workersFor = (demand: MachineDemand, capacity: Resources, wanted: Resources = demand.wanted): number => {
-	const cpu = Math.max(wanted.cpu, demand.lasting.cpu + demand.arrivingCpu);
-	const memoryMb = Math.max(wanted.memoryMb, demand.lasting.memoryMb + demand.arrivingMemoryMb);
+/** Number of workers needed for a demand. */
+export const workersFor = (demand: MachineDemand, capacity: Resources): number => {
+	const cpu = Math.max(demand.wanted.cpu, demand.lasting.cpu + demand.arrivingCpu);
+	const memoryMb = Math.max(demand.wanted.memoryMb, demand.lasting.memoryMb + demand.arrivingMemoryMb);
 	const machines = Math.max(cpu / Math.max(1, capacity.cpu), memoryMb / Math.max(1, capacity.memoryMb));
 	return Math.max(demand.spread, Math.ceil(machines * HEADROOM_FACTOR));
 };
 
-const withLate = ({inTime, late}: MachineDemand): Resources => ({cpu: inTime.cpu + late.cpu, memoryMb: inTime.memoryMb + late.memoryMb, gpu: inTime.gpu + late.gpu});
-
 /** Creates the balancer. It tracks moves in progress and how long each pool has had a surplus of workers. */
 export const createFleetBalancer = () => {
 	const pendingMoves = new Map<string, {to: string; atMs: number}>();
 	const surplusSince = new Map<string, number>();
 	const excluded = new Set<string>();
 	const lastBusyMs = new Map<string, number>();
-	let yields: ReadonlyMap<string, number> = new Map();
 
 	/** Drops completed and expired moves: a move to standby completes when the list of machines shows it, any other with the first report of the machine's worker. */
 	const dropEndedMoves = ({machines, pools, poolOfMachine, nowMs}: BalanceInput): void => {
@@ -100,13 +95,9 @@
 			excluded.add(`${kind} ${pool}`);
 		},
 
-		/** Number of workers of each pool that should take no new work, as of the latest step. */
-		yields: (): ReadonlyMap<string, number> => yields,
-
 		/** Decides the next moves. */
 		step(input: BalanceInput): MachineMove[] {
 			dropEndedMoves(input);
-			yields = new Map();
 			const standby = new Set(input.pools.filter(pool => pool.standby).map(pool => pool.name));
 			const typicalCapacity = input.machines[0]?.capacity;
 			if (standby.size === 0 || !typicalCapacity) {
@@ -115,8 +106,7 @@
 
 			const activePools = input.pools.filter(pool => !pool.standby).map(pool => pool.name);
 			const balances = activePools.map(name => {
-				const demand = input.demands.get(name)!;
-				const demanded = workersFor(demand, typicalCapacity);
+				const demanded = workersFor(input.demands.get(name)!, typicalCapacity);
 				if (demanded > input.fleetSize * LONGEST_IDLE_RESERVE_SHARE) {
 					lastBusyMs.set(name, input.nowMs);
 				}
@@ -130,56 +120,37 @@
 					surplusSince.set(name, surplusSince.get(name) ?? input.nowMs);
 				}
 
-				const position: PoolPosition = {
-					pool: name,
-					available,
-					needed: workersFor(demand, typicalCapacity, demand.inTime),
-					kept: Math.max(workersFor(demand, typicalCapacity, withLate(demand)), reserve),
-				};
-				return {
-					name, shortage: Math.max(need, position.needed) - available, demanded: demanded - available, urgent: Math.max(0, position.needed - available), position,
-				};
+				return {name, shortage: need - available, urgent: demanded - available};
 			});
-			const positions = balances.map(({position}) => position);
 			const free = input.machines.filter(machine => machine.isIdle && !pendingMoves.has(machine.name));
 			const surplus = new Map(balances.map(({name, shortage}) => [name, Math.max(0, -shortage)]));
 			const standbyMachines = free.filter(machine => standby.has(machine.pool));
-			/** What pools give only to others with an urgent shortage. */
-			const yielded = surplusesOf(positions);
-			yields = planYields(positions, standbyMachines.length);
 			const moves: MachineMove[] = [];
 
-			/** Picks a machine for a pool: first from standby, then from the pool with the largest surplus, then, if the shortage is urgent, from the pool that can yield most. */
-			const pickMachine = (to: string, isUrgent: boolean): MovableMachine | undefined => {
+			/** Picks a machine for a pool: first from standby, then from the pool with the largest surplus. */
+			const pickMachine = (to: string): MovableMachine | undefined => {
 				const fitting = (machine: MovableMachine): boolean => machine.pool !== to && !excluded.has(`${machine.kind} ${to}`) && moves.every(move => move.machine !== machine.name);
 				const standbyMachine = standbyMachines.find(machine => fitting(machine));
 				if (standbyMachine) {
 					return standbyMachine;
 				}
 
-				for (const amounts of isUrgent ? [surplus, yielded] : [surplus]) {
-					const donors = free.filter(machine => (amounts.get(machine.pool) ?? 0) > 0 && fitting(machine));
-					donors.sort((left, right) => amounts.get(right.pool)! - amounts.get(left.pool)!);
-					if (donors[0]) {
-						return donors[0];
-					}
-				}
-
-				return undefined;
+				const donors = free.filter(machine => (surplus.get(machine.pool) ?? 0) > 0 && fitting(machine));
+				donors.sort((left, right) => surplus.get(right.pool)! - surplus.get(left.pool)!);
+				return donors[0];
 			};
 
 			const shortPools = balances.filter(({shortage}) => shortage > 0);
 			// Demand of present work goes before reserves for future work.
-			shortPools.sort((left, right) => right.urgent - left.urgent || Math.max(0, right.demanded) - Math.max(0, left.demanded) || right.shortage - left.shortage);
-			for (const {name, shortage, urgent} of shortPools) {
+			shortPools.sort((left, right) => Math.max(0, right.urgent) - Math.max(0, left.urgent) || right.shortage - left.shortage);
+			for (const {name, shortage} of shortPools) {
 				for (let missing = shortage; missing > 0 && moves.length < input.maxMoves; missing -= 1) {
-					const machine = pickMachine(name, shortage - missing < urgent);
+					const machine = pickMachine(name);
 					if (!machine) {
 						break;
 					}
 
 					surplus.set(machine.pool, (surplus.get(machine.pool) ?? 0) - 1);
-					yielded.set(machine.pool, (yielded.get(machine.pool) ?? 0) - 1);
 					moves.push({machine: machine.name, from: machine.pool, to: name});
 				}
 			}
--- a/packages/core/src/jobs/machine-demand.ts
+++ b/packages/core/src/jobs/machine-demand.ts
@@ -1,12 +1,10 @@
 /** Measures the demand on each pool: running, waiting and arriving work. */
-import {NO_RESOURCES, type Resources} from './fleet-manifest.js';
+import {type Resources} from './fleet-manifest.js';
 import type {JobStore} from './job-store.js';
 import {
 	isOpen, isStepReady, type Job, type WorkUnit,
 } from './job.js';
-import {
-	remainingMs, type Tier, tierOf, Tiers,
-} from './job-ranking.js';
+import {remainingMs, tierOf, Tiers} from './job-ranking.js';
 import type {RunEstimates} from './run-estimates.js';
 import {createQuotaLedger, type QuotaLedger} from './quota-ledger.js';
 
@@ -16,17 +14,13 @@
 const RISE_DEVIATIONS = 2;
 /** Time past the middle of the window's second half to which a rise is extrapolated, in milliseconds: about when a machine moved now takes work. */
 const RISE_EXTRAPOLATION_MS = 1000;
-/** Weight of late jobs' work in the demand; finishing it sooner brings little benefit. */
+/** Weight of late jobs' waiting work in the demand; finishing it sooner brings little benefit. */
 const LATE_WEIGHT = 0.25;
 
 /** Demand on one pool. */
 export type MachineDemand = {
 	/** Resources of the running work, and of the waiting work that could run now if there were room. */
 	wanted: Resources;
-	/** Part of `wanted` that belongs to lasting steps and to jobs that can still be in time. */
-	inTime: Resources;
-	/** Resources of the running and waiting work of late jobs that still benefit from finishing sooner, multiplied by its weight. */
-	late: Resources;
 	/** Part of `wanted` that belongs to lasting steps. */
 	lasting: Resources;
 	/** Cores needed to keep up with arriving work, in thousandths. */
@@ -76,18 +70,11 @@
 };
 
 const emptyDemand = (): MachineDemand => ({
-	wanted: {...NO_RESOURCES}, inTime: {...NO_RESOURCES}, late: {...NO_RESOURCES}, lasting: {...NO_RESOURCES}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0,
+	wanted: {cpu: 0, memoryMb: 0, gpu: 0}, lasting: {cpu: 0, memoryMb: 0, gpu: 0}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0,
 });
 
-const addUnits = (target: Resources, amount: Resources, units: number): void => {
-	target.cpu += amount.cpu * units;
-	target.memoryMb += amount.memoryMb * units;
-	target.gpu += amount.gpu * units;
-};
-
-/** Adds a job to its pool's demand: its running work, and the waiting work that can start within its workspace's limit, weighted by its urgency. */
-const addJobDemand = (demand: MachineDemand, job: Job, tier: Tier, quota: QuotaLedger, {store, wallMs}: {store: JobStore; wallMs: number}): void => {
-	const weight = tier > Tiers.inTime ? LATE_WEIGHT : 1;
+/** Adds a job to its pool's demand: its running work, and the waiting work that can start within its workspace's limit, multiplied by a weight. */
+const addJobDemand = (demand: MachineDemand, job: Job, weight: number, quota: QuotaLedger, {store, wallMs}: {store: JobStore; wallMs: number}): void => {
 	for (const occurrence of job.occurrences.filter(each => each.dueMs <= wallMs)) {
 		for (const [number, step] of job.order.steps.entries()) {
 			if (!isStepReady(job, occurrence, number)) {
@@ -97,17 +84,12 @@
 			const countOf = (state: WorkUnit['state']): number => occurrence.steps[number]!.filter(unit => unit.state === state).length;
 			const startable = quota.maxWithinLimit(job.order.workspace, step.resources, countOf('idle'));
 			quota.reserve(job.order.workspace, step.resources, startable);
-			const running = countOf('running');
+			const units = countOf('running') + (startable * weight);
 			const amount = store.reserved(job, number);
-			addUnits(demand.wanted, amount, running + (startable * weight));
-			if (tier <= Tiers.inTime) {
-				addUnits(demand.inTime, amount, running + startable);
-			} else if (tier === Tiers.late) {
-				addUnits(demand.late, amount, (running + startable) * LATE_WEIGHT);
-			}
-
-			if (step.lasting) {
-				addUnits(demand.lasting, amount, running + (startable * weight));
+			for (const target of step.lasting ? [demand.wanted, demand.lasting] : [demand.wanted]) {
+				target.cpu += amount.cpu * units;
+				target.memoryMb += amount.memoryMb * units;
+				target.gpu += amount.gpu * units;
 			}
 
 			if (step.lasting && step.perWorker !== undefined) {
@@ -125,7 +107,8 @@
 	for (const job of store.openJobs()) {
 		const demand = demands.get((manifest?.queue(job.order.queue) ?? job.queue).pool);
 		if (demand && isOpen(job)) {
-			addJobDemand(demand, job, tierOf(job, wallMs, remainingMs(job, estimates)), quota, {store, wallMs});
+			const isLate = tierOf(job, wallMs, remainingMs(job, estimates)) > Tiers.inTime;
+			addJobDemand(demand, job, isLate ? LATE_WEIGHT : 1, quota, {store, wallMs});
 		}
 	}
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -26,5 +26,4 @@
 export * from './jobs/usable-workers.js';
 export * from './jobs/worker-session.js';
 export type * from './jobs/worker-session-options.js';
-export * from './jobs/yielding-workers.js';
 export * from './utils/bounded-log.js';
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -7,7 +7,6 @@
 import type {Log} from '../utils/log.js';
 import {createForeignOrders, SEND_TIMEOUT_MS} from './foreign-orders.js';
 import type {MachineHolder, MachinePort, MachineResult} from './ports.js';
-import {createYieldingWorkers} from './yielding-workers.js';
 
 /** Interval of the control steps, in milliseconds. */
 const STEP_INTERVAL_MS = 200;
@@ -65,7 +64,6 @@
 	const ordered = new Set<string>();
 	const startedMs = clock.monotonicMs();
 	const foreignOrders = createForeignOrders(options);
-	const yielding = createYieldingWorkers(options);
 	/** Waves whose completion is being committed. */
 	const completing = new Set<number>();
 	let machines = new Map<string, Machine>();
@@ -262,7 +260,7 @@
 	const stepBalance = async (): Promise<void> => {
 		const pools = store.manifest()?.manifest.pools ?? [];
 		const lives = options.usable();
-		const usable = directory.list().filter(entry => !entry.left && (lives.has(entry.life) || yielding.has(entry.life)));
+		const usable = directory.list().filter(entry => !entry.left && lives.has(entry.life));
 		const moves = balancer.step({
 			pools,
 			demands: measureDemand(store, options.arrivals, options.estimates, {wallMs: clock.wallMs(), nowMs: clock.monotonicMs()}),
@@ -273,7 +271,6 @@
 			maxMoves: Math.max(1, Math.floor(options.ordersPerS * MOVES_SHARE * STEP_INTERVAL_MS / 1000)),
 			nowMs: clock.monotonicMs(),
 		});
-		yielding.choose(balancer.yields());
 		await Promise.all(moves.map(async chosen => move(chosen)));
 	};
 
@@ -306,12 +303,8 @@
 	}, STEP_INTERVAL_MS);
 
 	return {
-		/** Returns true if a life may take new work: its machine is not about to go down, to move or to be given to another pool, and no order is known that may have ended it. */
+		/** Returns true if a life may take new work: its machine is not about to go down or to move, and no order is known that may have ended it. */
 		mayTakeWork(entry: WorkerEntry): boolean {
-			if (yielding.has(entry.life)) {
-				return false;
-			}
-
 			const machine = entry.machine ?? machineByWorker.get(entry.id);
 			return machine === undefined || !(pendingOrders.has(machine) || planner.emptying().has(machine) || mayHaveEnded(entry, {
 				listed: machines.get(machine),
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -10,7 +10,7 @@
 
 const capacity = {cpu: 4000, memoryMb: 4000, gpu: 0};
 const demandOf = (changes: Partial<MachineDemand> = {}): MachineDemand => ({
-	wanted: {cpu: 0, memoryMb: 0, gpu: 0}, inTime: {cpu: 0, memoryMb: 0, gpu: 0}, late: {cpu: 0, memoryMb: 0, gpu: 0}, lasting: {cpu: 0, memoryMb: 0, gpu: 0}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0, ...changes,
+	wanted: {cpu: 0, memoryMb: 0, gpu: 0}, lasting: {cpu: 0, memoryMb: 0, gpu: 0}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0, ...changes,
 });
 const pools = [{name: 'bench', guardsCapacity: true, standby: false}, {name: 'desk', guardsCapacity: true, standby: false}, {name: 'spare', guardsCapacity: true, standby: true}];
 const machinesOf = (pool: string, count: number, isIdle = true): MovableMachine[] => Array.from({length: count}, (_, index) => ({
--- a/utils/experiment/load.ts
+++ b/utils/experiment/load.ts
@@ -74,22 +74,6 @@
 	},
 ];
 
-/** The queues of a fleet of 250 workers as its users state them. */
-const grownQueues: QueueLoad[] = [
-	{
-		name: 'intake-check', perSecond: 19.6, steps: 1.6, width: 8, runMs: 640, cpu: 6200, memoryMb: 8800, worth: 0.395,
-	},
-	{
-		name: 'pump-diag', perSecond: 4.14, steps: 2, width: 8, runMs: 1300, cpu: 13_000, memoryMb: 25_000, worth: 2.1,
-	},
-	{
-		name: 'courier-quote', perSecond: 24.5, steps: 1.6, width: 8, runMs: 640, cpu: 6200, memoryMb: 8800, worth: 0.395,
-	},
-	{
-		name: 'steam-diag', perSecond: 5.07, steps: 2, width: 8, runMs: 1300, cpu: 13_000, memoryMb: 25_000, worth: 2.1,
-	},
-];
-
 const commonFields = {
 	lengthMs: 36_000, turnMs: 9000, rampMs: 3000, highFactor: 3.8, lowFactor: 0.07, lasting: 1, prices: {machineSecond: 0.000_19, move: 0.000_22}, poisonShare: 0, crashedMachines: 0, workspaces: 6,
 };
@@ -104,8 +88,7 @@
 	},
 };
 
-const withRate = (load: Load, factor: number): Load => ({...load, queues: load.queues.map(queue => ({...queue, perSecond: queue.perSecond * factor}))});
-const withDoubledRate = (load: Load): Load => ({...withRate(load, 2), name: `${load.name}-twice`});
+const withDoubledRate = (load: Load): Load => ({...load, name: `${load.name}-twice`, queues: load.queues.map(queue => ({...queue, perSecond: queue.perSecond * 2}))});
 
 /** The load of a fleet that has grown by a factor, with as many machines and jobs a second more. */
 const scaled = (load: Load, workers: number): Load => {
@@ -121,16 +104,6 @@
 	};
 };
 
-const grown: Load = {
-	...commonFields, name: 'grown', lengthMs: 18_000, turnMs: 4500, rampMs: 1500, prices: {machineSecond: 0.000_03, move: 0.000_035}, queues: grownQueues, workspaces: 20, machines: {
-		inPool: 52, spare: 40, cpu: 64_000, memoryMb: 131_072,
-	},
-};
-/** Demand of each turn alone exceeds the fleet, and turns overlap. */
-const outgrown: Load = {
-	...withRate(schaumwerk, 3.2), name: 'schaumwerk-outgrown', lengthMs: 18_000, turnMs: 4500, rampMs: 1500,
-};
-
 /** All loads by name. */
 export const loads: Load[] = [
 	schaumwerk,
@@ -141,9 +114,6 @@
 	{...schaumwerk, name: 'schaumwerk-crashes', crashedMachines: 6},
 	scaled(schaumwerk, 250),
 	scaled(schaumwerk, 400),
-	grown,
-	{...withRate(grown, 2.5), name: 'grown-heavy'},
-	outgrown,
 ];
 
 /** Number of work units of a lasting job. */
--- a/utils/experiment/model.ts
+++ b/utils/experiment/model.ts
@@ -1,7 +1,7 @@
 /** Simulated fleet on a virtual clock that runs the work placed by the real scheduling code. */
 import {
-	chooseYielding, createArrivalMeter, createFleetBalancer, createJobStore, createRunEstimates, groupBy, isOpen, lifeOf, measureBacklogs, measureDemand, objectiveOf, planStarts, retryAfterMs, RunEnds,
-	type Job, type JobStore, type JobQueue, type JobRank, type MovableMachine, type WorkerLife, type YieldCandidate,
+	createArrivalMeter, createFleetBalancer, createJobStore, createRunEstimates, groupBy, isOpen, lifeOf, measureBacklogs, measureDemand, objectiveOf, planStarts, retryAfterMs, RunEnds,
+	type Job, type JobStore, type JobQueue, type JobRank, type MovableMachine, type WorkerLife,
 } from '@bronzebend/core';
 import type {Load, SimulatedJob} from './load.js';
 import {followDemand} from './oracle.js';
@@ -31,8 +31,6 @@
 	capacity: Capacity;
 	/** Whether jobs are rejected while the backlog of their queue is too large. */
 	refuses: boolean;
-	/** Whether all workers of a pool take new work while other pools are short. */
-	holds?: boolean;
 };
 
 /** Outcome of one job. */
@@ -80,8 +78,6 @@
 	let moves = 0;
 	let lostCoreSeconds = 0;
 	let nextJob = 0;
-	/** Lives that take no new work, as at the leader. */
-	let yielding: ReadonlySet<string> = new Set();
 
 	const initialPools = (): string[] => {
 		const pools = load.queues.map(queue => queue.name);
@@ -156,7 +152,7 @@
 
 	/** Starts what fits; returns the number of work units that found no room, by pool. */
 	const startRuns = (nowMs: number): ReadonlyMap<string, number> => {
-		const workers = machines.flatMap(({life}) => (life && !yielding.has(life.life) ? [{...life, slowness: 1}] : []));
+		const workers = machines.flatMap(({life}) => (life ? [{...life, slowness: 1}] : []));
 		const {starts, waiting} = planStarts({
 			store, manifest, workers, estimates, wallMs: nowMs, avoided: () => undefined, approved: () => undefined, maxStarts: 200, compare: strategy.compare,
 		});
@@ -207,10 +203,6 @@
 			maxMoves: MAX_MOVES_PER_STEP,
 			nowMs,
 		});
-		const candidates = up.flatMap(({life}) => life ?? []).map(({life, pool}): YieldCandidate => ({
-			life, pool, used: store.usageOfLife(life), runsLasting: [...store.runsOf(life).values()].some(({job, step}) => job.order.steps[step]!.lasting),
-		}));
-		yielding = strategy.holds ? new Set() : chooseYielding(candidates, balancer.yields());
 		for (const chosen of decided) {
 			const machine = machines.find(each => each.name === chosen.machine)!;
 			balancer.ordered(chosen, nowMs);
