--- a/packages/core/src/jobs/reservations.ts
+++ b/packages/core/src/jobs/reservations.ts
@@ -16,11 +16,11 @@
 } from './placement.js';
 import type {SchedulingInput} from './scheduler.js';
 
-/** Share of a pool's workers that may be reserved, by tier: lasting work must start soon however full the pool is, and other work must not idle much of it. */
+/** Share of a pool's workers that may be reserved, by tier: lasting work must start soon however full the pool is, and other work must not idle any of it. */
 const RESERVED_SHARES: Record<Tier, number> = {
 	[Tiers.lasting]: 1 / 2,
-	[Tiers.inTime]: 1 / 10,
-	[Tiers.late]: 1 / 10,
+	[Tiers.inTime]: 0,
+	[Tiers.late]: 0,
 	[Tiers.deferrable]: 0,
 };
 /** Workers of one pool that may be reserved at once; the search for each takes time from the pass. */
