--- a/tests/core/jobs/reservations.spec.ts
+++ b/tests/core/jobs/reservations.spec.ts
@@ -30,7 +30,9 @@
 	return store;
 };
 
-const wide = (changes: Partial<JobStep> = {}): JobOrder => orderOf('b', [stepOf({resources: coresOf(3000), estimateMs: 500, lasting: true, ...changes})]);
+const wide = (changes: Partial<JobStep> = {}): JobOrder => orderOf('b', [stepOf({
+	resources: coresOf(3000), estimateMs: 500, lasting: true, ...changes,
+})]);
 const narrow = (count: number): JobOrder => orderOf('c', [stepOf({count, resources: coresOf(1000), estimateMs: 1000})]);
 
 describe('a reservation for work that finds no room', () => {
