Log which rules keep a waiting work unit from each worker

Callers saw a lasting work unit that was never started again.

`combined-rules` is the reason where several rules together leave no worker with room, and `ruledOut` counts the workers that each rule leaves out. The test of the line failed before, as both were missing.

--- a/packages/core/src/jobs/long-waits.ts
+++ b/packages/core/src/jobs/long-waits.ts
@@ -4,7 +4,7 @@
 import {isOpen, isStepReady, type Job} from './job.js';
 import type {SchedulableWorker} from './scheduler.js';
 import {
-	reasonOfWait, withFree, type WaitContext, type WaitingStep, type WaitReason,
+	countRuledOut, reasonOfWait, withFree, type RuledOut, type WaitContext, type WaitingStep, type WaitReason,
 } from './wait-reason.js';
 
 /** Time for which a job with a ready work unit may have nothing running, in milliseconds. */
@@ -32,6 +32,8 @@
 	/** Numbers of work units by reason, among the steps that wait longest. */
 	reasons: Map<WaitReason, number>;
 	usableWorkers: number;
+	/** Numbers of usable workers that each rule keeps from taking the work unit that waits longest. */
+	ruledOut: RuledOut;
 };
 
 /** Input of the search. */
@@ -82,6 +84,7 @@
 		reason: [...reasons.keys()][0]!,
 		reasons,
 		usableWorkers: usable.length,
+		ruledOut: countRuledOut(first, usable, input),
 	};
 };
 
--- a/packages/core/src/jobs/wait-reason.ts
+++ b/packages/core/src/jobs/wait-reason.ts
@@ -1,5 +1,6 @@
 /** Finds which rule keeps a ready step from starting its idle work units. */
 import type {Resources} from './fleet-manifest.js';
+import {groupBy} from '../utils/group-by.js';
 import {countRoom} from './gang-room.js';
 import type {Job, JobStep, WorkUnit} from './job.js';
 import type {JobStore} from './job-store.js';
@@ -30,6 +31,8 @@
 	| 'only-avoided'
 	/** Each worker with room runs as many of the step's work units as it may. */
 	| 'per-worker-limit'
+	/** Each worker with room is ruled out by one of several rules, and no rule rules out all of them. */
+	| 'combined-rules'
 	/** The latest pass reached its limit of starts before it. */
 	| 'pass-limit'
 	/** None of these; one of the next scheduling passes should place it. */
@@ -54,25 +57,57 @@
 	return {...worker, free: {cpu: capacity.cpu - used.cpu, memoryMb: capacity.memoryMb - used.memoryMb, gpu: capacity.gpu - used.gpu}};
 });
 
-/** The reason among those that depend on which workers have room. */
-const reasonWithRoom = ({job, occurrence, number, step, units, unit}: WaitingStep, roomy: readonly FreeWorker[], pool: readonly FreeWorker[], context: WaitContext): WaitReason => {
+/** Numbers of a pool's workers that each rule keeps from taking a work unit; one worker may count for several rules. */
+export type RuledOut = Record<'label' | 'room' | 'policy' | 'avoided' | 'per-worker', number>;
+
+type Rules = Record<keyof RuledOut, (worker: FreeWorker) => boolean>;
+
+/** The rules that keep workers from taking a work unit; each is true for a worker that it rules out. */
+const rulesFor = ({job, occurrence, number, step, units, unit}: WaitingStep, pool: readonly FreeWorker[], context: WaitContext): Rules => {
 	const approved = context.approved(job, occurrence, number);
-	const allowed = roomy.filter(({life}) => approved?.has(life) !== false);
-	if (allowed.length === 0) {
+	const avoided = context.avoided(unit.name);
+	const isAvoiding = avoided !== undefined && pool.some(({life}) => !avoided.has(life));
+	const {perWorker = Infinity} = step;
+	const unitsByLife = groupBy(units.filter(each => each.state === 'running'), each => each.worker);
+	return {
+		label: worker => step.label !== undefined && !worker.labels.includes(step.label),
+		room: worker => !holds(step, worker.free),
+		policy: ({life}) => approved?.has(life) === false,
+		avoided: ({life}) => isAvoiding && avoided.has(life),
+		'per-worker': ({life}) => (unitsByLife.get(life)?.length ?? 0) >= perWorker,
+	};
+};
+
+/** Counts the pool's workers that each rule rules out for a work unit. */
+export const countRuledOut = (waiting: WaitingStep, pool: readonly FreeWorker[], context: WaitContext): RuledOut => {
+	const rules = rulesFor(waiting, pool, context);
+	const count = (rule: keyof RuledOut): number => pool.filter(worker => rules[rule](worker)).length;
+	return {
+		label: count('label'), room: count('room'), policy: count('policy'), avoided: count('avoided'), 'per-worker': count('per-worker'),
+	};
+};
+
+/** The reason among those that depend on which workers have room. */
+const reasonWithRoom = (waiting: WaitingStep, roomy: readonly FreeWorker[], pool: readonly FreeWorker[], context: WaitContext): WaitReason => {
+	const rules = rulesFor(waiting, pool, context);
+	if (roomy.every(worker => rules.policy(worker))) {
 		return 'not-approved';
 	}
 
-	const avoided = context.avoided(unit.name);
-	const isAvoiding = avoided !== undefined && pool.some(({life}) => !avoided.has(life));
-	const acceptable = isAvoiding ? allowed.filter(({life}) => !avoided.has(life)) : allowed;
-	if (acceptable.length === 0) {
+	if (roomy.every(worker => rules.avoided(worker))) {
 		return 'only-avoided';
 	}
 
-	if (step.perWorker !== undefined && acceptable.every(({life}) => units.filter(each => each.state === 'running' && each.worker === life).length >= step.perWorker!)) {
+	if (roomy.every(worker => rules['per-worker'](worker))) {
 		return 'per-worker-limit';
 	}
 
+	const acceptable = roomy.filter(worker => !rules.policy(worker) && !rules.avoided(worker) && !rules['per-worker'](worker));
+	if (acceptable.length === 0) {
+		return 'combined-rules';
+	}
+
+	const {step, units} = waiting;
 	if (step.gang && countRoom(step, acceptable.map(({free}) => free)) < units.length) {
 		return 'gang-no-room';
 	}
--- a/packages/daemon/src/jobs/leader-reports.ts
+++ b/packages/daemon/src/jobs/leader-reports.ts
@@ -74,7 +74,11 @@
 		metrics.longWaits.set(waits.reduce((sum, wait) => sum + wait.jobs, 0));
 		for (const wait of waits) {
 			log.warn('Work units have been ready for long and do not run.', {
-				...wait, waitedMs: Math.round(wait.waitedMs), reasons: [...wait.reasons].map(([reason, units]) => `${reason}:${units}`).join(' '), outOfUse: options.workers.outOfUse(wait.pool),
+				...wait,
+				waitedMs: Math.round(wait.waitedMs),
+				reasons: [...wait.reasons].map(([reason, units]) => `${reason}:${units}`).join(' '),
+				ruledOut: Object.entries(wait.ruledOut).map(([rule, workers]) => `${rule}:${workers}`).join(' '),
+				outOfUse: options.workers.outOfUse(wait.pool),
 			});
 		}
 	};
--- a/tests/core/jobs/long-waits.spec.ts
+++ b/tests/core/jobs/long-waits.spec.ts
@@ -72,6 +72,16 @@
 		assert.equal(waitsIn(store, [worker, other])[0]?.reason, 'not-placed');
 	});
 
+	it('should tell when several rules together leave no worker, and how many each rules out', () => {
+		const store = storeWith([orderOf('a', [stepOf({count: 2, perWorker: 1, lasting: true})])]);
+		start(store, unitOf('a'));
+		const [wait] = waitsIn(store, [worker, other], {avoided: () => new Set([other.life])});
+		assert.equal(wait?.reason, 'combined-rules');
+		assert.deepEqual(wait.ruledOut, {
+			label: 0, room: 0, policy: 0, avoided: 1, 'per-worker': 1,
+		});
+	});
+
 	it('should tell a gang that does not fit from one with members that still run', () => {
 		assert.equal(reasonFor(stepOf({count: 5, gang: true}), [worker]), 'gang-no-room');
 		assert.equal(reasonFor(stepOf({count: 4, gang: true}), [worker]), 'not-placed');
@@ -104,6 +114,9 @@
 		const [wait] = waitsIn(store, [worker, other], {idleTimes, wallMs: 8000});
 		assert.deepEqual(wait, {
 			pool: 'bench', jobs: 1, units: 1, lasting: 1, unit: unitOf('a', 2), waitedMs: 6000, reason: 'no-room', reasons: new Map([['no-room', 1]]), usableWorkers: 2,
+			ruledOut: {
+				label: 0, room: 2, policy: 0, avoided: 0, 'per-worker': 0,
+			},
 		});
 	});
 
