--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -23,6 +23,7 @@
 export * from './jobs/machine-controller.js';
 export * from './jobs/ports.js';
 export * from './jobs/process-load.js';
+export * from './jobs/run-monitor.js';
 export * from './jobs/usable-workers.js';
 export * from './jobs/worker-session.js';
 export type * from './jobs/worker-session-options.js';
--- /dev/null
+++ b/tests/daemon/jobs/failed-workers.spec.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+	createRandom, lifeOf, parseUnitName, type JobStep, type RunStart, type SchedulableWorker,
+} from '@bronzebend/core';
+import fc from 'fast-check';
+import {playFailingPool, type FailingPool, type RunFate} from '../../fixtures/failing-pool.js';
+import {orderOf, stepOf} from '../../fixtures/job-fixtures.js';
+
+const FOREVER: RunFate = {tookMs: Infinity, how: 'done'};
+const capacity = {cpu: 64_000, memoryMb: 131_072, gpu: 0};
+
+const workersOf = (count: number, labelOf = (_number: number): string[] => []): SchedulableWorker[] => Array.from({length: count}, (_, number) => ({
+	life: lifeOf(`w${number}`, 1), id: `w${number}`, pool: 'bench', capacity, labels: labelOf(number), slowness: 1,
+}));
+
+const audit = (changes: Partial<JobStep> = {}): JobStep => stepOf({
+	count: 26, perWorker: 1, lasting: true, resources: {cpu: 12_150, memoryMb: 17_232, gpu: 0}, ...changes,
+});
+
+/** Work unit 8 of the job fails after 0.9 s up to `most` times; all others last. */
+const failingUnit = (most: number) => {
+	let failures = 0;
+	return ({unit}: RunStart): RunFate => {
+		const mayFail = parseUnitName(unit)!.index === 8 && failures < most;
+		failures += mayFail ? 1 : 0;
+		return mayFail ? {tookMs: 900, how: 'failed'} : FOREVER;
+	};
+};
+
+const playOne = (step: JobStep, workers: SchedulableWorker[], changes: Partial<FailingPool> = {}) => playFailingPool({
+	orders: [{order: orderOf('b', [step], {workspace: undefined}), atMs: 0}], workers, fateOf: failingUnit(12), endMs: 60_000, ...changes,
+});
+
+describe('work that failed on some workers', () => {
+	for (const count of [27, 28, 30, 32]) {
+		it(`should start again when only workers on which it failed are free of its step, with ${count} workers`, () => {
+			assert.deepEqual(playOne(audit(), workersOf(count)).stuck, []);
+		});
+	}
+
+	it('should start again when only workers on which it failed are below the limit of two of its step', () => {
+		assert.deepEqual(playOne(audit({count: 14, perWorker: 2}), workersOf(9)).stuck, []);
+	});
+
+	it('should start again when the policy allows no other workers that are free of its step', () => {
+		const approved = new Set(workersOf(11).map(({life}) => life));
+		assert.deepEqual(playOne(audit({count: 9}), workersOf(30), {approved: () => approved}).stuck, []);
+	});
+
+	it('should start again when no other workers with its label are free of its step', () => {
+		assert.deepEqual(playOne(audit({count: 9, label: 'gauge'}), workersOf(30, number => (number < 11 ? ['gauge'] : []))).stuck, []);
+	});
+
+	it('should start again when only workers on which it failed have room', () => {
+		const {stuck} = playOne(audit({count: 9, resources: {cpu: 1000, memoryMb: 70_000, gpu: 0}, perWorker: undefined}), workersOf(20), {
+			orders: [
+				{order: orderOf('a', [audit({count: 9, resources: {cpu: 1000, memoryMb: 70_000, gpu: 0}})], {workspace: undefined}), atMs: 0},
+				{order: orderOf('b', [audit({count: 9, resources: {cpu: 1000, memoryMb: 70_000, gpu: 0}})], {workspace: undefined}), atMs: 100},
+			],
+		});
+		assert.deepEqual(stuck, []);
+	});
+
+	it('should not start more than once a second in the long run when it fails at once on every worker', () => {
+		const {starts} = playOne(audit({count: 2, perWorker: undefined}), workersOf(6), {fateOf: () => ({tookMs: 100, how: 'failed'})});
+		assert.ok(Math.max(...starts.values()) <= 60, `${Math.max(...starts.values())} starts in 60 s`);
+	});
+
+	it('should start within 3 s, or 6 s if it lasts, whatever else rules workers out, while half of the pool is free', () => {
+		fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), fc.constantFrom(0.1, 0.4), fc.integer({min: 6, max: 40}), (seed, failureShare, count) => {
+			const random = createRandom(seed);
+			const below = (bound: number): number => Math.floor(bound * random());
+			const allowed = new Map<string, ReadonlySet<string>>();
+			const workers = workersOf(count, number => (number % 3 === 0 ? ['gauge'] : []));
+			const drawStep = (): JobStep => {
+				const isLasting = random() < 0.4;
+				return stepOf({
+					lasting: isLasting,
+					gang: !isLasting && random() < 0.2,
+					count: isLasting ? 1 + below(count) : 1 + below(5),
+					estimateMs: 300 + below(1200),
+					resources: {cpu: 1000 + below(20_000), memoryMb: 1000 + below(30_000), gpu: 0},
+					...(random() < 0.6 && {perWorker: 1 + below(2)}),
+					...(random() < 0.2 && {label: 'gauge'}),
+				});
+			};
+
+			const orders = Array.from({length: 4 + below(8)}, (_, number) => ({order: orderOf(`${(number + 16).toString(16)}d`, [drawStep()], {workspace: undefined}), atMs: 100 * below(100)}));
+			for (const {order} of orders) {
+				allowed.set(order.id, new Set(workers.filter(() => random() < 0.7).map(({life}) => life)));
+			}
+
+			const fateOf = (_: RunStart, {lasting, estimateMs}: JobStep): RunFate => {
+				if (random() < 0.02) {
+					return {tookMs: 0, how: 'rejected'};
+				}
+
+				const isFailing = random() < failureShare;
+				return lasting
+					? (isFailing ? {tookMs: 100 * (5 + below(100)), how: 'failed'} : FOREVER)
+					: {tookMs: estimateMs * (isFailing ? random() : 1), how: isFailing ? 'failed' : 'done'};
+			};
+
+			const {stuck} = playFailingPool({
+				orders, workers, fateOf, endMs: 30_000, maxStarts: 30, ...(random() < 0.3 && {approved: job => allowed.get(job.order.id)}),
+			});
+			assert.deepEqual(stuck, []);
+		}), {seed: 45, numRuns: 150});
+	});
+});
