Bar a work unit from workers on which it failed for a time only

Cause: the leader remembered for good on which workers a lasting work unit failed, and used them again only if it had failed on all workers of the pool. The limit per worker rules out the workers that hold the rest of the step, so both rules together left none although neither does alone; so do a label, a policy or a lack of room. Class: an exclusion that does not expire, and is lifted only as if it were the only one. Now a worker is barred for 2 s after a failure there, or 0.25 to 2 s for lasting work, the longer the more short runs failed in a row, and then comes after all others, the earliest failure first.

Two tests stated that a work unit which failed on every worker starts again at once; they now state that it does so once it is no longer barred, and does not before. The reference pass of scheduling-work.spec.ts follows the same rule.

--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -5,6 +5,7 @@
 work units still find room and the other machines become idle and can move to pools with demand.
 Keeps work that fills spare capacity away from work that serves users.
 */
+import type {AvoidedLives} from './avoided-lives.js';
 import type {Resources} from './fleet-manifest.js';
 import type {JobStep} from './job.js';
 
@@ -67,6 +68,24 @@
 	return best;
 };
 
+/** Chooses the worker for a work unit that may have failed on some: the best of the others, or the one on which it failed first, unless these are barred. */
+export const chooseAvoiding = (step: JobStep, workers: readonly CandidateWorker[], avoided: AvoidedLives | undefined, allows: (worker: CandidateWorker) => boolean): CandidateWorker | undefined => {
+	if (!avoided) {
+		return chooseWorker(step, workers, allows);
+	}
+
+	const {lives, areBarred} = avoided;
+	const other = chooseWorker(step, workers, worker => !lives.has(worker.life) && allows(worker));
+	if (other !== undefined || areBarred) {
+		return other;
+	}
+
+	const order = [...lives];
+	const failedOn = workers.filter(({life}) => lives.has(life));
+	failedOn.sort((left, right) => order.indexOf(left.life) - order.indexOf(right.life));
+	return failedOn.find(worker => chooseWorker(step, [worker], allows));
+};
+
 /** Reserves a work unit's resources on a worker; a factor of -1 releases them. */
 export const reserveResources = (step: JobStep, worker: CandidateWorker, factor = 1): void => {
 	worker.free.cpu -= step.fillsSpare ? 0 : step.resources.cpu * factor;
--- a/packages/core/src/jobs/pool-workers.ts
+++ b/packages/core/src/jobs/pool-workers.ts
@@ -39,11 +39,6 @@
 /** Creates the state of every pool that has workers, by name. */
 export const poolsOf = (input: SchedulingInput): Map<string, PoolWorkers> => new Map([...workersByPool(input)].map(([name, workers]) => [name, createPoolWorkers(name, workers, input)]));
 
-/** Workers to avoid; undefined if the pool has no others, since a work unit that failed on all of them must still run. */
-export const avoidable = (avoided: ReadonlySet<string> | undefined, pool: readonly CandidateWorker[]): ReadonlySet<string> | undefined => (
-	avoided && pool.some(worker => !avoided.has(worker.life)) ? avoided : undefined
-);
-
 /** Workers of a pool that a step's policy may be asked about, those with room first. */
 export const advisable = (step: JobStep, {workers}: PoolWorkers): CandidateWorker[] => {
 	const labelled = workers.filter(worker => step.label === undefined || worker.labels.has(step.label));
--- a/packages/core/src/jobs/reservations.ts
+++ b/packages/core/src/jobs/reservations.ts
@@ -5,6 +5,7 @@
 lower ranks, so that no worker ever has enough of it. A work unit with a reservation counts as
 placed for the rest of the pass, hence the resources that it lacks stay free until it fits.
 */
+import type {AvoidedLives} from './avoided-lives.js';
 import type {Resources} from './fleet-manifest.js';
 import {countRoom} from './gang-room.js';
 import type {Job, JobStep} from './job.js';
@@ -160,17 +161,19 @@
 	return {
 		limitFor,
 
-		/** Reserves a worker for a work unit, among those allowed or among all; undefined if none can have room, or more than the limit would be reserved. */
-		reserve(step: JobStep, limit: number, allows: ((worker: CandidateWorker) => boolean) | undefined): CandidateWorker | undefined {
+		/** Reserves a worker for a work unit, among those allowed or among all, if possible not one that it avoids; undefined if none can have room, or more than the limit would be reserved. */
+		reserve(step: JobStep, limit: number, avoided: AvoidedLives | undefined, allows: ((worker: CandidateWorker) => boolean) | undefined): CandidateWorker | undefined {
 			if (reserved.size >= limit) {
 				return undefined;
 			}
 
-			const worker = findSoonest(step, allows ?? (() => true));
+			const isAllowed = allows ?? (() => true);
+			const other = avoided && findSoonest(step, worker => !avoided.lives.has(worker.life) && isAllowed(worker));
+			const worker = other ?? (avoided?.areBarred ? undefined : findSoonest(step, isAllowed));
 			if (worker) {
 				reserved.add(worker.life);
 				reserveResources(step, worker);
-			} else if (!allows && step.label === undefined && !step.gang) {
+			} else if (!avoided && !allows && step.label === undefined && !step.gang) {
 				hopeless.push(step);
 			}
 
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,4 +1,5 @@
 /** Decides which work units start on which workers, from the job store and the known state of the workers. */
+import type {AvoidedLives} from './avoided-lives.js';
 import {countRoom} from './gang-room.js';
 import type {ManifestIndex, Resources} from './fleet-manifest.js';
 import type {JobStore} from './job-store.js';
@@ -8,10 +9,10 @@
 } from './job.js';
 import {compareRanks, type JobRank, rankJob} from './job-ranking.js';
 import {
-	chooseWorker, fits, reserveResources, type CandidateWorker,
+	chooseAvoiding, fits, reserveResources, type CandidateWorker,
 } from './placement.js';
 import {
-	advisable, avoidable, createPoolWorkers, isRefused, type PoolWorkers, poolsOf, requiredResources,
+	advisable, createPoolWorkers, isRefused, type PoolWorkers, poolsOf, requiredResources,
 } from './pool-workers.js';
 import type {RunEstimates} from './run-estimates.js';
 import {createQuotaLedger} from './quota-ledger.js';
@@ -26,8 +27,8 @@
 	workers: readonly SchedulableWorker[];
 	estimates: RunEstimates;
 	wallMs: number;
-	/** Returns the lives on which a work unit must not start now. */
-	avoided: (unit: string) => ReadonlySet<string> | undefined;
+	/** Returns the lives on which a work unit failed. */
+	avoided: (unit: string) => AvoidedLives | undefined;
 	/** Returns the lives that a step's policy is known to approve; undefined if the queue has no policy, or while nothing is known. */
 	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
 	/** Returns for how long a life has run a work unit, in milliseconds; undefined if that is unknown, as for the runs of an earlier leader. */
@@ -90,15 +91,15 @@
 	};
 
 	/** Finds a worker with room. Records a size that fits nowhere, so that it is not searched for again, unless resources reserved so far may still be released. */
-	const findWorker = (step: JobStep, pool: PoolWorkers, isAllowed: ((worker: CandidateWorker) => boolean) | undefined, isKept: boolean): CandidateWorker | undefined => {
+	const findWorker = (step: JobStep, pool: PoolWorkers, avoided: AvoidedLives | undefined, isAllowed: ((worker: CandidateWorker) => boolean) | undefined, isKept: boolean): CandidateWorker | undefined => {
 		const needed = requiredResources(step);
 		if (isRefused(needed, pool)) {
 			return undefined;
 		}
 
 		pass.workersExamined += pool.workers.length;
-		const worker = chooseWorker(step, pool.workers, isAllowed ?? (() => true));
-		if (!worker && !isAllowed && step.label === undefined && isKept) {
+		const worker = chooseAvoiding(step, pool.workers, avoided, isAllowed ?? (() => true));
+		if (!worker && !avoided && !isAllowed && step.label === undefined && isKept) {
 			pool.refused.push(needed);
 		}
 
@@ -143,15 +144,10 @@
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
 		const gang = checkGang(job, step, idle, pool, approved);
 		let isAtLimit = false;
-		/** The test for workers on which a work unit may run; undefined if it may run on any. */
-		const allowedFor = (avoided: ReadonlySet<string> | undefined): ((candidate: CandidateWorker) => boolean) | undefined => {
-			const isRestricted = avoided !== undefined || approved !== undefined || step.perWorker !== undefined;
-			return isRestricted
-				? candidate => avoided?.has(candidate.life) !== true
-					&& approved?.has(candidate.life) !== false
-					&& (step.perWorker === undefined || (onLife!.get(candidate.life) ?? 0) < step.perWorker)
-				: undefined;
-		};
+		/** The test for workers that may run the step's work units; undefined if any may. */
+		const isAllowed = approved === undefined && step.perWorker === undefined
+			? undefined
+			: ({life}: CandidateWorker): boolean => approved?.has(life) !== false && (step.perWorker === undefined || (onLife!.get(life) ?? 0) < step.perWorker);
 
 		const countOnLife = (worker: CandidateWorker, change: 1 | -1): void => {
 			onLife?.set(worker.life, (onLife.get(worker.life) ?? 0) + change);
@@ -159,11 +155,11 @@
 
 		for (const unit of idle) {
 			isAtLimit = gang?.isAtLimit ?? quota.maxWithinLimit(job.order.workspace, step.resources, 1) === 0;
-			const avoided = avoidable(input.avoided(unit.name), pool.workers);
+			const avoided = input.avoided(unit.name);
 			const mayStart = pass.starts.length + (step.gang ? 0 : placements.length) < limit && !isAtLimit && gang?.canStart !== false;
 			// A gang that cannot start as a whole releases its reservations.
 			const isKept = !(step.gang && placements.length > 0);
-			const worker = mayStart ? findWorker(step, pool, allowedFor(avoided), isKept) : undefined;
+			const worker = mayStart ? findWorker(step, pool, avoided, isAllowed, isKept) : undefined;
 			if (!worker) {
 				// Work units of a step are identical, so the others have no room either, unless this one avoids a worker.
 				if (step.gang || isAtLimit || avoided === undefined) {
@@ -210,8 +206,8 @@
 			const withinLimit = quota.maxWithinLimit(job.order.workspace, step.resources, units.length);
 			const reserved: CandidateWorker[] = [];
 			for (const unit of most === 0 ? [] : units) {
-				const avoided = avoidable(input.avoided(unit.name), pool.workers);
-				const worker = reserved.length < withinLimit ? reservations.reserve(step, most, allowedFor(avoided)) : undefined;
+				const avoided = input.avoided(unit.name);
+				const worker = reserved.length < withinLimit ? reservations.reserve(step, most, avoided, isAllowed) : undefined;
 				if (worker) {
 					countOnLife(worker, 1);
 					reserved.push(worker);
--- a/packages/core/src/jobs/wait-reason.ts
+++ b/packages/core/src/jobs/wait-reason.ts
@@ -27,7 +27,7 @@
 	| 'gang-no-room'
 	/** Workers have room, and the queue's policy is not known to allow any of them. */
 	| 'not-approved'
-	/** Only workers on which the work unit failed before have room. */
+	/** Only workers on which the work unit failed a short time ago have room. */
 	| 'only-avoided'
 	/** Each worker with room runs as many of the step's work units as it may. */
 	| 'per-worker-limit'
@@ -63,24 +63,23 @@
 type Rules = Record<keyof RuledOut, (worker: FreeWorker) => boolean>;
 
 /** The rules that keep workers from taking a work unit; each is true for a worker that it rules out. */
-const rulesFor = ({job, occurrence, number, step, units, unit}: WaitingStep, pool: readonly FreeWorker[], context: WaitContext): Rules => {
+const rulesFor = ({job, occurrence, number, step, units, unit}: WaitingStep, context: WaitContext): Rules => {
 	const approved = context.approved(job, occurrence, number);
 	const avoided = context.avoided(unit.name);
-	const isAvoiding = avoided !== undefined && pool.some(({life}) => !avoided.has(life));
 	const {perWorker = Infinity} = step;
 	const unitsByLife = groupBy(units.filter(each => each.state === 'running'), each => each.worker);
 	return {
 		label: worker => step.label !== undefined && !worker.labels.includes(step.label),
 		room: worker => !holds(step, worker.free),
 		policy: ({life}) => approved?.has(life) === false,
-		avoided: ({life}) => isAvoiding && avoided.has(life),
+		avoided: ({life}) => avoided !== undefined && avoided.areBarred && avoided.lives.has(life),
 		'per-worker': ({life}) => (unitsByLife.get(life)?.length ?? 0) >= perWorker,
 	};
 };
 
 /** Counts the pool's workers that each rule rules out for a work unit. */
 export const countRuledOut = (waiting: WaitingStep, pool: readonly FreeWorker[], context: WaitContext): RuledOut => {
-	const rules = rulesFor(waiting, pool, context);
+	const rules = rulesFor(waiting, context);
 	const count = (rule: keyof RuledOut): number => pool.filter(worker => rules[rule](worker)).length;
 	return {
 		label: count('label'), room: count('room'), policy: count('policy'), avoided: count('avoided'), 'per-worker': count('per-worker'),
@@ -88,8 +87,8 @@
 };
 
 /** The reason among those that depend on which workers have room. */
-const reasonWithRoom = (waiting: WaitingStep, roomy: readonly FreeWorker[], pool: readonly FreeWorker[], context: WaitContext): WaitReason => {
-	const rules = rulesFor(waiting, pool, context);
+const reasonWithRoom = (waiting: WaitingStep, roomy: readonly FreeWorker[], context: WaitContext): WaitReason => {
+	const rules = rulesFor(waiting, context);
 	if (roomy.every(worker => rules.policy(worker))) {
 		return 'not-approved';
 	}
@@ -145,5 +144,5 @@
 	}
 
 	const roomy = labelled.filter(worker => holds(step, worker.free));
-	return roomy.length === 0 ? 'no-room' : reasonWithRoom(waiting, roomy, pool, context);
+	return roomy.length === 0 ? 'no-room' : reasonWithRoom(waiting, roomy, context);
 };
--- a/packages/daemon/src/jobs/run-monitor.ts
+++ b/packages/daemon/src/jobs/run-monitor.ts
@@ -1,7 +1,7 @@
 /** Monitors runs for the leader: detects unhealthy workers and stalled runs, and improves estimates of durations. */
 import {
-	createIdleTimes, createRunEstimates, createStartPauses, createWorkerHealth, RunEnds,
-	type Clock, type JobStore, type EndedRun, type RunStart, type WorkerTrack,
+	createAvoidedLives, createIdleTimes, createRunEstimates, createStartPauses, createWorkerHealth, RunEnds,
+	type AvoidedLives, type Clock, type JobStore, type EndedRun, type RunStart, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
 import type {JobMetrics} from './job-metrics.js';
@@ -10,8 +10,6 @@
 const STALL_TIMEOUT_MS = 2000;
 /** Added to the limit for a gang step, whose runs wait for the other members of the gang, in milliseconds. */
 const GANG_EXTRA_MS = 4000;
-/** Work units for which avoided workers are remembered at most; all are forgotten when it is reached. */
-const MAX_AVOIDED_UNITS = 20_000;
 
 /** Creates the run monitor of one term. */
 export const createRunMonitor = (options: {store: JobStore; clock: Clock; log: Log; metrics: JobMetrics}) => {
@@ -19,19 +17,9 @@
 	const health = createWorkerHealth();
 	const estimates = createRunEstimates();
 	const idleTimes = createIdleTimes();
-	const avoided = new Map<string, Set<string>>();
+	const avoidedLives = createAvoidedLives();
 	const pauses = createStartPauses();
 
-	const avoid = (unit: string, life: string): void => {
-		if (avoided.size >= MAX_AVOIDED_UNITS) {
-			avoided.clear();
-		}
-
-		const lives = avoided.get(unit) ?? new Set<string>();
-		lives.add(life);
-		avoided.set(unit, lives);
-	};
-
 	const recordFailure = (life: string, why: string): void => {
 		if (health.failed(life, clock.monotonicMs())) {
 			log.warn('Worker suspected to be unhealthy; it gets no new work for a while.', {worker: life, why});
@@ -43,7 +31,8 @@
 		/** When work last stopped running. */
 		idleTimes,
 		slowness: (life: string): number => health.slowness(life),
-		avoided: (unit: string): ReadonlySet<string> | undefined => avoided.get(unit),
+		/** The lives on which a work unit failed or stalled; undefined if there are none. */
+		avoided: (unit: string): AvoidedLives | undefined => avoidedLives.of(unit, clock.monotonicMs()),
 		/** Why a life gets no new work now; undefined if it may. */
 		heldBack(life: string, nowMs: number): 'suspect' | 'paused' | undefined {
 			if (health.isSuspect(life, nowMs)) {
@@ -110,9 +99,9 @@
 						estimates.recordRun(job.order.queue, estimateMs, tookMs);
 					}
 
-					avoided.delete(unit);
+					avoidedLives.done(unit);
 				} else if (how === RunEnds.failed) {
-					avoid(unit, life);
+					avoidedLives.failed(unit, life, {isLasting: lasting, ranMs: tookMs}, nowMs);
 					if (!lasting) {
 						recordFailure(life, 'failed');
 					}
@@ -136,7 +125,7 @@
 					log.warn('Run makes no progress; stopping it.', {
 						unit, worker: track.life, percent: run.percent, forMs: Math.round(nowMs - run.percentMs),
 					});
-					avoid(unit, track.life);
+					avoidedLives.failed(unit, track.life, {isLasting: false, ranMs: nowMs - run.startedMs}, nowMs);
 					recordFailure(track.life, 'stalled');
 				}
 
--- a/tests/core/jobs/long-waits.spec.ts
+++ b/tests/core/jobs/long-waits.spec.ts
@@ -61,8 +61,8 @@
 	it('should report that only avoided workers have room', () => {
 		const store = storeWith([orderOf('a', [large]), orderOf('b', [large])]);
 		start(store, unitOf('a'), other);
-		assert.equal(waitsIn(store, [worker, other], {avoided: () => new Set([worker.life])})[0]?.reason, 'only-avoided');
-		assert.equal(waitsIn(store, [worker], {avoided: () => new Set([worker.life])})[0]?.reason, 'not-placed');
+		assert.equal(waitsIn(store, [worker, other], {avoided: () => ({lives: new Set([worker.life]), areBarred: true})})[0]?.reason, 'only-avoided');
+		assert.equal(waitsIn(store, [worker, other], {avoided: () => ({lives: new Set([worker.life]), areBarred: false})})[0]?.reason, 'not-placed');
 	});
 
 	it('should report that each worker runs as many of a step as it may', () => {
@@ -75,7 +75,7 @@
 	it('should tell when several rules together leave no worker, and how many each rules out', () => {
 		const store = storeWith([orderOf('a', [stepOf({count: 2, perWorker: 1, lasting: true})])]);
 		start(store, unitOf('a'));
-		const [wait] = waitsIn(store, [worker, other], {avoided: () => new Set([other.life])});
+		const [wait] = waitsIn(store, [worker, other], {avoided: () => ({lives: new Set([other.life]), areBarred: true})});
 		assert.equal(wait?.reason, 'combined-rules');
 		assert.deepEqual(wait.ruledOut, {
 			label: 0, room: 0, policy: 0, avoided: 1, 'per-worker': 1,
--- a/tests/core/jobs/reservations.spec.ts
+++ b/tests/core/jobs/reservations.spec.ts
@@ -67,7 +67,7 @@
 	});
 
 	it('should be made only where the work unit may run', () => {
-		const {starts, reserved} = planned(busyStore([wide(), narrow(8)]), {avoided: unit => (unit.startsWith('b') ? new Set(lives.slice(1).map(({life}) => life)) : undefined)});
+		const {starts, reserved} = planned(busyStore([wide(), narrow(8)]), {avoided: unit => (unit.startsWith('b') ? {lives: new Set(lives.slice(1).map(({life}) => life)), areBarred: true} : undefined)});
 		assert.equal(reserved.get('bench'), 1);
 		assert.ok(starts.every(start => start.life !== lives[0]!.life));
 	});
--- a/tests/core/jobs/scheduler.spec.ts
+++ b/tests/core/jobs/scheduler.spec.ts
@@ -87,15 +87,23 @@
 	it('should place by label, and avoid workers on which the work unit failed', () => {
 		const store = storeWith([orderOf('a', [stepOf({label: 'rack-2'})]), orderOf('b')]);
 		const labelled = workerOf('w2', {labels: ['kind', 'rack-2']});
-		const {starts} = plan(store, [workerOf('w1'), labelled], {avoided: unit => (unit.startsWith('b') ? new Set([labelled.life]) : undefined)});
+		const {starts} = plan(store, [workerOf('w1'), labelled], {avoided: unit => (unit.startsWith('b') ? {lives: new Set([labelled.life]), areBarred: true} : undefined)});
 		assert.deepEqual(Object.fromEntries(starts.map(start => [start.unit[0], start.life])), {a: labelled.life, b: lifeNamed('w1').life});
 	});
 
 	it('should retry a work unit that failed on every worker of its pool', () => {
 		const store = storeWith([orderOf('a')]);
 		const workers = [workerOf('w1'), workerOf('w2')];
-		const {starts} = plan(store, workers, {avoided: () => new Set(workers.map(worker => worker.life))});
-		assert.equal(starts.length, 1);
+		const lives = new Set(workers.map(worker => worker.life));
+		assert.equal(plan(store, workers, {avoided: () => ({lives, areBarred: false})}).starts.length, 1);
+		assert.equal(plan(store, workers, {avoided: () => ({lives, areBarred: true})}).starts.length, 0);
+	});
+
+	it('should prefer workers on which the work unit did not fail, and then the one on which it failed first', () => {
+		const [first, second, other] = [workerOf('w1'), workerOf('w2'), workerOf('w3')];
+		const avoided = () => ({lives: new Set([second.life, first.life]), areBarred: false});
+		assert.deepEqual(plan(storeWith([orderOf('a')]), [first, second, other], {avoided}).starts.map(({life}) => life), [other.life]);
+		assert.deepEqual(plan(storeWith([orderOf('a')]), [first, second], {avoided}).starts.map(({life}) => life), [second.life]);
 	});
 
 	it('should keep work that fills spare capacity away from work that serves users', () => {
--- a/tests/core/jobs/scheduling-work.spec.ts
+++ b/tests/core/jobs/scheduling-work.spec.ts
@@ -92,7 +92,7 @@
 			const orders = Array.from({length: 5 + randomBelow(random, 30)}, (_, number) => orderOf(`${(number + 16).toString(16)}c`, Array.from({length: 1 + randomBelow(random, 3)}, () => randomStep(random)), {workspace: random() < 0.5 ? 'north' : 'south'}));
 			const store = storeWith(orders, manifest);
 			const workers = workersOf(1 + randomBelow(random, 8), {cpu: 4000, memoryMb: 4000, gpu: randomBelow(random, 2)});
-			const avoided = new Set(workers.filter(() => random() < 0.3).map(worker => worker.life));
+			const avoided = {lives: new Set(workers.filter(() => random() < 0.3).map(worker => worker.life)), areBarred: seed % 2 === 0};
 			const input = inputOf(store, workers, {
 				wallMs: 100 + (3000 * randomBelow(random, 4)),
 				maxStarts: 5 + randomBelow(random, 60),
@@ -130,7 +130,7 @@
 			}));
 			const store = storeWith(orders, manifest);
 			const workers = pools.flatMap(pool => workersIn(pool, randomBelow(random, 7)));
-			const avoided = new Set(workers.filter(() => random() < 0.3).map(worker => worker.life));
+			const avoided = {lives: new Set(workers.filter(() => random() < 0.3).map(worker => worker.life)), areBarred: seed % 2 === 0};
 			const input = inputOf(store, workers, {
 				maxStarts: 1 + randomBelow(random, 40),
 				avoided: unit => (unit.endsWith('1') ? avoided : undefined),
--- a/tests/daemon/jobs/failed-workers.spec.ts
+++ b/tests/daemon/jobs/failed-workers.spec.ts
@@ -1,19 +1,14 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createRandom, lifeOf, parseUnitName, type JobStep, type RunStart, type SchedulableWorker,
+	parseUnitName, type JobStep, type RunStart, type SchedulableWorker,
 } from '@bronzebend/core';
 import fc from 'fast-check';
-import {playFailingPool, type FailingPool, type RunFate} from '../../fixtures/failing-pool.js';
+import {
+	drawFailingPool, FOREVER, playFailingPool, workersOf, type FailingPool, type RunFate,
+} from '../../fixtures/failing-pool.js';
 import {orderOf, stepOf} from '../../fixtures/job-fixtures.js';
 
-const FOREVER: RunFate = {tookMs: Infinity, how: 'done'};
-const capacity = {cpu: 64_000, memoryMb: 131_072, gpu: 0};
-
-const workersOf = (count: number, labelOf = (_number: number): string[] => []): SchedulableWorker[] => Array.from({length: count}, (_, number) => ({
-	life: lifeOf(`w${number}`, 1), id: `w${number}`, pool: 'bench', capacity, labels: labelOf(number), slowness: 1,
-}));
-
 const audit = (changes: Partial<JobStep> = {}): JobStep => stepOf({
 	count: 26, perWorker: 1, lasting: true, resources: {cpu: 12_150, memoryMb: 17_232, gpu: 0}, ...changes,
 });
@@ -69,42 +64,7 @@
 
 	it('should start within 3 s, or 6 s if it lasts, whatever else rules workers out, while half of the pool is free', () => {
 		fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), fc.constantFrom(0.1, 0.4), fc.integer({min: 6, max: 40}), (seed, failureShare, count) => {
-			const random = createRandom(seed);
-			const below = (bound: number): number => Math.floor(bound * random());
-			const allowed = new Map<string, ReadonlySet<string>>();
-			const workers = workersOf(count, number => (number % 3 === 0 ? ['gauge'] : []));
-			const drawStep = (): JobStep => {
-				const isLasting = random() < 0.4;
-				return stepOf({
-					lasting: isLasting,
-					gang: !isLasting && random() < 0.2,
-					count: isLasting ? 1 + below(count) : 1 + below(5),
-					estimateMs: 300 + below(1200),
-					resources: {cpu: 1000 + below(20_000), memoryMb: 1000 + below(30_000), gpu: 0},
-					...(random() < 0.6 && {perWorker: 1 + below(2)}),
-					...(random() < 0.2 && {label: 'gauge'}),
-				});
-			};
-
-			const orders = Array.from({length: 4 + below(8)}, (_, number) => ({order: orderOf(`${(number + 16).toString(16)}d`, [drawStep()], {workspace: undefined}), atMs: 100 * below(100)}));
-			for (const {order} of orders) {
-				allowed.set(order.id, new Set(workers.filter(() => random() < 0.7).map(({life}) => life)));
-			}
-
-			const fateOf = (_: RunStart, {lasting, estimateMs}: JobStep): RunFate => {
-				if (random() < 0.02) {
-					return {tookMs: 0, how: 'rejected'};
-				}
-
-				const isFailing = random() < failureShare;
-				return lasting
-					? (isFailing ? {tookMs: 100 * (5 + below(100)), how: 'failed'} : FOREVER)
-					: {tookMs: estimateMs * (isFailing ? random() : 1), how: isFailing ? 'failed' : 'done'};
-			};
-
-			const {stuck} = playFailingPool({
-				orders, workers, fateOf, endMs: 30_000, maxStarts: 30, ...(random() < 0.3 && {approved: job => allowed.get(job.order.id)}),
-			});
+			const {stuck} = playFailingPool(drawFailingPool(seed, failureShare, count));
 			assert.deepEqual(stuck, []);
 		}), {seed: 45, numRuns: 150});
 	});
