Try suspects for work that waits although its pool is not busy

Callers would see a job with nothing running, or a lasting work unit that does not run, beside free room: a worker on which runs failed takes no work for 2.5 to 10 s, and where a label, a policy, a limit per worker or failures leave only such workers, that is longer than accepted work may wait (3 s and 6 s).

Now a work unit, or a gang, that has waited for half of that is tried on a suspect with no ending run, one at a time, if less than half of the pool is in use. In a busy pool nothing changes: the wait there is due to the load, and suspects would fail what waits. A worker that is paused after a rejected or unanswered start, or whose machine has an order, is never tried.

--- a/packages/core/src/jobs/idle-times.ts
+++ b/packages/core/src/jobs/idle-times.ts
@@ -1,5 +1,7 @@
 /** When work units and jobs last stopped running, as far as one leader has seen it. */
-import {isOpen, type Job, type WorkUnit} from './job.js';
+import {
+	isOpen, type Job, type JobStep, type Occurrence, type WorkUnit,
+} from './job.js';
 
 /** Jobs remembered at most; those with the earliest ends are forgotten first. */
 const MAX_JOBS = 20_000;
@@ -37,3 +39,9 @@
 		ofUnit: (id: string, unit: string): number => ends.get(id)?.units.get(unit) ?? -Infinity,
 	};
 };
+
+/** Since when a ready work unit has been idle: since its own last run if it lasts, otherwise since the last run of its job; a Unix time in milliseconds. */
+export const idleSinceMs = (idleTimes: Pick<IdleTimes, 'ofJob' | 'ofUnit'>, job: Job, occurrence: Occurrence, step: JobStep, unit: WorkUnit): number => {
+	const {id} = job.order;
+	return Math.max(job.acceptedAtMs, occurrence.dueMs, step.lasting ? idleTimes.ofUnit(id, unit.name) : idleTimes.ofJob(id));
+};
--- a/packages/core/src/jobs/long-waits.ts
+++ b/packages/core/src/jobs/long-waits.ts
@@ -1,6 +1,6 @@
 /** Finds work units that have been ready to start for long, and the rules that keep them waiting. */
 import {groupBy} from '../utils/group-by.js';
-import type {IdleTimes} from './idle-times.js';
+import {idleSinceMs, type IdleTimes} from './idle-times.js';
 import {isOpen, isStepReady, type Job} from './job.js';
 import type {SchedulableWorker} from './scheduler.js';
 import {
@@ -48,11 +48,9 @@
 		return [];
 	}
 
-	const {id} = job.order;
 	const units = occurrence.steps[number]!;
-	const readyMs = Math.max(job.acceptedAtMs, occurrence.dueMs);
 	const waits = units.filter(unit => unit.state === 'idle').map(unit => ({
-		unit, waitedMs: wallMs - Math.max(readyMs, step.lasting ? idleTimes.ofUnit(id, unit.name) : idleTimes.ofJob(id)),
+		unit, waitedMs: wallMs - idleSinceMs(idleTimes, job, occurrence, step, unit),
 	})).filter(({waitedMs}) => waitedMs >= (step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS));
 	if (waits.length === 0) {
 		return [];
--- a/packages/core/src/jobs/pool-workers.ts
+++ b/packages/core/src/jobs/pool-workers.ts
@@ -4,17 +4,18 @@
 import type {JobStep} from './job.js';
 import {fits, type CandidateWorker} from './placement.js';
 import {createReservations, type Reservations} from './reservations.js';
-import type {SchedulingInput} from './scheduler.js';
+import type {SchedulableWorker, SchedulingInput} from './scheduler.js';
+import {createSuspectTrials, type SuspectTrials} from './suspect-trials.js';
 
-/** A pool's workers in one pass, the sizes that fit on none of them, and the workers reserved for what finds no room. */
-export type PoolWorkers = {name: string; workers: CandidateWorker[]; refused: Resources[]; reservations: Reservations};
+/** A pool's workers in one pass, the sizes that fit on none of them, the workers reserved for what finds no room, and the trials of its suspects. */
+export type PoolWorkers = {name: string; workers: CandidateWorker[]; refused: Resources[]; reservations: Reservations; trials: SuspectTrials};
 
 /** Creates the state of one pool at the begin of a pass. */
-export const createPoolWorkers = (name: string, workers: CandidateWorker[], input: SchedulingInput): PoolWorkers => ({
-	name, workers, refused: [], reservations: createReservations(workers, input),
+export const createPoolWorkers = (name: string, workers: CandidateWorker[], suspects: CandidateWorker[], input: SchedulingInput): PoolWorkers => ({
+	name, workers, refused: [], reservations: createReservations(workers, input), trials: createSuspectTrials(workers, suspects, input),
 });
 
-const workersByPool = ({store, workers}: SchedulingInput): Map<string, CandidateWorker[]> => {
+const candidatesByPool = (workers: readonly SchedulableWorker[], {store}: SchedulingInput): Map<string, CandidateWorker[]> => {
 	const candidates = workers.map(worker => {
 		const used = store.usageOfLife(worker.life);
 		const steps = [...store.runsOf(worker.life).values()].map(run => run.job.order.steps[run.step]!);
@@ -37,7 +38,11 @@
 };
 
 /** Creates the state of every pool that has workers, by name. */
-export const poolsOf = (input: SchedulingInput): Map<string, PoolWorkers> => new Map([...workersByPool(input)].map(([name, workers]) => [name, createPoolWorkers(name, workers, input)]));
+export const poolsOf = (input: SchedulingInput): Map<string, PoolWorkers> => {
+	const workers = candidatesByPool(input.workers, input);
+	const suspects = candidatesByPool(input.suspects ?? [], input);
+	return new Map([...new Set([...workers.keys(), ...suspects.keys()])].map(name => [name, createPoolWorkers(name, workers.get(name) ?? [], suspects.get(name) ?? [], input)]));
+};
 
 /** Workers of a pool that a step's policy may be asked about, those with room first. */
 export const advisable = (step: JobStep, {workers}: PoolWorkers): CandidateWorker[] => {
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -2,6 +2,7 @@
 import type {AvoidedLives} from './avoided-lives.js';
 import {countRoom} from './gang-room.js';
 import type {ManifestIndex, Resources} from './fleet-manifest.js';
+import type {IdleTimes} from './idle-times.js';
 import type {JobStore} from './job-store.js';
 import type {RunStart} from './job-commands.js';
 import {
@@ -25,6 +26,10 @@
 	store: JobStore;
 	manifest: ManifestIndex;
 	workers: readonly SchedulableWorker[];
+	/** Workers under suspicion, which only take work that waits for no lack of capacity. */
+	suspects?: readonly SchedulableWorker[];
+	/** When work last stopped running; without it no suspect is tried. */
+	idleTimes?: Pick<IdleTimes, 'ofJob' | 'ofUnit'>;
 	estimates: RunEstimates;
 	wallMs: number;
 	/** Returns the lives on which a work unit failed. */
@@ -142,7 +147,10 @@
 		const onLife = step.perWorker === undefined ? undefined : countByLife(units);
 		const placements: Array<{unit: WorkUnit; worker: CandidateWorker}> = [];
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
-		const gang = checkGang(job, step, idle, pool, approved);
+		const mayTrySuspects = pool.trials.mayTry({
+			job, occurrence, step, unit: idle[0]!, hasStarted: false,
+		});
+		const gang = mayTrySuspects ? undefined : checkGang(job, step, idle, pool, approved);
 		let isAtLimit = false;
 		/** The test for workers that may run the step's work units; undefined if any may. */
 		const isAllowed = approved === undefined && step.perWorker === undefined
@@ -159,7 +167,10 @@
 			const mayStart = pass.starts.length + (step.gang ? 0 : placements.length) < limit && !isAtLimit && gang?.canStart !== false;
 			// A gang that cannot start as a whole releases its reservations.
 			const isKept = !(step.gang && placements.length > 0);
-			const worker = mayStart ? findWorker(step, pool, avoided, isAllowed, isKept) : undefined;
+			const unplaced = {
+				job, occurrence, step, unit, hasStarted: placements.length > 0,
+			};
+			const worker = mayStart ? findWorker(step, pool, avoided, isAllowed, isKept) ?? pool.trials.choose(unplaced, avoided, isAllowed ?? (() => true)) : undefined;
 			if (!worker) {
 				// Work units of a step are identical, so the others have no room either, unless this one avoids a worker.
 				if (step.gang || isAtLimit || avoided === undefined) {
@@ -263,7 +274,7 @@
 
 	/** Starts a ready step until the pass has planned `until` starts; returns false if the step was cut. */
 	const startUntil = ({job, occurrence, number, pool: name}: ReadyStep, until: number, isLast: boolean): boolean => {
-		const pool = pools.get(name) ?? createPoolWorkers(name, [], input);
+		const pool = pools.get(name) ?? createPoolWorkers(name, [], [], input);
 		pools.set(name, pool);
 		limit = until;
 		const unplaced = startStep(job, occurrence, number, pool);
--- /dev/null
+++ b/packages/core/src/jobs/suspect-trials.ts
@@ -0,0 +1,54 @@
+/**
+Tries workers under suspicion for work that waits although its pool is not busy.
+
+A suspect takes no work for up to 10 s, and accepted work may wait for less beside free room. One work unit, or one gang, at a
+time is tried on a suspect, which may run lasting work meanwhile. In a busy pool none is, as the wait there is due to the load.
+*/
+import type {AvoidedLives} from './avoided-lives.js';
+import {idleSinceMs} from './idle-times.js';
+import type {
+	Job, JobStep, Occurrence, WorkUnit,
+} from './job.js';
+import {chooseAvoiding, type CandidateWorker} from './placement.js';
+import type {SchedulingInput} from './scheduler.js';
+
+/** Time without any run after which a job's work unit is tried on a suspect, in milliseconds; half of what a job may wait. */
+const JOB_WAIT_MS = 1500;
+/** Same for a lasting work unit since its own last run, in milliseconds. */
+const LASTING_WAIT_MS = 3000;
+/** Share of a pool's cores or memory in use from which it is busy. */
+const BUSY_SHARE = 1 / 2;
+
+/** A work unit that found no worker; `hasStarted` if others of its step start in the same pass. */
+export type UnplacedUnit = {job: Job; occurrence: Occurrence; step: JobStep; unit: WorkUnit; hasStarted: boolean};
+
+/** Creates the trials of one pool's suspects in one scheduling pass. */
+export const createSuspectTrials = (workers: readonly CandidateWorker[], suspects: readonly CandidateWorker[], {store, wallMs, idleTimes}: Pick<SchedulingInput, 'store' | 'wallMs' | 'idleTimes'>) => {
+	const all = [...workers, ...suspects];
+	const sum = (amount: (worker: CandidateWorker) => number): number => all.reduce((total, worker) => total + amount(worker), 0);
+	const isBusy = (['cpu', 'memoryMb'] as const).some(key => sum(({free}) => free[key]) <= sum(({capacity}) => capacity[key]) * (1 - BUSY_SHARE));
+	const untried = new Set(isBusy ? [] : suspects.filter(({life}) => [...store.runsOf(life).values()].every(({job, step}) => job.order.steps[step]!.lasting)));
+
+	/** True if a work unit has waited for long, and nothing else of its job runs if it does not last. */
+	const mayTry = ({job, occurrence, step, unit, hasStarted}: UnplacedUnit): boolean => {
+		const isCovered = !step.lasting && ((hasStarted && !step.gang) || job.running > 0);
+		return untried.size > 0 && idleTimes !== undefined && !isCovered && wallMs - idleSinceMs(idleTimes, job, occurrence, step, unit) >= (step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS);
+	};
+
+	return {
+		mayTry,
+
+		/** Chooses a suspect for a work unit, among those allowed; undefined if it has not waited for long, or none has room. */
+		choose(unplaced: UnplacedUnit, avoided: AvoidedLives | undefined, allows: (worker: CandidateWorker) => boolean): CandidateWorker | undefined {
+			const worker = mayTry(unplaced) ? chooseAvoiding(unplaced.step, [...untried], avoided, allows) : undefined;
+			if (worker && !unplaced.step.gang) {
+				untried.delete(worker);
+			}
+
+			return worker;
+		},
+	};
+};
+
+/** Trials of one pool's suspects. */
+export type SuspectTrials = ReturnType<typeof createSuspectTrials>;
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -141,6 +141,8 @@
 			store,
 			manifest,
 			workers: workers.list(),
+			suspects: workers.suspects(),
+			idleTimes: monitor.idleTimes,
 			estimates: monitor.estimates,
 			wallMs: clock.wallMs(),
 			avoided: monitor.avoided,
--- a/packages/daemon/src/jobs/run-monitor.ts
+++ b/packages/daemon/src/jobs/run-monitor.ts
@@ -35,11 +35,11 @@
 		avoided: (unit: string): AvoidedLives | undefined => avoidedLives.of(unit, clock.monotonicMs()),
 		/** Why a life gets no new work now; undefined if it may. */
 		heldBack(life: string, nowMs: number): 'suspect' | 'paused' | undefined {
-			if (health.isSuspect(life, nowMs)) {
-				return 'suspect';
+			if (pauses.isPaused(life, nowMs)) {
+				return 'paused';
 			}
 
-			return pauses.isPaused(life, nowMs) ? 'paused' : undefined;
+			return health.isSuspect(life, nowMs) ? 'suspect' : undefined;
 		},
 
 		/** Records that a start was rejected, not sent or got no answer. */
--- a/packages/daemon/src/jobs/usable-workers.ts
+++ b/packages/daemon/src/jobs/usable-workers.ts
@@ -40,17 +40,22 @@
 			return 'silent';
 		}
 
-		return monitor.heldBack(entry.life, nowMs) ?? (machines()?.mayTakeWork(entry) === false ? 'machine' : undefined);
+		return machines()?.mayTakeWork(entry) === false ? 'machine' : monitor.heldBack(entry.life, nowMs);
+	};
+
+	const listWhere = (isListed: (cause: OutOfUse | undefined) => boolean): SchedulableWorker[] => {
+		const nowMs = clock.monotonicMs();
+		return directory.list().filter(entry => isListed(whyNot(entry, nowMs))).map(entry => ({
+			life: entry.life, id: entry.id, pool: entry.pool, capacity: entry.capacity, labels: entry.labels, slowness: monitor.slowness(entry.life),
+		}));
 	};
 
 	return {
 		/** Workers that may take work. */
-		list(): SchedulableWorker[] {
-			const nowMs = clock.monotonicMs();
-			return directory.list().filter(entry => whyNot(entry, nowMs) === undefined).map(entry => ({
-				life: entry.life, id: entry.id, pool: entry.pool, capacity: entry.capacity, labels: entry.labels, slowness: monitor.slowness(entry.life),
-			}));
-		},
+		list: () => listWhere(cause => cause === undefined),
+
+		/** Workers that take no work for suspicion alone. */
+		suspects: () => listWhere(cause => cause === 'suspect'),
 
 		/** Numbers of a pool's known workers that take no work, by cause, as text; undefined if there are none. */
 		outOfUse(pool: string): string | undefined {
--- a/tests/core/jobs/scheduler.spec.ts
+++ b/tests/core/jobs/scheduler.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createArrivalMeter, createRunEstimates, measureDemand, planStarts,
+	createArrivalMeter, createIdleTimes, createRunEstimates, measureDemand, planStarts,
 	type JobStore, type SchedulableWorker, type SchedulingInput,
 } from '@bronzebend/core';
 import {
@@ -106,6 +106,18 @@
 		assert.deepEqual(plan(storeWith([orderOf('a')]), [first, second], {avoided}).starts.map(({life}) => life), [second.life]);
 	});
 
+	it('should try one work unit on a suspect only after it waited, and only while the pool is not busy', () => {
+		const orders = [orderOf('a', [stepOf({label: 'rack-2'})]), orderOf('b', [stepOf({label: 'rack-2'})])];
+		const suspect = workerOf('w2', {labels: ['kind', 'rack-2']});
+		const idleTimes = createIdleTimes();
+		const countAt = (wallMs: number): number => plan(storeWith(orders), [workerOf('w1')], {suspects: [suspect], idleTimes, wallMs}).starts.filter(({life}) => life === suspect.life).length;
+		assert.equal(countAt(1499), 0);
+		assert.equal(countAt(1500), 1);
+		const store = storeWith([orderOf('c', [stepOf({resources: {cpu: 4000, memoryMb: 100, gpu: 0}})]), ...orders]);
+		store.apply({type: 'runs-start', lives: [lifeNamed('w1')], runs: [{unit: `${'c'.padEnd(16, '0')}.0.0.0`, attempt: 1, life: lifeNamed('w1').life}]});
+		assert.equal(plan(store, [workerOf('w1')], {suspects: [suspect], idleTimes, wallMs: 1500}).starts.length, 0);
+	});
+
 	it('should keep work that fills spare capacity away from work that serves users', () => {
 		const serving = stepOf({lasting: true, image: 'front', targetMs: 50});
 		const filling = stepOf({lasting: true, image: 'batch', fillsSpare: true});
--- a/tests/daemon/jobs/failed-workers.spec.ts
+++ b/tests/daemon/jobs/failed-workers.spec.ts
@@ -57,6 +57,17 @@
 		assert.deepEqual(stuck, []);
 	});
 
+	it('should be tried on a suspect when all workers with its label are under suspicion and have room', () => {
+		let runs = 0;
+		const fateOf = (): RunFate => {
+			runs += 1;
+			return {tookMs: 100, how: runs <= 12 ? 'failed' : 'done'};
+		};
+
+		const {stuck} = playOne(stepOf({label: 'gauge'}), workersOf(6, number => (number < 2 ? ['gauge'] : [])), {fateOf});
+		assert.deepEqual(stuck, []);
+	});
+
 	it('should not start more than once a second in the long run when it fails at once on every worker', () => {
 		const {starts} = playOne(audit({count: 2, perWorker: undefined}), workersOf(6), {fateOf: () => ({tookMs: 100, how: 'failed'})});
 		assert.ok(Math.max(...starts.values()) <= 60, `${Math.max(...starts.values())} starts in 60 s`);
