Let refusals of moves expire, and hold a kind back only after two machines

Cause: a move that the platform answers with 400 excluded the machine's kind from the pool for the rest of the term. The platform gives the same answer for a machine that does not exist any more, so one entry of a list that was out of date took a whole kind from a pool for good.

Fix: the refused machine is held back from that pool for 2 s, its kind for 1 s and only once moves of two of its machines were refused; both double up to 30 s while refusals go on, and end with the next accepted move.

--- a/packages/core/src/jobs/fleet-balancer.ts
+++ b/packages/core/src/jobs/fleet-balancer.ts
@@ -7,6 +7,7 @@
 */
 import type {JobPool, Resources} from './fleet-manifest.js';
 import type {MachineDemand} from './machine-demand.js';
+import {createMoveRefusals} from './move-refusals.js';
 
 /** Workers that a pool keeps after its latest busy period, as a share of the fleet. */
 const MIN_RESERVE_SHARE = 0.07;
@@ -55,7 +56,7 @@
 export const createFleetBalancer = () => {
 	const pendingMoves = new Map<string, {to: string; atMs: number}>();
 	const surplusSince = new Map<string, number>();
-	const excluded = new Set<string>();
+	const refusals = createMoveRefusals();
 	const lastBusyMs = new Map<string, number>();
 
 	/** Drops completed and expired moves: a move to standby completes when the list of machines shows it, any other with the first report of the machine's worker. */
@@ -90,9 +91,14 @@
 			pendingMoves.delete(move.machine);
 		},
 
-		/** Excludes machines of a kind from a pool that cannot take them. */
-		impossible(kind: string, pool: string): void {
-			excluded.add(`${kind} ${pool}`);
+		/** Records that the platform cannot move a machine of a kind to a pool. */
+		impossible({machine, to}: MachineMove, kind: string, nowMs: number): void {
+			refusals.impossible({machine, kind, to}, nowMs);
+		},
+
+		/** Records that the platform has carried out a move of a machine of a kind. */
+		accepted({machine, to}: MachineMove, kind: string): void {
+			refusals.accepted({machine, kind, to});
 		},
 
 		/** Decides the next moves. */
@@ -126,10 +132,11 @@
 			const surplus = new Map(balances.map(({name, shortage}) => [name, Math.max(0, -shortage)]));
 			const standbyMachines = free.filter(machine => standby.has(machine.pool));
 			const moves: MachineMove[] = [];
+			const mayMove = ({name, kind}: MovableMachine, to: string): boolean => refusals.mayMove({machine: name, kind, to}, input.nowMs);
 
 			/** Picks a machine for a pool: first from standby, then from the pool with the largest surplus. */
 			const pickMachine = (to: string): MovableMachine | undefined => {
-				const fitting = (machine: MovableMachine): boolean => machine.pool !== to && !excluded.has(`${machine.kind} ${to}`) && moves.every(move => move.machine !== machine.name);
+				const fitting = (machine: MovableMachine): boolean => machine.pool !== to && mayMove(machine, to) && moves.every(move => move.machine !== machine.name);
 				const standbyMachine = standbyMachines.find(machine => fitting(machine));
 				if (standbyMachine) {
 					return standbyMachine;
@@ -162,7 +169,7 @@
 			const [standbyPool] = standby;
 			for (const {name} of balances) {
 				const hasLongSurplus = input.nowMs - (surplusSince.get(name) ?? input.nowMs) >= SURPLUS_MS;
-				const idle = hasLongSurplus ? free.filter(machine => machine.pool === name && !excluded.has(`${machine.kind} ${standbyPool}`)) : [];
+				const idle = hasLongSurplus ? free.filter(machine => machine.pool === name && mayMove(machine, standbyPool!)) : [];
 				moves.push(...idle.slice(0, surplus.get(name)).map(machine => ({machine: machine.name, from: name, to: standbyPool!})));
 			}
 
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -242,17 +242,19 @@
 			return;
 		}
 
+		const kind = machine.labels[0] ?? '';
 		balancer.ordered(chosen, clock.monotonicMs());
 		const result = await giveOrder(machine.name, life, () => isIdle(life), async holder => port.move(machine.name, chosen.to, holder), {order: 'move', from: chosen.from, to: chosen.to}).catch((error: unknown) => {
 			balancer.failed(chosen);
 			throw error;
 		});
 		if (result.type === 'done') {
+			balancer.accepted(chosen, kind);
 			machines.set(machine.name, {...machine, pool: chosen.to, state: MachineStates.moving});
 		} else if (result.type !== 'unknown') {
 			balancer.failed(chosen);
 			if (result.type === 'rejected' && result.reason === 'impossible') {
-				balancer.impossible(machine.labels[0] ?? '', chosen.to);
+				balancer.impossible(chosen, kind, clock.monotonicMs());
 			}
 		}
 	};
