Try other machines while some answer that they are busy

Cause: a machine whose move was rejected as busy or fenced was free again at once, and the balancer takes the first machines of the list. Where as many of them as a step may move kept answering so, every step went to them and no pool got any machine.

Fix: such a machine is held back for 0.5 s, doubling to 2 s, since it may be free again at any moment. An accepted move ends it.

Evidence: three of nine machines in standby answer that they are busy; the pool needs five workers and had 0 after 5 s before, 5 after.

--- a/packages/core/src/jobs/fleet-balancer.ts
+++ b/packages/core/src/jobs/fleet-balancer.ts
@@ -96,6 +96,11 @@
 			refusals.impossible({machine, kind, to}, nowMs);
 		},
 
+		/** Records that the platform did not move a machine, and may do so later. */
+		busy({machine, to}: MachineMove, kind: string, nowMs: number): void {
+			refusals.busy({machine, kind, to}, nowMs);
+		},
+
 		/** Records that the platform has carried out a move of a machine of a kind. */
 		accepted({machine, to}: MachineMove, kind: string): void {
 			refusals.accepted({machine, kind, to});
--- a/packages/core/src/jobs/move-refusals.ts
+++ b/packages/core/src/jobs/move-refusals.ts
@@ -12,6 +12,10 @@
 const MACHINE_DELAY_MS = 2000;
 /** Upper limit on both delays, in milliseconds. */
 const MAX_DELAY_MS = 30_000;
+/** First delay of a machine that is busy, in milliseconds; doubles with each further answer. */
+const BUSY_DELAY_MS = 500;
+/** Upper limit on the delay of a machine that is busy, in milliseconds; it may be free again at any moment. */
+const MAX_BUSY_DELAY_MS = 2000;
 
 type Delay = {untilMs: number; lengthMs: number};
 
@@ -25,39 +29,46 @@
 	const refusedByKind = new Map<string, Set<string>>();
 
 	const machineKey = ({machine, to}: PossibleMove): string => `machine ${machine} ${to}`;
+	const busyKey = ({machine}: PossibleMove): string => `busy ${machine}`;
 	const kindKey = ({kind, to}: PossibleMove): string => `kind ${kind} ${to}`;
 
 	/** Begins the next delay; refusals during a delay are answers to moves ordered before it. */
-	const delay = (key: string, firstMs: number, nowMs: number): void => {
+	const delay = (key: string, {firstMs, maxMs}: {firstMs: number; maxMs: number}, nowMs: number): void => {
 		const last = delays.get(key);
 		if (last && nowMs < last.untilMs) {
 			return;
 		}
 
-		const lengthMs = last ? Math.min(MAX_DELAY_MS, last.lengthMs * 2) : firstMs;
+		const lengthMs = last ? Math.min(maxMs, last.lengthMs * 2) : firstMs;
 		delays.set(key, {untilMs: nowMs + lengthMs, lengthMs});
 	};
 
 	return {
 		/** Records that the platform cannot move a machine to a pool. */
 		impossible(move: PossibleMove, nowMs: number): void {
-			delay(machineKey(move), MACHINE_DELAY_MS, nowMs);
+			delay(machineKey(move), {firstMs: MACHINE_DELAY_MS, maxMs: MAX_DELAY_MS}, nowMs);
 			const refused = refusedByKind.get(kindKey(move)) ?? new Set<string>();
 			refused.add(move.machine);
 			refusedByKind.set(kindKey(move), refused);
 			if (refused.size > 1) {
-				delay(kindKey(move), KIND_DELAY_MS, nowMs);
+				delay(kindKey(move), {firstMs: KIND_DELAY_MS, maxMs: MAX_DELAY_MS}, nowMs);
 			}
 		},
 
+		/** Records that the platform did not move a machine now, whatever the pool. */
+		busy(move: PossibleMove, nowMs: number): void {
+			delay(busyKey(move), {firstMs: BUSY_DELAY_MS, maxMs: MAX_BUSY_DELAY_MS}, nowMs);
+		},
+
 		/** Records that the platform moved a machine to a pool, which therefore takes its kind. */
 		accepted(move: PossibleMove): void {
 			delays.delete(machineKey(move));
+			delays.delete(busyKey(move));
 			delays.delete(kindKey(move));
 			refusedByKind.delete(kindKey(move));
 		},
 
 		/** True if a machine may be tried. */
-		mayMove: (move: PossibleMove, nowMs: number): boolean => [machineKey(move), kindKey(move)].every(key => nowMs >= (delays.get(key)?.untilMs ?? -Infinity)),
+		mayMove: (move: PossibleMove, nowMs: number): boolean => [machineKey(move), busyKey(move), kindKey(move)].every(key => nowMs >= (delays.get(key)?.untilMs ?? -Infinity)),
 	};
 };
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -253,8 +253,8 @@
 			machines.set(machine.name, {...machine, pool: chosen.to, state: MachineStates.moving});
 		} else if (result.type !== 'unknown') {
 			balancer.failed(chosen);
-			if (result.type === 'rejected' && result.reason === 'impossible') {
-				balancer.impossible(chosen, kind, clock.monotonicMs());
+			if (result.type === 'rejected') {
+				balancer[result.reason === 'impossible' ? 'impossible' : 'busy'](chosen, kind, clock.monotonicMs());
 			}
 		}
 	};
--- a/tests/daemon/jobs/refused-moves.spec.ts
+++ b/tests/daemon/jobs/refused-moves.spec.ts
@@ -22,6 +22,13 @@
 		assert.equal(count, 5);
 	});
 
+	it('should get machines although the first ones in the list answer that they are busy', async () => {
+		const {count} = await benchAfter(5000, {
+			needed: 5, machines: machinesOf('spare', 'a', 9), answer: ({name}) => (['spare-a0', 'spare-a1', 'spare-a2'].includes(name) ? 'busy' : 'done'),
+		});
+		assert.equal(count, 5);
+	});
+
 	it('should not be sent machines of a kind that it does not take again and again', async () => {
 		const {count, moves} = await benchAfter(60_000, {
 			needed: 5, machines: [...machinesOf('spare', 'b', 20), ...machinesOf('spare', 'a', 4)], answer: ({kind}, pool) => (kind === 'b' && pool === 'bench' ? 'impossible' : 'done'),
