Stop counting a move without an answer once a list shows the machine in its old pool

Cause: a move that got no answer counted as a worker on its way for 6 s, the limit for moves that were carried out, and its machine was not tried again before. A platform that answers nothing for 2.5 s thus kept a pool from further machines for 6 s after each order.

Fix: the list that is read 0.8 s or more after the call had failed tells. If it shows the machine up in another pool, the move no longer counts.

--- a/packages/core/src/jobs/fleet-balancer.ts
+++ b/packages/core/src/jobs/fleet-balancer.ts
@@ -91,6 +91,13 @@
 			pendingMoves.delete(move.machine);
 		},
 
+		/** Records that a list shows a machine up in a pool after an order that got no answer, so that a move elsewhere was not carried out. */
+		stillIn(machine: string, pool: string): void {
+			if (pendingMoves.get(machine)?.to !== pool) {
+				pendingMoves.delete(machine);
+			}
+		},
+
 		/** Records that the platform cannot move a machine of a kind to a pool. */
 		impossible({machine, to}: MachineMove, kind: string, nowMs: number): void {
 			refusals.impossible({machine, kind, to}, nowMs);
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -126,9 +126,14 @@
 			// Until the list names the worker, it does not show whether a life with runs goes on.
 			const isSettled = order.life === undefined || listed?.workerId !== undefined || store.runsOf(order.life).size === 0;
 			const isUpAgain = isListedSince && order.state === 'done' && listed?.state === MachineStates.up && isSettled;
-			if (isUpAgain || (order.state === 'unanswered' && requestedMs - order.atMs > REPEAT_DELAY_MS)) {
+			const mayRepeat = order.state === 'unanswered' && requestedMs - order.atMs > REPEAT_DELAY_MS;
+			if (isUpAgain || mayRepeat) {
 				pendingOrders.delete(name);
 			}
+
+			if (mayRepeat && listed?.state === MachineStates.up) {
+				balancer.stillIn(name, listed.pool);
+			}
 		}
 
 		return true;
--- a/tests/daemon/jobs/refused-moves.spec.ts
+++ b/tests/daemon/jobs/refused-moves.spec.ts
@@ -29,6 +29,13 @@
 		assert.equal(count, 5);
 	});
 
+	it('should get other machines while moves are not answered', async () => {
+		const {count} = await benchAfter(6000, {
+			needed: 5, machines: machinesOf('spare', 'a', 12), answer: (_machine, _pool, nowMs) => (nowMs < 2500 ? 'silent' : 'done'),
+		});
+		assert.equal(count, 5);
+	});
+
 	it('should not be sent machines of a kind that it does not take again and again', async () => {
 		const {count, moves} = await benchAfter(60_000, {
 			needed: 5, machines: [...machinesOf('spare', 'b', 20), ...machinesOf('spare', 'a', 4)], answer: ({kind}, pool) => (kind === 'b' && pool === 'bench' ? 'impossible' : 'done'),
