Ask for more workers for a step with a ticket while new steps keep coming

Cause: in a queue's turn, steps without a valid ticket go first. A step with a ticket for workers that are full, or at its limit per worker, was not asked for again until its tickets ran out, as long as new steps came at least as fast as the service answers; then it was asked for once.

Fix: every fourth call of a queue goes to its oldest request.

Evidence: of ten calls, with two new steps for each, none went to such a step before.

--- a/packages/daemon/src/jobs/advice-cache.ts
+++ b/packages/daemon/src/jobs/advice-cache.ts
@@ -10,6 +10,8 @@
 const USABLE_VALIDITY_SHARE = 0.8;
 /** Waiting calls of one queue at most; its further requests are dropped. */
 const MAX_WAITING = 64;
+/** Number of a queue's calls of which one goes to its oldest request, whether or not its step has a valid ticket. */
+const OLDEST_FIRST_EVERY = 4;
 /** Pause after a call that got no answer, in milliseconds. */
 const RETRY_MS = 300;
 /** Number of cached steps above which those that were not used for a while are removed. */
@@ -35,8 +37,10 @@
 export const createAdviceCache = (options: {port: AdvicePort | undefined; clock: Clock; log: Log; onAdvice(): void}) => {
 	const {port, clock, log} = options;
 	const adviceByStep = new Map<string, StepAdvice>();
-	/** Requests by queue and step. Queues take turns, the first one next, so that none waits for another's backlog; steps without any valid ticket go first in each. */
+	/** Requests by queue and step. Queues take turns, the first one next, so that none waits for another's backlog; steps without any valid ticket go first in most of a queue's calls. */
 	const waiting = new Map<string, Map<string, readonly AdvisableWorker[]>>();
+	/** Number of calls by queue. */
+	const calls = new Map<string, number>();
 	let askedStep: string | undefined;
 	let isBusy = false;
 	let isClosed = false;
@@ -114,7 +118,9 @@
 	const takeNext = (): {step: string; workers: readonly AdvisableWorker[]} => {
 		const [queue, requests] = waiting.entries().next().value!;
 		const steps = [...requests.keys()];
-		const step = steps.find(each => !hasValidTicket(each)) ?? steps[0]!;
+		const count = (calls.get(queue) ?? 0) + 1;
+		calls.set(queue, count);
+		const step = (count % OLDEST_FIRST_EVERY === 0 ? undefined : steps.find(each => !hasValidTicket(each))) ?? steps[0]!;
 		const workers = requests.get(step)!;
 		requests.delete(step);
 		waiting.delete(queue);
--- a/tests/daemon/jobs/advice-cache.spec.ts
+++ b/tests/daemon/jobs/advice-cache.spec.ts
@@ -117,6 +117,27 @@
 		assert.ok(asked.slice(0, 3).some(({step}) => step.startsWith('b')), asked.slice(0, 3).map(({step}) => step).join(' '));
 	});
 
+	it('should ask for more workers for a step with a ticket while new steps keep coming', async () => {
+		const {asked, cache, job} = setUp(['w1']);
+		const wide = job('a');
+		cache.request(wide, 0, 0, workers(2));
+		await settle();
+		for (let pass = 0; pass < 24; pass += 1) {
+			for (const number of [0, 1]) {
+				cache.request(job(`b${(2 * pass) + number}`), 0, 0, workers(2));
+			}
+
+			cache.request(wide, 0, 0, workers(4).slice(2));
+			// Each pass follows an answer, before the next call is chosen.
+			await Promise.resolve();
+		}
+
+		const calls = asked.slice(1, 11).map(({step}) => step[0]);
+		assert.equal(calls.length, 10);
+		assert.ok(calls.includes('a'), calls.join(' '));
+		cache.close();
+	});
+
 	it('should ask about workers again after a call without an answer', async () => {
 		const {asked, state, cache, job} = setUp(['w1']);
 		const step = job('a');
