Let machines that wait for an availability budget take work again, in turns

Cause: a machine that is emptied for its upkeep takes no work until it may begin, and it may not begin while too much of a step is unavailable. Where the step's missing work unit fits only on such a machine (its limit per worker is reached elsewhere), each waits for the other. Pools that are short of room are spared only while the wave has time to spare. An unreachable platform kept such machines out of use as well, as nothing was decided.

Fix: after 4 s of emptying the machine takes work for 1 s, and so on in turns; it may still begin at any time, and nothing is evacuated from it during that second.

Evidence: three machines of a wave whose budget never allows an upkeep took no work in any of 100 steps of 0.2 s before; now in every 6 s there is a time when they do.

The existing test reads the same set through isEmptying, which takes the time, with the same expected machines.

--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -65,6 +65,10 @@
 
 /** Time for which a machine takes no new work before its upkeep, in milliseconds. */
 const EMPTYING_MS = 1500;
+/** Time after which a machine that may not begin yet takes work again for a while, in milliseconds: the work that its upkeep waits for may fit nowhere else. */
+const MAX_EMPTYING_MS = 4000;
+/** Time for which it then takes work, in milliseconds; more than one scheduling pass. */
+const RELEASE_MS = 1000;
 /** Number of machines that are emptied beyond those that may begin now, so that a machine that must wait for an availability budget does not block others. */
 const EXTRA_EMPTYING_MACHINES = 2;
 /** Duration of one machine's upkeep in a wave, in milliseconds, from the start of emptying until it is listed as up again. */
@@ -145,6 +149,9 @@
 	return wave.deadlineMs - input.wallMs < neededMs + DEADLINE_RESERVE_MS;
 };
 
+/** True if a machine that has been emptied since a time, in milliseconds, takes work meanwhile. */
+const isReleased = (sinceMs: number, nowMs: number): boolean => (nowMs - sinceMs) % (MAX_EMPTYING_MS + RELEASE_MS) >= MAX_EMPTYING_MS;
+
 /** Creates the planner. It keeps track of when the emptying of each machine began. */
 export const createUpkeepPlanner = () => {
 	const emptyingSince = new Map<string, number>();
@@ -167,7 +174,8 @@
 			const life = input.lifeOf(machine);
 			const isEmptied = cpu <= 0 || input.nowMs - (since ?? input.nowMs) >= EMPTYING_MS;
 			const mayBegin = freeSlots > 0 && isEmptied && (life === undefined || keepsBudgets(input, life));
-			const evacuated = !mayBegin && freeSlots > 0 && life !== undefined ? unitToEvacuate(input, life) : undefined;
+			const mayEvacuate = !mayBegin && freeSlots > 0 && !isReleased(since ?? input.nowMs, input.nowMs);
+			const evacuated = mayEvacuate && life !== undefined ? unitToEvacuate(input, life) : undefined;
 			freeSlots -= mayBegin ? 1 : 0;
 			return {
 				wave, machine, mayBegin, unitToEvacuate: evacuated,
@@ -176,8 +184,11 @@
 	};
 
 	return {
-		/** Machines that take no new work because they are being emptied for upkeep. */
-		emptying: (): ReadonlySet<string> => new Set(emptyingSince.keys()),
+		/** True if a machine takes no new work because it is being emptied for upkeep. */
+		isEmptying(machine: string, nowMs: number): boolean {
+			const sinceMs = emptyingSince.get(machine);
+			return sinceMs !== undefined && !isReleased(sinceMs, nowMs);
+		},
 
 		/** Chooses the machines of all waves in progress. */
 		choose(input: UpkeepInput): UpkeepChoice[] {
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -313,7 +313,7 @@
 		/** Returns true if a life may take new work: its machine is not about to go down or to move, and no order is known that may have ended it. */
 		mayTakeWork(entry: WorkerEntry): boolean {
 			const machine = entry.machine ?? machineByWorker.get(entry.id);
-			return machine === undefined || !(pendingOrders.has(machine) || planner.emptying().has(machine) || mayHaveEnded(entry, {
+			return machine === undefined || !(pendingOrders.has(machine) || planner.isEmptying(machine, clock.monotonicMs()) || mayHaveEnded(entry, {
 				listed: machines.get(machine),
 				listReadMs,
 				order: ordered.has(machine) ? undefined : store.machineOrder(machine),
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -185,7 +185,7 @@
 		const namesOf = (choices: UpkeepChoice[]): string[] => choices.filter(choice => choice.mayBegin).map(choice => choice.machine.name);
 		const plan = createUpkeepPlanner();
 		assert.deepEqual(namesOf(plan.choose(short)), ['m3']);
-		assert.deepEqual([...plan.emptying()], ['m3']);
+		assert.deepEqual(['m1', 'm2', 'm3'].filter(name => plan.isEmptying(name, short.nowMs)), ['m3']);
 		assert.deepEqual(namesOf(createUpkeepPlanner().choose({...short, machines: input.machines})), []);
 		assert.deepEqual(namesOf(createUpkeepPlanner().choose({...short, machines: input.machines, wallMs: 0})), ['m1']);
 	});
@@ -199,6 +199,22 @@
 		assert.deepEqual(later.filter(choice => choice.mayBegin).map(choice => choice.machine.name), ['m3']);
 	});
 
+	it('should let machines that wait for an availability budget take work again, in turns', () => {
+		const {input} = lastingOn(['w1', 'w22', 'w333'], 50);
+		const plan = createUpkeepPlanner();
+		const emptyingAt = (nowMs: number): number => {
+			assert.deepEqual(plan.choose({...input, nowMs}).filter(choice => choice.mayBegin), []);
+			return ['m1', 'm2', 'm3'].filter(name => plan.isEmptying(name, nowMs)).length;
+		};
+
+		const counts = Array.from({length: 100}, (_, step) => emptyingAt(step * 200));
+		assert.deepEqual([counts[0], counts[10]], [3, 3]);
+		// A lasting work unit must run again within 6 s.
+		for (let first = 0; first + 29 < counts.length; first += 1) {
+			assert.ok(counts.slice(first, first + 29).includes(0), counts.join(' '));
+		}
+	});
+
 	it('should count only machines that are down for upkeep against the cap', () => {
 		const {input} = lastingOn([], 100);
 		const machines = new Map(input.machines);
