Play refused, unanswered and throttled moves at random

A pool that lacks workers has to get the machines that stand elsewhere within 6 s after the last trouble: entries of machines that are gone, moves that are impossible for up to 3 s, busy, unanswered or throttled for up to 8 s, for a part of the fleet, and a kind that the pool does not take.

--- a/tests/daemon/jobs/refused-moves.spec.ts
+++ b/tests/daemon/jobs/refused-moves.spec.ts
@@ -1,13 +1,14 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createMovableMachines, type StartMachine} from '../../fixtures/movable-machines.js';
+import fc from 'fast-check';
+import {createMovableMachines, type MoveAnswer, type StartMachine} from '../../fixtures/movable-machines.js';
 
 const machinesOf = (pool: string, kind: string, count: number, changes: Partial<StartMachine> = {}): StartMachine[] => Array.from({length: count}, (_, index) => ({
 	name: `${pool}-${kind}${index}${changes.listedUntilMs === undefined ? '' : '-gone'}`, pool, kind, ...changes,
 }));
 
 /** Machines that run in the pool `bench` after a time in milliseconds. */
-const benchAfter = async (milliseconds: number, options: Parameters<typeof createMovableMachines>[0]): Promise<{count: number; moves: Array<{machine: string; to: string}>}> => {
+const benchAfter = async (milliseconds: number, options: Parameters<typeof createMovableMachines>[0]): Promise<{count: number; moves: Array<{machine: string; to: string; atMs: number}>}> => {
 	const machines = createMovableMachines(options);
 	await machines.pass(milliseconds);
 	machines.stop();
@@ -44,4 +45,39 @@
 		const refused = moves.filter(({machine, to}) => machine.startsWith('spare-b') && to === 'bench').length;
 		assert.ok(refused <= 12, `${refused} refused moves`);
 	});
+
+	/** Share of the fleet that another pool may keep. */
+	const KEPT_SHARE = 0.15;
+
+	type Trouble = {answer: MoveAnswer; fromMs: number; forMs: number; share: number};
+
+	const machine = fc.record({pool: fc.constantFrom('spare', 'spare', 'desk', 'bench'), kind: fc.constantFrom('a', 'a', 'b'), goneForMs: fc.option(fc.integer({min: 500, max: 3000}), {freq: 5})});
+	// The platform takes a move for impossible only as long as its lists may be out of date.
+	const trouble: fc.Arbitrary<Trouble> = fc.oneof(
+		fc.record({
+			answer: fc.constant<MoveAnswer>('impossible'), fromMs: fc.integer({min: 0, max: 4000}), forMs: fc.integer({min: 0, max: 3000}), share: fc.double({min: 0, max: 1, noNaN: true}),
+		}),
+		fc.record({
+			answer: fc.constantFrom<MoveAnswer>('busy', 'silent', 'throttled'), fromMs: fc.integer({min: 0, max: 4000}), forMs: fc.integer({min: 0, max: 8000}), share: fc.double({min: 0, max: 1, noNaN: true}),
+		}),
+	);
+
+	it('should get them within 6 s after the last trouble, whatever was refused or not answered before', async () => {
+		await fc.assert(fc.asyncProperty(fc.array(machine, {minLength: 8, maxLength: 30}), fc.array(trouble, {maxLength: 4}), fc.integer({min: 2, max: 12}), fc.boolean(), async (entries, troubles, needed, takesB) => {
+			const machines: StartMachine[] = entries.map(({pool, kind, goneForMs}, index) => ({
+				name: `m${index}`, pool, kind, listedUntilMs: goneForMs === null ? undefined : 1000 + goneForMs,
+			}));
+			const answer = ({name, kind}: StartMachine, pool: string, nowMs: number): MoveAnswer => {
+				const current = troubles.find(({fromMs, forMs, share}) => nowMs >= 1000 + fromMs && nowMs < 1000 + fromMs + forMs && Number(name.slice(1)) < share * machines.length);
+				return current?.answer ?? (kind === 'b' && pool === 'bench' && !takesB ? 'impossible' : 'done');
+			};
+
+			const real = machines.filter(({listedUntilMs}) => listedUntilMs === undefined);
+			const taken = real.filter(({pool, kind}) => pool !== 'bench' && (kind === 'a' || takesB)).length;
+			const least = Math.min(needed, real.filter(({pool}) => pool === 'bench').length + Math.max(0, taken - Math.max(1, Math.round(machines.length * KEPT_SHARE))));
+			const overMs = Math.max(3000, ...troubles.map(({fromMs, forMs}) => fromMs + forMs));
+			const {count, moves} = await benchAfter(overMs + 6000, {machines, needed, answer});
+			assert.ok(count >= least, `${count} of ${least} workers; moves ${moves.map(({machine, to, atMs}) => `${atMs} ${machine} ${to}`).join(', ')}`);
+		}), {seed: 45, numRuns: 60});
+	});
 });
