--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -126,9 +126,14 @@
 			// Until the list names the worker, it does not show whether a life with runs goes on.
 			const isSettled = order.life === undefined || listed?.workerId !== undefined || store.runsOf(order.life).size === 0;
 			const isUpAgain = isListedSince && order.state === 'done' && listed?.state === MachineStates.up && isSettled;
-			if (isUpAgain || (order.state === 'unanswered' && requestedMs - order.atMs > REPEAT_DELAY_MS)) {
+			const mayRepeat = order.state === 'unanswered' && requestedMs - order.atMs > REPEAT_DELAY_MS;
+			if (isUpAgain || mayRepeat) {
 				pendingOrders.delete(name);
 			}
+
+			if (mayRepeat && listed?.state === MachineStates.up) {
+				balancer.stillIn(name, listed.pool);
+			}
 		}
 
 		return true;
@@ -242,17 +247,19 @@
 			return;
 		}
 
+		const kind = machine.labels[0] ?? '';
 		balancer.ordered(chosen, clock.monotonicMs());
 		const result = await giveOrder(machine.name, life, () => isIdle(life), async holder => port.move(machine.name, chosen.to, holder), {order: 'move', from: chosen.from, to: chosen.to}).catch((error: unknown) => {
 			balancer.failed(chosen);
 			throw error;
 		});
 		if (result.type === 'done') {
+			balancer.accepted(chosen, kind);
 			machines.set(machine.name, {...machine, pool: chosen.to, state: MachineStates.moving});
 		} else if (result.type !== 'unknown') {
 			balancer.failed(chosen);
-			if (result.type === 'rejected' && result.reason === 'impossible') {
-				balancer.impossible(machine.labels[0] ?? '', chosen.to);
+			if (result.type === 'rejected') {
+				balancer[result.reason === 'impossible' ? 'impossible' : 'busy'](chosen, kind, clock.monotonicMs());
 			}
 		}
 	};
@@ -306,7 +313,7 @@
 		/** Returns true if a life may take new work: its machine is not about to go down or to move, and no order is known that may have ended it. */
 		mayTakeWork(entry: WorkerEntry): boolean {
 			const machine = entry.machine ?? machineByWorker.get(entry.id);
-			return machine === undefined || !(pendingOrders.has(machine) || planner.emptying().has(machine) || mayHaveEnded(entry, {
+			return machine === undefined || !(pendingOrders.has(machine) || planner.isEmptying(machine, clock.monotonicMs()) || mayHaveEnded(entry, {
 				listed: machines.get(machine),
 				listReadMs,
 				order: ordered.has(machine) ? undefined : store.machineOrder(machine),
