Try suspects for lasting work in a busy pool too

Callers' lasting work must run again within 6 s however full its pool is, and its starts are not limited, so a try on a suspect costs it nothing.

--- a/tests/core/jobs/scheduler.spec.ts
+++ b/tests/core/jobs/scheduler.spec.ts
@@ -106,7 +106,7 @@
 		assert.deepEqual(plan(storeWith([orderOf('a')]), [first, second], {avoided}).starts.map(({life}) => life), [second.life]);
 	});
 
-	it('should try one work unit on a suspect only after it waited, and only while the pool is not busy', () => {
+	it('should try one work unit on a suspect only after it waited, and in a busy pool only if it lasts', () => {
 		const orders = [orderOf('a', [stepOf({label: 'rack-2'})]), orderOf('b', [stepOf({label: 'rack-2'})])];
 		const suspect = workerOf('w2', {labels: ['kind', 'rack-2']});
 		const idleTimes = createIdleTimes();
@@ -116,6 +116,8 @@
 		const store = storeWith([orderOf('c', [stepOf({resources: {cpu: 4000, memoryMb: 100, gpu: 0}})]), ...orders]);
 		store.apply({type: 'runs-start', lives: [lifeNamed('w1')], runs: [{unit: `${'c'.padEnd(16, '0')}.0.0.0`, attempt: 1, life: lifeNamed('w1').life}]});
 		assert.equal(plan(store, [workerOf('w1')], {suspects: [suspect], idleTimes, wallMs: 1500}).starts.length, 0);
+		store.apply({type: 'submit', order: orderOf('d', [stepOf({label: 'rack-2', lasting: true})]), atMs: 0});
+		assert.deepEqual(plan(store, [workerOf('w1')], {suspects: [suspect], idleTimes, wallMs: 3000}).starts.map(({unit}) => unit[0]), ['d']);
 	});
 
 	it('should keep work that fills spare capacity away from work that serves users', () => {
