--- a/packages/core/src/jobs/move-refusals.ts
+++ b/packages/core/src/jobs/move-refusals.ts
@@ -69,6 +69,6 @@
 		},
 
 		/** True if a machine may be tried. */
-		mayMove: (move: PossibleMove, nowMs: number): boolean => [machineKey(move), busyKey(move), kindKey(move)].every(key => nowMs >= (delays.get(key)?.untilMs ?? -Infinity)),
+		mayMove: (move: PossibleMove, nowMs: number): boolean => delays.size === 0 || [machineKey(move), busyKey(move), kindKey(move)].every(key => nowMs >= (delays.get(key)?.untilMs ?? -Infinity)),
 	};
 };
