Break the circle of imports between the scheduler, its pools and its reservations

What a reader met: scheduler.ts imported pool-workers.ts, which imported reservations.ts, and both of these took the type of a pass's input from scheduler.ts. The types of the input now have a file of their own, scheduling-input.ts; scheduler.ts still exports them. No change of logic.

--- a/packages/core/src/jobs/pool-workers.ts
+++ b/packages/core/src/jobs/pool-workers.ts
@@ -4,7 +4,7 @@
 import type {JobStep} from './job.js';
 import {fits, type CandidateWorker} from './placement.js';
 import {createReservations, type Reservations} from './reservations.js';
-import type {SchedulingInput} from './scheduler.js';
+import type {SchedulingInput} from './scheduling-input.js';
 
 /** A pool's workers in one pass, the sizes that fit on none of them, and the workers reserved for what finds no room. */
 export type PoolWorkers = {name: string; workers: CandidateWorker[]; refused: Resources[]; reservations: Reservations};
--- a/packages/core/src/jobs/reservations.ts
+++ b/packages/core/src/jobs/reservations.ts
@@ -14,7 +14,7 @@
 import {
 	type CandidateWorker, disturbs, fitsIn, reserveResources,
 } from './placement.js';
-import type {SchedulingInput} from './scheduler.js';
+import type {SchedulingInput} from './scheduling-input.js';
 
 /** Share of a pool's workers that may be reserved, by tier: lasting work must start soon however full the pool is, and other work must not idle any of it. */
 const RESERVED_SHARES: Record<Tier, number> = {
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -1,7 +1,5 @@
 /** Decides which work units start on which workers, from the job store and the known state of the workers. */
 import {countRoom} from './gang-room.js';
-import type {ManifestIndex, Resources} from './fleet-manifest.js';
-import type {JobStore} from './job-store.js';
 import type {RunStart} from './job-commands.js';
 import {
 	isOpen, isStepReady, type Job, type JobStep, type Occurrence, type WorkUnit,
@@ -13,30 +11,10 @@
 import {
 	advisable, avoidable, createPoolWorkers, isRefused, type PoolWorkers, poolsOf, requiredResources,
 } from './pool-workers.js';
-import type {RunEstimates} from './run-estimates.js';
 import {createQuotaLedger} from './quota-ledger.js';
+import type {SchedulingInput} from './scheduling-input.js';
 
-/** A worker that accepts work now. */
-export type SchedulableWorker = {life: string; id: string; pool: string; capacity: Resources; labels: string[]; slowness: number};
-
-/** Input of one scheduling pass. */
-export type SchedulingInput = {
-	store: JobStore;
-	manifest: ManifestIndex;
-	workers: readonly SchedulableWorker[];
-	estimates: RunEstimates;
-	wallMs: number;
-	/** Returns the lives on which a work unit must not start now. */
-	avoided: (unit: string) => ReadonlySet<string> | undefined;
-	/** Returns the lives that a step's policy is known to approve; undefined if the queue has no policy, or while nothing is known. */
-	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
-	/** Returns for how long a life has run a work unit, in milliseconds; undefined if that is unknown, as for the runs of an earlier leader. */
-	ranMs?: (life: string, unit: string) => number | undefined;
-	/** Upper limit on runs started in one pass, shared by all pools; a gang that begins below it, or below its pool's guaranteed part, starts whole. */
-	maxStarts: number;
-	/** Order of jobs; by default that of `compareRanks`. */
-	compare?: (left: JobRank, right: JobRank) => number;
-};
+export type {SchedulableWorker, SchedulingInput} from './scheduling-input.js';
 
 /** Result of one scheduling pass. */
 export type SchedulingPass = {
--- /dev/null
+++ b/packages/core/src/jobs/scheduling-input.ts
@@ -0,0 +1,28 @@
+/** What a scheduling pass is told of jobs, workers and limits. */
+import type {ManifestIndex, Resources} from './fleet-manifest.js';
+import type {JobStore} from './job-store.js';
+import type {Job} from './job.js';
+import type {JobRank} from './job-ranking.js';
+import type {RunEstimates} from './run-estimates.js';
+
+/** A worker that accepts work now. */
+export type SchedulableWorker = {life: string; id: string; pool: string; capacity: Resources; labels: string[]; slowness: number};
+
+/** Input of one scheduling pass. */
+export type SchedulingInput = {
+	store: JobStore;
+	manifest: ManifestIndex;
+	workers: readonly SchedulableWorker[];
+	estimates: RunEstimates;
+	wallMs: number;
+	/** Returns the lives on which a work unit must not start now. */
+	avoided: (unit: string) => ReadonlySet<string> | undefined;
+	/** Returns the lives that a step's policy is known to approve; undefined if the queue has no policy, or while nothing is known. */
+	approved: (job: Job, occurrence: number, step: number) => ReadonlySet<string> | undefined;
+	/** Returns for how long a life has run a work unit, in milliseconds; undefined if that is unknown, as for the runs of an earlier leader. */
+	ranMs?: (life: string, unit: string) => number | undefined;
+	/** Upper limit on runs started in one pass, shared by all pools; a gang that begins below it, or below its pool's guaranteed part, starts whole. */
+	maxStarts: number;
+	/** Order of jobs; by default that of `compareRanks`. */
+	compare?: (left: JobRank, right: JobRank) => number;
+};
