Take out the tiers that reserve no worker

What a reader met: reservations.ts had a share for each tier, three of them 0, and asked for a job's tier and remaining time for each step that found no room. Only jobs with a lasting step are of the tier that reserves, so that is what it asks now. No change of what is reserved: the reference pass keeps its tiers, and the random plays of scheduling-work compare the two.

The branches for gangs stay: steps may be gangs and lasting, and reservations.spec ("for every member of a gang, or for none") checks them. Wide steps that do not last stay too, as a job with a lasting step may have them.

The three red tests of wide-work stay red.

Evidence: scheduler, reservations, shared-pass, scheduling-work and wide-work: 54 tests pass, the three listed ones fail as before.

--- a/packages/core/src/jobs/reservations.ts
+++ b/packages/core/src/jobs/reservations.ts
@@ -8,21 +8,13 @@
 import type {Resources} from './fleet-manifest.js';
 import {countRoom} from './gang-room.js';
 import type {Job, JobStep} from './job.js';
-import {
-	remainingMs, type Tier, tierOf, Tiers,
-} from './job-ranking.js';
 import {
 	type CandidateWorker, disturbs, fitsIn, reserveResources,
 } from './placement.js';
 import type {SchedulingInput} from './scheduling-input.js';
 
-/** Share of a pool's workers that may be reserved, by tier: lasting work must start soon however full the pool is, and other work must not idle any of it. */
-const RESERVED_SHARES: Record<Tier, number> = {
-	[Tiers.lasting]: 1 / 2,
-	[Tiers.inTime]: 0,
-	[Tiers.late]: 0,
-	[Tiers.deferrable]: 0,
-};
+/** Share of a pool's workers that may be reserved, for jobs with lasting work: it must start soon however full the pool is, and other jobs must not idle any of it. */
+const RESERVED_SHARE = 1 / 2;
 /** Workers of one pool that may be reserved at once; the search for each takes time from the pass. */
 const MAX_RESERVED = 32;
 /** Share of a worker above which work is wide; smaller work finds room as soon as a few runs end. */
@@ -90,7 +82,7 @@
 	&& one.resources.gpu <= other.resources.gpu;
 
 /** Creates the reservations of one pool's workers in one scheduling pass. */
-export const createReservations = (workers: readonly CandidateWorker[], {store, estimates, wallMs, ranMs}: SchedulingInput) => {
+export const createReservations = (workers: readonly CandidateWorker[], {store, estimates, ranMs}: SchedulingInput) => {
 	let reserved = new Set<string>();
 	let examined = 0;
 	/** Steps whose work units no worker can have room for, and gangs that cannot have room for all members. */
@@ -115,15 +107,18 @@
 		return runs;
 	};
 
-	/** Number of workers that may be reserved once a step of the job has its reservations; 0 if it is too narrow to need any, or has no hope of one. */
+	/** Number of workers that may be reserved once a step of the job has its reservations; 0 if nothing of the job lasts, or the step is too narrow to need any or has no hope of one. */
 	const limitFor = (job: Job, step: JobStep): number => {
+		if (!job.order.steps.some(({lasting}) => lasting)) {
+			return 0;
+		}
+
 		const isNarrow = !step.lasting && !isWide(step, largest);
 		if (isNarrow || !fitsIn(step, largest) || hopeless.some(other => isNoHarder(other, step))) {
 			return 0;
 		}
 
-		const share = RESERVED_SHARES[tierOf(job, wallMs, remainingMs(job, estimates))];
-		const limit = share === 0 ? 0 : Math.min(MAX_RESERVED, Math.max(1, Math.floor(workers.length * share)));
+		const limit = Math.min(MAX_RESERVED, Math.max(1, Math.floor(workers.length * RESERVED_SHARE)));
 		// The search for each member of a gang takes time, so one that cannot have room on this many workers is not tried.
 		return step.gang && countRoom(step, [largest]) * limit < step.count ? 0 : limit;
 	};
