--- a/packages/core/src/jobs/long-waits.ts
+++ b/packages/core/src/jobs/long-waits.ts
@@ -2,7 +2,7 @@
 import {groupBy} from '../utils/group-by.js';
 import {idleSinceMs, type IdleTimes} from './idle-times.js';
 import {isOpen, isStepReady, type Job} from './job.js';
-import type {SchedulableWorker} from './scheduler.js';
+import type {SchedulableWorker} from './scheduling-input.js';
 import {
 	countRuledOut, reasonOfWait, withFree, type RuledOut, type WaitContext, type WaitingStep, type WaitReason,
 } from './wait-reason.js';
--- a/packages/core/src/jobs/pool-workers.ts
+++ b/packages/core/src/jobs/pool-workers.ts
@@ -4,7 +4,7 @@
 import type {JobStep} from './job.js';
 import {fits, type CandidateWorker} from './placement.js';
 import {createReservations, type Reservations} from './reservations.js';
-import type {SchedulableWorker, SchedulingInput} from './scheduler.js';
+import type {SchedulableWorker, SchedulingInput} from './scheduling-input.js';
 import {createSuspectTrials, type SuspectTrials} from './suspect-trials.js';
 
 /** A pool's workers in one pass, the sizes that fit on none of them, the workers reserved for what finds no room, and the trials of its suspects. */
--- a/packages/core/src/jobs/suspect-trials.ts
+++ b/packages/core/src/jobs/suspect-trials.ts
@@ -11,7 +11,7 @@
 	Job, JobStep, Occurrence, WorkUnit,
 } from './job.js';
 import {chooseAvoiding, type CandidateWorker} from './placement.js';
-import type {SchedulingInput} from './scheduler.js';
+import type {SchedulingInput} from './scheduling-input.js';
 
 /** Time without any run after which a job's work unit is tried on a suspect, in milliseconds; half of what a job may wait. */
 const JOB_WAIT_MS = 1500;
--- a/packages/core/src/jobs/wait-reason.ts
+++ b/packages/core/src/jobs/wait-reason.ts
@@ -5,7 +5,8 @@
 import type {Job, JobStep, WorkUnit} from './job.js';
 import type {JobStore} from './job-store.js';
 import {createQuotaLedger} from './quota-ledger.js';
-import type {SchedulableWorker, SchedulingInput, SchedulingPass} from './scheduler.js';
+import type {SchedulingPass} from './scheduler.js';
+import type {SchedulableWorker, SchedulingInput} from './scheduling-input.js';
 
 /** Reason why a work unit has not started. */
 export type WaitReason =
