Begin no upkeep on a machine that just took work again

Callers could lose work: a machine that waits for an availability budget takes work for 1 s in 5 s, and its upkeep could begin within that second or right after it, with the work that had just started there. Now it begins once the machine has been emptied for 1.5 s again.

The new test of fleet.spec.ts fails on the code before. The import order of wait-reason.ts is as the linter wants it.

--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -149,8 +149,11 @@
 	return wave.deadlineMs - input.wallMs < neededMs + DEADLINE_RESERVE_MS;
 };
 
-/** True if a machine that has been emptied since a time, in milliseconds, takes work meanwhile. */
-const isReleased = (sinceMs: number, nowMs: number): boolean => (nowMs - sinceMs) % (MAX_EMPTYING_MS + RELEASE_MS) >= MAX_EMPTYING_MS;
+/** Time for which a machine that is emptied since a time has taken no work, in milliseconds; undefined while it takes work again. */
+const emptiedForMs = (sinceMs: number, nowMs: number): number | undefined => {
+	const forMs = (nowMs - sinceMs) % (MAX_EMPTYING_MS + RELEASE_MS);
+	return forMs < MAX_EMPTYING_MS ? forMs : undefined;
+};
 
 /** Creates the planner. It keeps track of when the emptying of each machine began. */
 export const createUpkeepPlanner = () => {
@@ -172,9 +175,10 @@
 		candidates.sort((one, other) => (one.since ?? Infinity) - (other.since ?? Infinity) || one.cpu - other.cpu);
 		return candidates.slice(0, freeSlots === 0 ? 0 : freeSlots + EXTRA_EMPTYING_MACHINES).map(({machine, cpu, since}) => {
 			const life = input.lifeOf(machine);
-			const isEmptied = cpu <= 0 || input.nowMs - (since ?? input.nowMs) >= EMPTYING_MS;
+			const emptyMs = emptiedForMs(since ?? input.nowMs, input.nowMs);
+			const isEmptied = cpu <= 0 || (emptyMs !== undefined && emptyMs >= EMPTYING_MS);
 			const mayBegin = freeSlots > 0 && isEmptied && (life === undefined || keepsBudgets(input, life));
-			const mayEvacuate = !mayBegin && freeSlots > 0 && !isReleased(since ?? input.nowMs, input.nowMs);
+			const mayEvacuate = !mayBegin && freeSlots > 0 && emptyMs !== undefined;
 			const evacuated = mayEvacuate && life !== undefined ? unitToEvacuate(input, life) : undefined;
 			freeSlots -= mayBegin ? 1 : 0;
 			return {
@@ -187,7 +191,7 @@
 		/** True if a machine takes no new work because it is being emptied for upkeep. */
 		isEmptying(machine: string, nowMs: number): boolean {
 			const sinceMs = emptyingSince.get(machine);
-			return sinceMs !== undefined && !isReleased(sinceMs, nowMs);
+			return sinceMs !== undefined && emptiedForMs(sinceMs, nowMs) !== undefined;
 		},
 
 		/** Chooses the machines of all waves in progress. */
--- a/packages/core/src/jobs/wait-reason.ts
+++ b/packages/core/src/jobs/wait-reason.ts
@@ -1,6 +1,6 @@
 /** Finds which rule keeps a ready step from starting its idle work units. */
-import type {Resources} from './fleet-manifest.js';
 import {groupBy} from '../utils/group-by.js';
+import type {Resources} from './fleet-manifest.js';
 import {countRoom} from './gang-room.js';
 import type {Job, JobStep, WorkUnit} from './job.js';
 import type {JobStore} from './job-store.js';
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -215,6 +215,17 @@
 		}
 	});
 
+	it('should not begin the upkeep of a machine that just took work again until it has been emptied once more', () => {
+		const {store, input: empty} = lastingOn([], 100);
+		store.apply({type: 'submit', order: orderOf('b'), atMs: 0});
+		store.apply({type: 'runs-start', lives: [lifeNamed('w1')], runs: [{unit: `${'b'.padEnd(16, '0')}.0.0.0`, attempt: 1, life: lifeNamed('w1').life}]});
+		const input = {...empty, machines: new Map([['m1', machineOf('m1', 'w1')]])};
+		const plan = createUpkeepPlanner();
+		plan.choose({...input, nowMs: 0});
+		const countAt = (nowMs: number): number => plan.choose({...input, nowMs}).filter(choice => choice.mayBegin).length;
+		assert.deepEqual([4500, 5500, 6400, 6500].map(nowMs => countAt(nowMs)), [0, 0, 0, 1]);
+	});
+
 	it('should count only machines that are down for upkeep against the cap', () => {
 		const {input} = lastingOn([], 100);
 		const machines = new Map(input.machines);
