--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -46,8 +46,6 @@
 	trackOf: (life: string) => WorkerTrack | undefined;
 	/** Kind of order, by machine, for orders that are not known to be over. */
 	pendingOrders: ReadonlyMap<string, MachineOrderKind>;
-	/** True if a machine would refuse an order, although it may be listed as up. */
-	refuses: (machine: string) => boolean;
 	/** Pools with work that waits for room. */
 	shortPools: ReadonlySet<string>;
 	/** Pools whose machines are switched off. */
@@ -158,7 +156,7 @@
 		let freeSlots = Math.max(0, wave.cap - countDown(input, wave));
 		const candidates = remaining.flatMap(name => {
 			const machine = input.machines.get(name);
-			const isCandidate = machine?.state === MachineStates.up && !input.pendingOrders.has(name) && !input.refuses(name) && !(sparesShortPools && input.shortPools.has(machine.pool));
+			const isCandidate = machine?.state === MachineStates.up && !input.pendingOrders.has(name) && !(sparesShortPools && input.shortPools.has(machine.pool));
 			return isCandidate ? [machine] : [];
 		}).map(machine => ({
 			machine, cpu: input.standbyPools.has(machine.pool) ? -1 : cpuInUse(input, input.lifeOf(machine)), since: emptyingSince.get(machine.name),
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -5,7 +5,6 @@
 	type RunEstimates, type UpkeepInput, type UpkeepWave, type WorkerDirectory, type WorkerEntry, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
-import {createBusyMachines} from './busy-machines.js';
 import {createForeignOrders, SEND_TIMEOUT_MS} from './foreign-orders.js';
 import type {MachineHolder, MachinePort, MachineResult} from './ports.js';
 
@@ -65,7 +64,6 @@
 	const ordered = new Set<string>();
 	const startedMs = clock.monotonicMs();
 	const foreignOrders = createForeignOrders(options);
-	const busyMachines = createBusyMachines(clock);
 	/** Waves whose completion is being committed. */
 	const completing = new Set<number>();
 	let machines = new Map<string, Machine>();
@@ -81,16 +79,12 @@
 
 	const standbyPools = (): Set<string> => new Set(store.manifest()?.manifest.pools.filter(pool => pool.standby).map(pool => pool.name));
 
-	/** True if a machine would refuse an order: its worker drains, as the machine is about to leave, or it has refused one recently. */
-	const refuses = (machine: string): boolean => directory.ofMachine(machine)?.draining === true || busyMachines.isBusy(machine);
-
 	const input = (): UpkeepInput => ({
 		store,
 		machines,
 		lifeOf,
 		trackOf: options.trackOf,
 		pendingOrders: new Map([...pendingOrders].map(([name, order]) => [name, order.kind])),
-		refuses,
 		shortPools: options.shortPools(),
 		standbyPools: standbyPools(),
 		nowMs: clock.monotonicMs(),
@@ -190,9 +184,6 @@
 			mustRefresh ||= life !== undefined;
 		} else {
 			pendingOrders.delete(machine);
-			if (result.type === 'rejected' && result.reason === 'busy') {
-				busyMachines.refused(machine);
-			}
 		}
 
 		return result;
@@ -240,7 +231,7 @@
 		await Promise.all([completeWaves(), ...orders]);
 	};
 
-	const movable = (): MovableMachine[] => [...machines.values()].filter(machine => machine.state === MachineStates.up && !pendingOrders.has(machine.name) && !refuses(machine.name) && foreignOrders.isClear(machine.name)).map(machine => ({
+	const movable = (): MovableMachine[] => [...machines.values()].filter(machine => machine.state === MachineStates.up && !pendingOrders.has(machine.name) && foreignOrders.isClear(machine.name)).map(machine => ({
 		name: machine.name, pool: machine.pool, capacity: machine.capacity, kind: machine.labels[0] ?? '', isIdle: isIdle(lifeOf(machine)),
 	}));
 
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -162,7 +162,7 @@
 	return {
 		store,
 		input: {
-			store, machines: new Map(['m1', 'm2', 'm3'].map((name, index) => [name, machineOf(name, ids[index])])), lifeOf: machine => machine.workerId && lifeNamed(machine.workerId).life, trackOf: life => tracks.get(life), pendingOrders: new Map(), refuses: () => false, shortPools: new Set(), standbyPools: new Set(), nowMs: 500, wallMs: 500,
+			store, machines: new Map(['m1', 'm2', 'm3'].map((name, index) => [name, machineOf(name, ids[index])])), lifeOf: machine => machine.workerId && lifeNamed(machine.workerId).life, trackOf: life => tracks.get(life), pendingOrders: new Map(), shortPools: new Set(), standbyPools: new Set(), nowMs: 500, wallMs: 500,
 		},
 	};
 };
