Renew at workers that close each connection after one answer

Callers would lose all work on such a worker: the first poll on each connection renews and acknowledges nothing, so its lease would lapse again and again. After three polls in a row that were answered on connections of their own, polls are sent in full.

--- a/tests/platform/named-polls.spec.ts
+++ b/tests/platform/named-polls.spec.ts
@@ -63,6 +63,9 @@
 			return worker;
 		},
 		born: () => born,
+		closeConnections(): void {
+			server.closeAllConnections();
+		},
 		/** The life ends with its connections, and the next one begins. */
 		restart(): void {
 			born += 1;
@@ -138,6 +141,23 @@
 		assert.deepEqual(server.seen.map(({body}) => [body['ack-seq'], body['expires-ms']]), [[0, undefined], [57, 5000], [57, 5000]]);
 	});
 
+	it('should renew and acknowledge at a worker that closes each connection after one answer', async context => {
+		const server = await listen(context);
+		server.state.afterAnswer = server.closeConnections;
+		const worker = server.connect(1);
+		const results = [];
+		for (let poll = 0; poll < 5; poll += 1) {
+			// Each poll opens a connection of its own.
+			// eslint-disable-next-line no-await-in-loop
+			results.push(await worker.hold(POLL));
+			// eslint-disable-next-line no-await-in-loop
+			await pause(20);
+		}
+
+		assert.deepEqual(server.polls().map(each => isPlain(each)), [true, true, true, false, false]);
+		assert.ok(results.every(result => result.type === 'lists'));
+	});
+
 	it('should cost no further call, and hold up no start', async context => {
 		const server = await listen(context);
 		const worker = server.connect(1);
