--- a/tests/platform/named-polls.spec.ts
+++ b/tests/platform/named-polls.spec.ts
@@ -141,6 +141,14 @@
 		assert.deepEqual(server.seen.map(({body}) => [body['ack-seq'], body['expires-ms']]), [[0, undefined], [57, 5000], [57, 5000]]);
 	});
 
+	it('should not wait for an end before it can renew or acknowledge', async context => {
+		const server = await listen(context);
+		const worker = server.connect(1);
+		await worker.hold({...POLL, waitMs: 400});
+		await worker.hold({...POLL, waitMs: 400});
+		assert.deepEqual(server.seen.map(({body}) => body['wait-ms']), [0, 400]);
+	});
+
 	it('should renew and acknowledge at a worker that closes each connection after one answer', async context => {
 		const server = await listen(context);
 		server.state.afterAnswer = server.closeConnections;
