Hold a busy pool to the bound of lasting work in the failing-pool play

Lasting work has to run again 6 s after its last run however full its service is, and the check passed over pools with half of their room in use.

--- a/tests/daemon/jobs/failed-workers.spec.ts
+++ b/tests/daemon/jobs/failed-workers.spec.ts
@@ -68,6 +68,12 @@
 		assert.deepEqual(stuck, []);
 	});
 
+	for (const seed of [107, 221]) {
+		it(`should start within 6 s if it lasts, although only suspects have places and the pool is busy, with seed ${seed}`, () => {
+			assert.deepEqual(playFailingPool(drawFailingPool(seed, 0.1, 6 + (seed % 35))).stuck, []);
+		});
+	}
+
 	it('should not start more than once a second in the long run when it fails at once on every worker', () => {
 		const {starts} = playOne(audit({count: 2, perWorker: undefined}), workersOf(6), {fateOf: () => ({tookMs: 100, how: 'failed'})});
 		assert.ok(Math.max(...starts.values()) <= 60, `${Math.max(...starts.values())} starts in 60 s`);
