Try suspects for lasting work in a busy pool as well

Callers would see a lasting work unit that does not run for up to the 10 s of a suspicion, as all workers with places for it are suspects and half of the pool is in use.

Cause: the test for a busy pool, meant for waits that are due to the load, also held for lasting work, whose waits beside places are not.

--- a/packages/core/src/jobs/suspect-trials.ts
+++ b/packages/core/src/jobs/suspect-trials.ts
@@ -2,7 +2,7 @@
 Tries workers under suspicion for work that waits although its pool is not busy.
 
 A suspect takes no work for up to 10 s, and accepted work may wait for less beside free room. One work unit, or one gang, at a
-time is tried on a suspect, which may run lasting work meanwhile. In a busy pool none is, as the wait there is due to the load.
+time is tried on a suspect, which may run lasting work meanwhile. In a busy pool only lasting work is, as other waits there are due to the load.
 */
 import type {AvoidedLives} from './avoided-lives.js';
 import {idleSinceMs} from './idle-times.js';
@@ -27,12 +27,12 @@
 	const all = [...workers, ...suspects];
 	const sum = (amount: (worker: CandidateWorker) => number): number => all.reduce((total, worker) => total + amount(worker), 0);
 	const isBusy = (['cpu', 'memoryMb'] as const).some(key => sum(({free}) => free[key]) <= sum(({capacity}) => capacity[key]) * (1 - BUSY_SHARE));
-	const untried = new Set(isBusy ? [] : suspects.filter(({life}) => [...store.runsOf(life).values()].every(({job, step}) => job.order.steps[step]!.lasting)));
+	const untried = new Set(suspects.filter(({life}) => [...store.runsOf(life).values()].every(({job, step}) => job.order.steps[step]!.lasting)));
 
 	/** True if a work unit has waited for long, and nothing else of its job runs if it does not last. */
 	const mayTry = ({job, occurrence, step, unit, hasStarted}: UnplacedUnit): boolean => {
 		const isCovered = !step.lasting && ((hasStarted && !step.gang) || job.running > 0);
-		return untried.size > 0 && idleTimes !== undefined && !isCovered && wallMs - idleSinceMs(idleTimes, job, occurrence, step, unit) >= (step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS);
+		return untried.size > 0 && idleTimes !== undefined && !isCovered && (step.lasting || !isBusy) && wallMs - idleSinceMs(idleTimes, job, occurrence, step, unit) >= (step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS);
 	};
 
 	return {
