Keep a work unit that fails at once off all workers of a large pool

Callers would see nothing; the leader starts a lasting work unit that fails at once ten times a second for good.

Cause: 32 lives were remembered for each work unit, and one that was forgotten was not barred, so that a pool with more workers always had one.

Evidence: 1,201 starts in 120 s with 40 workers before; the test, at most 120, passes now. With as many workers as a pool may have, the first start on each is still not held back. The lives are looked up by a map, as the earlier sort took time with the square of their number.

--- a/packages/core/src/jobs/avoided-lives.ts
+++ b/packages/core/src/jobs/avoided-lives.ts
@@ -21,8 +21,8 @@
 const MAX_LASTING_BAR_MS = 2000;
 /** Length of a run from which a failure is not in a row with those before it, in milliseconds. */
 const STABLE_RUN_MS = 10_000;
-/** Lives remembered for each work unit at most; the earliest failures are forgotten first. */
-const MAX_LIVES = 32;
+/** Lives remembered for each work unit at most, more than a pool has, since one that is forgotten is not barred; the earliest failures are forgotten first. */
+const MAX_LIVES = 1024;
 /** Work units remembered at most; those with the earliest failures are forgotten first. */
 const MAX_UNITS = 20_000;
 
--- a/packages/core/src/jobs/placement.ts
+++ b/packages/core/src/jobs/placement.ts
@@ -80,9 +80,8 @@
 		return other;
 	}
 
-	const order = [...lives];
-	const failedOn = workers.filter(({life}) => lives.has(life));
-	failedOn.sort((left, right) => order.indexOf(left.life) - order.indexOf(right.life));
+	const workersByLife = new Map(workers.map(worker => [worker.life, worker]));
+	const failedOn = [...lives].flatMap(life => workersByLife.get(life) ?? []);
 	return failedOn.find(worker => chooseWorker(step, [worker], allows));
 };
 
--- a/tests/daemon/jobs/failed-workers.spec.ts
+++ b/tests/daemon/jobs/failed-workers.spec.ts
@@ -79,6 +79,11 @@
 		assert.ok(Math.max(...starts.values()) <= 60, `${Math.max(...starts.values())} starts in 60 s`);
 	});
 
+	it('should not start more than once a second in the long run when it fails at once on each of 40 workers', () => {
+		const {starts} = playOne(audit({count: 2, perWorker: undefined}), workersOf(40), {fateOf: () => ({tookMs: 100, how: 'failed'}), endMs: 120_000});
+		assert.ok(Math.max(...starts.values()) <= 120, `${Math.max(...starts.values())} starts in 120 s`);
+	});
+
 	it('should start within 3 s, or 6 s if it lasts, whatever else rules workers out, while half of the pool is free', () => {
 		fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), fc.constantFrom(0.1, 0.4), fc.integer({min: 6, max: 40}), (seed, failureShare, count) => {
 			const {stuck} = playFailingPool(drawFailingPool(seed, failureShare, count));
