Do not try suspects in a pool that the pass itself makes busy

Callers would see jobs of an overloaded pool shown as failed, as they were tried on workers under suspicion and used up their attempts there.

Cause: whether a pool is busy was judged at the begin of a pass. Runs that ended together leave a full pool nearly empty for that moment, and what the pass then finds no room for was tried on suspects.

The new test fails before.

--- a/packages/core/src/jobs/suspect-trials.ts
+++ b/packages/core/src/jobs/suspect-trials.ts
@@ -26,13 +26,22 @@
 export const createSuspectTrials = (workers: readonly CandidateWorker[], suspects: readonly CandidateWorker[], {store, wallMs, idleTimes}: Pick<SchedulingInput, 'store' | 'wallMs' | 'idleTimes'>) => {
 	const all = [...workers, ...suspects];
 	const sum = (amount: (worker: CandidateWorker) => number): number => all.reduce((total, worker) => total + amount(worker), 0);
-	const isBusy = (['cpu', 'memoryMb'] as const).some(key => sum(({free}) => free[key]) <= sum(({capacity}) => capacity[key]) * (1 - BUSY_SHARE));
+	let isBusy = false;
+	/** True if the pool is busy with what runs and what the pass has placed: runs that end together leave a busy pool empty at the begin of a pass. */
+	const becameBusy = (): boolean => {
+		isBusy ||= (['cpu', 'memoryMb'] as const).some(key => sum(({free}) => free[key]) <= sum(({capacity}) => capacity[key]) * (1 - BUSY_SHARE));
+		return isBusy;
+	};
+
 	const untried = new Set(suspects.filter(({life}) => [...store.runsOf(life).values()].every(({job, step}) => job.order.steps[step]!.lasting)));
 
 	/** True if a work unit has waited for long, and nothing else of its job runs if it does not last. */
 	const mayTry = ({job, occurrence, step, unit, hasStarted}: UnplacedUnit): boolean => {
 		const isCovered = !step.lasting && ((hasStarted && !step.gang) || job.running > 0);
-		return untried.size > 0 && idleTimes !== undefined && !isCovered && (step.lasting || !isBusy) && wallMs - idleSinceMs(idleTimes, job, occurrence, step, unit) >= (step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS);
+		const hasWaited = untried.size > 0 && idleTimes !== undefined && !isCovered
+			&& wallMs - idleSinceMs(idleTimes, job, occurrence, step, unit) >= (step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS);
+		// The members of a gang that are already placed do not make the pool busy for the others.
+		return hasWaited && (step.lasting || !(step.gang && hasStarted ? isBusy : becameBusy()));
 	};
 
 	return {
--- a/tests/core/jobs/scheduler.spec.ts
+++ b/tests/core/jobs/scheduler.spec.ts
@@ -118,6 +118,14 @@
 		assert.equal(plan(store, [workerOf('w1')], {suspects: [suspect], idleTimes, wallMs: 1500}).starts.length, 0);
 	});
 
+	it('should not try a suspect when its own starts make the pool busy', () => {
+		const half = stepOf({resources: {cpu: 2000, memoryMb: 100, gpu: 0}});
+		const store = storeWith(['a', 'b', 'c'].map(id => orderOf(id, [half])));
+		const suspect = workerOf('w2');
+		const {starts} = plan(store, [workerOf('w1')], {suspects: [suspect], idleTimes: createIdleTimes(), wallMs: 1500});
+		assert.deepEqual(starts.map(({life}) => life), [lifeNamed('w1').life, lifeNamed('w1').life]);
+	});
+
 	it('should keep work that fills spare capacity away from work that serves users', () => {
 		const serving = stepOf({lasting: true, image: 'front', targetMs: 50});
 		const filling = stepOf({lasting: true, image: 'batch', fillsSpare: true});
