Ask the policy about suspects for work that waits for one

Callers would see a job of a queue with a policy that does not start for up to the 10 s of a suspicion, as all its workers are suspects.

Cause: such work is tried on a suspect only with the policy's approval, and only usable workers were named to the policy.

Evidence: a pool of one suspect: no worker was named for a job that had waited for 5 s before; the suspect is named from 1.5 s on now.

--- a/packages/core/src/jobs/pool-workers.ts
+++ b/packages/core/src/jobs/pool-workers.ts
@@ -44,8 +44,8 @@
 	return new Map([...new Set([...workers.keys(), ...suspects.keys()])].map(name => [name, createPoolWorkers(name, workers.get(name) ?? [], suspects.get(name) ?? [], input)]));
 };
 
-/** Workers of a pool that a step's policy may be asked about, those with room first. */
-export const advisable = (step: JobStep, {workers}: PoolWorkers): CandidateWorker[] => {
+/** Those of some workers that a step's policy may be asked about, those with room first. */
+export const advisable = (step: JobStep, workers: readonly CandidateWorker[]): CandidateWorker[] => {
 	const labelled = workers.filter(worker => step.label === undefined || worker.labels.has(step.label));
 	return [...labelled.filter(worker => fits(step, worker)), ...labelled.filter(worker => !fits(step, worker))];
 };
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -132,10 +132,15 @@
 			return 0;
 		}
 
+		const mayTrySuspects = pool.trials.mayTry({
+			job, occurrence, step, unit: idle[0]!, hasStarted: false,
+		});
+		/** Workers that the step's policy may be asked about. */
+		const advisableWorkers = (): CandidateWorker[] => [...advisable(step, pool.workers), ...(mayTrySuspects ? advisable(step, pool.trials.untried()) : [])];
 		const approved = input.approved(job, occurrence.number, number);
 		if (approved === undefined && manifest.queue(job.order.queue)?.recommendation) {
 			pass.unadvised.push({
-				job, occurrence: occurrence.number, step: number, workers: advisable(step, pool),
+				job, occurrence: occurrence.number, step: number, workers: advisableWorkers(),
 			});
 			return idle.length;
 		}
@@ -147,9 +152,6 @@
 		const onLife = step.perWorker === undefined ? undefined : countByLife(units);
 		const placements: Array<{unit: WorkUnit; worker: CandidateWorker}> = [];
 		const attempt = step.gang ? Math.max(...units.map(unit => unit.attempt)) + 1 : undefined;
-		const mayTrySuspects = pool.trials.mayTry({
-			job, occurrence, step, unit: idle[0]!, hasStarted: false,
-		});
 		const gang = mayTrySuspects ? undefined : checkGang(job, step, idle, pool, approved);
 		let isAtLimit = false;
 		/** The test for workers that may run the step's work units; undefined if any may. */
@@ -194,7 +196,7 @@
 		}
 
 		if (approved !== undefined && placements.length < idle.length && !isAtLimit && !isFull) {
-			const others = advisable(step, pool).filter(worker => fits(step, worker) && !approved.has(worker.life));
+			const others = advisableWorkers().filter(worker => fits(step, worker) && !approved.has(worker.life));
 			if (others.length > 0) {
 				pass.unadvised.push({
 					job, occurrence: occurrence.number, step: number, workers: others,
--- a/packages/core/src/jobs/suspect-trials.ts
+++ b/packages/core/src/jobs/suspect-trials.ts
@@ -47,6 +47,9 @@
 	return {
 		mayTry,
 
+		/** The suspects on which nothing has been tried yet. */
+		untried: (): readonly CandidateWorker[] => [...untried],
+
 		/** Chooses a suspect for a work unit, among those allowed; undefined if it has not waited for long, or none has room. */
 		choose(unplaced: UnplacedUnit, avoided: AvoidedLives | undefined, allows: (worker: CandidateWorker) => boolean): CandidateWorker | undefined {
 			const worker = mayTry(unplaced) ? chooseAvoiding(unplaced.step, [...untried], avoided, allows) : undefined;
--- a/tests/core/jobs/scheduler.spec.ts
+++ b/tests/core/jobs/scheduler.spec.ts
@@ -126,6 +126,16 @@
 		assert.deepEqual(starts.map(({life}) => life), [lifeNamed('w1').life, lifeNamed('w1').life]);
 	});
 
+	it('should ask the policy about suspects for work that waits when no other workers are left', () => {
+		const store = storeWith([orderOf('a')], manifestOf({queues: [queueOf({recommendation: {decisionMs: 1, periodMs: 1, validityMs: 1000}})]}));
+		const suspect = workerOf('w2');
+		const askedAt = (wallMs: number): string[] => plan(store, [], {
+			suspects: [suspect], idleTimes: createIdleTimes(), wallMs, approved: () => undefined,
+		}).unadvised.flatMap(({workers}) => workers.map(({life}) => life));
+		assert.deepEqual(askedAt(1499), []);
+		assert.deepEqual(askedAt(1500), [suspect.life]);
+	});
+
 	it('should keep work that fills spare capacity away from work that serves users', () => {
 		const serving = stepOf({lasting: true, image: 'front', targetMs: 50});
 		const filling = stepOf({lasting: true, image: 'batch', fillsSpare: true});
