--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -183,6 +183,7 @@
 			}
 
 			reserveResources(step, worker);
+			pool.trials.placed();
 			quota.reserve(job.order.workspace, step.resources, 1);
 			countOnLife(worker, 1);
 			placements.push({unit, worker});
--- a/packages/core/src/jobs/suspect-trials.ts
+++ b/packages/core/src/jobs/suspect-trials.ts
@@ -27,9 +27,11 @@
 	const all = [...workers, ...suspects];
 	const sum = (amount: (worker: CandidateWorker) => number): number => all.reduce((total, worker) => total + amount(worker), 0);
 	let isBusy = false;
+	let isStale = true;
 	/** True if the pool is busy with what runs and what the pass has placed: runs that end together leave a busy pool empty at the begin of a pass. */
 	const becameBusy = (): boolean => {
-		isBusy ||= (['cpu', 'memoryMb'] as const).some(key => sum(({free}) => free[key]) <= sum(({capacity}) => capacity[key]) * (1 - BUSY_SHARE));
+		isBusy ||= isStale && (['cpu', 'memoryMb'] as const).some(key => sum(({free}) => free[key]) <= sum(({capacity}) => capacity[key]) * (1 - BUSY_SHARE));
+		isStale = false;
 		return isBusy;
 	};
 
@@ -47,6 +49,11 @@
 	return {
 		mayTry,
 
+		/** Records that the pass has placed a work unit in the pool. */
+		placed(): void {
+			isStale = true;
+		},
+
 		/** The suspects on which nothing has been tried yet. */
 		untried: (): readonly CandidateWorker[] => [...untried],
 
