--- a/packages/core/src/jobs/suspect-trials.ts
+++ b/packages/core/src/jobs/suspect-trials.ts
@@ -2,8 +2,7 @@
 Tries workers under suspicion for work that waits although its pool is not busy.
 
 A suspect takes no work for up to 10 s, and accepted work may wait for less beside free room. One work unit, or one gang, at a
-time is tried on a suspect, which may run lasting work meanwhile. In a busy pool only lasting work is, as the wait of other work
-is due to the load there.
+time is tried on a suspect, which may run lasting work meanwhile. In a busy pool only lasting work is, as other waits there are due to the load.
 */
 import type {AvoidedLives} from './avoided-lives.js';
 import {idleSinceMs} from './idle-times.js';
@@ -27,18 +26,37 @@
 export const createSuspectTrials = (workers: readonly CandidateWorker[], suspects: readonly CandidateWorker[], {store, wallMs, idleTimes}: Pick<SchedulingInput, 'store' | 'wallMs' | 'idleTimes'>) => {
 	const all = [...workers, ...suspects];
 	const sum = (amount: (worker: CandidateWorker) => number): number => all.reduce((total, worker) => total + amount(worker), 0);
-	const isBusy = (['cpu', 'memoryMb'] as const).some(key => sum(({free}) => free[key]) <= sum(({capacity}) => capacity[key]) * (1 - BUSY_SHARE));
+	let isBusy = false;
+	let isStale = true;
+	/** True if the pool is busy with what runs and what the pass has placed: runs that end together leave a busy pool empty at the begin of a pass. */
+	const becameBusy = (): boolean => {
+		isBusy ||= isStale && (['cpu', 'memoryMb'] as const).some(key => sum(({free}) => free[key]) <= sum(({capacity}) => capacity[key]) * (1 - BUSY_SHARE));
+		isStale = false;
+		return isBusy;
+	};
+
 	const untried = new Set(suspects.filter(({life}) => [...store.runsOf(life).values()].every(({job, step}) => job.order.steps[step]!.lasting)));
 
-	/** True if a work unit has waited for long and, if it does not last, nothing else of its job runs and the pool is not busy. */
+	/** True if a work unit has waited for long, and nothing else of its job runs if it does not last. */
 	const mayTry = ({job, occurrence, step, unit, hasStarted}: UnplacedUnit): boolean => {
-		const isCovered = !step.lasting && (isBusy || (hasStarted && !step.gang) || job.running > 0);
-		return untried.size > 0 && idleTimes !== undefined && !isCovered && wallMs - idleSinceMs(idleTimes, job, occurrence, step, unit) >= (step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS);
+		const isCovered = !step.lasting && ((hasStarted && !step.gang) || job.running > 0);
+		const hasWaited = untried.size > 0 && idleTimes !== undefined && !isCovered
+			&& wallMs - idleSinceMs(idleTimes, job, occurrence, step, unit) >= (step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS);
+		// The members of a gang that are already placed do not make the pool busy for the others.
+		return hasWaited && (step.lasting || !(step.gang && hasStarted ? isBusy : becameBusy()));
 	};
 
 	return {
 		mayTry,
 
+		/** Records that the pass has placed a work unit in the pool. */
+		placed(): void {
+			isStale = true;
+		},
+
+		/** The suspects on which nothing has been tried yet. */
+		untried: (): readonly CandidateWorker[] => [...untried],
+
 		/** Chooses a suspect for a work unit, among those allowed; undefined if it has not waited for long, or none has room. */
 		choose(unplaced: UnplacedUnit, avoided: AvoidedLives | undefined, allows: (worker: CandidateWorker) => boolean): CandidateWorker | undefined {
 			const worker = mayTry(unplaced) ? chooseAvoiding(unplaced.step, [...untried], avoided, allows) : undefined;
