Let work that waited longer take any room on suspects

Callers' jobs would wait beside free room: a suspect that runs other work was not tried until that ended (a run of 20 s: the next job with the label was stuck from 13.8 s), and one trial at a time was too few for eight jobs whose only two workers fail all they run (four were stuck). After 2.25 s, or 4.5 s for lasting work, it starts wherever a suspect has room, in a pool that is not busy.

Both tests of failed-workers.spec.ts failed before. It uses up attempts on bad workers in pools that have nothing else to offer.

--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -109,7 +109,7 @@
 			job, occurrence, step, unit: idle[0]!, hasStarted: false,
 		});
 		/** Workers that the step's policy may be asked about. */
-		const advisableWorkers = (): CandidateWorker[] => [...advisable(step, pool.workers), ...(mayTrySuspects ? advisable(step, pool.trials.untried()) : [])];
+		const advisableWorkers = (): CandidateWorker[] => [...advisable(step, pool.workers), ...(mayTrySuspects ? advisable(step, pool.trials.suspects) : [])];
 		const approved = input.approved(job, occurrence.number, number);
 		if (approved === undefined && manifest.queue(job.order.queue)?.recommendation) {
 			pass.unadvised.push({
--- a/packages/core/src/jobs/suspect-trials.ts
+++ b/packages/core/src/jobs/suspect-trials.ts
@@ -2,7 +2,8 @@
 Tries workers under suspicion for work that waits although its pool is not busy.
 
 A suspect takes no work for up to 10 s, and accepted work may wait for less beside free room. One work unit, or one gang, at a
-time is tried on a suspect, which may run lasting work meanwhile. In a busy pool only lasting work is, as other waits there are due to the load.
+time is tried on a suspect, which may run lasting work meanwhile; work that has waited longer takes any room on suspects. In a busy
+pool only lasting work is tried, as other waits there are due to the load.
 */
 import type {AvoidedLives} from './avoided-lives.js';
 import {idleSinceMs} from './idle-times.js';
@@ -16,6 +17,8 @@
 const JOB_WAIT_MS = 1500;
 /** Same for a lasting work unit since its own last run, in milliseconds. */
 const LASTING_WAIT_MS = 3000;
+/** Multiple of these times after which work takes any room on suspects; it still starts before the bound on its wait. */
+const LONG_WAIT_FACTOR = 1.5;
 /** Share of a pool's cores or memory in use from which it is busy. */
 const BUSY_SHARE = 1 / 2;
 
@@ -37,11 +40,21 @@
 
 	const untried = new Set(suspects.filter(({life}) => [...store.runsOf(life).values()].every(({job, step}) => job.order.steps[step]!.lasting)));
 
+	/** The suspects that a work unit may be tried on after its wait. */
+	const candidatesFor = ({job, occurrence, step, unit}: Omit<UnplacedUnit, 'hasStarted'>): readonly CandidateWorker[] => {
+		if (suspects.length === 0 || !idleTimes) {
+			return [];
+		}
+
+		const waitedMs = wallMs - idleSinceMs(idleTimes, job, occurrence, step, unit);
+		const waitMs = step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS;
+		return waitedMs >= waitMs * LONG_WAIT_FACTOR ? suspects : (waitedMs >= waitMs ? [...untried] : []);
+	};
+
 	/** True if a work unit has waited for long, and nothing else of its job runs if it does not last. */
 	const mayTry = ({job, occurrence, step, unit, hasStarted}: UnplacedUnit): boolean => {
 		const isCovered = !step.lasting && ((hasStarted && !step.gang) || job.running > 0);
-		const hasWaited = untried.size > 0 && idleTimes !== undefined && !isCovered
-			&& wallMs - idleSinceMs(idleTimes, job, occurrence, step, unit) >= (step.lasting ? LASTING_WAIT_MS : JOB_WAIT_MS);
+		const hasWaited = !isCovered && candidatesFor({job, occurrence, step, unit}).length > 0;
 		// The members of a gang that are already placed do not make the pool busy for the others.
 		return hasWaited && (step.lasting || !(step.gang && hasStarted ? isBusy : becameBusy()));
 	};
@@ -54,12 +67,12 @@
 			isStale = true;
 		},
 
-		/** The suspects on which nothing has been tried yet. */
-		untried: (): readonly CandidateWorker[] => [...untried],
+		/** All suspects of the pool. */
+		suspects,
 
 		/** Chooses a suspect for a work unit, among those allowed; undefined if it has not waited for long, or none has room. */
 		choose(unplaced: UnplacedUnit, avoided: AvoidedLives | undefined, allows: (worker: CandidateWorker) => boolean): CandidateWorker | undefined {
-			const worker = mayTry(unplaced) ? chooseAvoiding(unplaced.step, [...untried], avoided, allows) : undefined;
+			const worker = mayTry(unplaced) ? chooseAvoiding(unplaced.step, candidatesFor(unplaced), avoided, allows) : undefined;
 			if (worker && !unplaced.step.gang) {
 				untried.delete(worker);
 			}
--- a/tests/daemon/jobs/failed-workers.spec.ts
+++ b/tests/daemon/jobs/failed-workers.spec.ts
@@ -74,6 +74,23 @@
 		});
 	}
 
+	it('should be tried on a suspect that still runs other work', () => {
+		const long = stepOf({count: 2, perWorker: 1, label: 'gauge', estimateMs: 20_000});
+		const fateOf = ({unit}: RunStart): RunFate => (unit.startsWith('a') ? {tookMs: 20_000, how: 'done'} : {tookMs: 100, how: 'failed'});
+		const orders = [
+			{order: orderOf('a', [long], {workspace: undefined}), atMs: 0},
+			{order: orderOf('b', [stepOf({label: 'gauge'})], {workspace: undefined}), atMs: 100},
+		];
+		const {stuck} = playOne(long, workersOf(6, number => (number < 2 ? ['gauge'] : [])), {orders, fateOf});
+		assert.deepEqual(stuck, []);
+	});
+
+	it('should be tried on suspects in time when eight jobs have no other workers', () => {
+		const orders = Array.from({length: 8}, (_, number) => ({order: orderOf(`${number}b`, [stepOf({label: 'gauge'})], {workspace: undefined}), atMs: 0}));
+		const {stuck} = playOne(stepOf(), workersOf(6, number => (number < 2 ? ['gauge'] : [])), {orders, fateOf: () => ({tookMs: 1000, how: 'failed'})});
+		assert.deepEqual(stuck.map(({unit}) => unit), []);
+	});
+
 	it('should not start more than once a second in the long run when it fails at once on every worker', () => {
 		const {starts} = playOne(audit({count: 2, perWorker: undefined}), workersOf(6), {fateOf: () => ({tookMs: 100, how: 'failed'})});
 		assert.ok(Math.max(...starts.values()) <= 60, `${Math.max(...starts.values())} starts in 60 s`);
