--- a/packages/core/src/jobs/suspect-trials.ts
+++ b/packages/core/src/jobs/suspect-trials.ts
@@ -52,9 +52,10 @@
 	};
 
 	/** True if a work unit has waited for long, and nothing else of its job runs if it does not last. */
-	const mayTry = ({job, occurrence, step, unit, hasStarted}: UnplacedUnit): boolean => {
+	const mayTry = (unplaced: UnplacedUnit): boolean => {
+		const {job, step, hasStarted} = unplaced;
 		const isCovered = !step.lasting && ((hasStarted && !step.gang) || job.running > 0);
-		const hasWaited = !isCovered && candidatesFor({job, occurrence, step, unit}).length > 0;
+		const hasWaited = !isCovered && candidatesFor(unplaced).length > 0;
 		// The members of a gang that are already placed do not make the pool busy for the others.
 		return hasWaited && (step.lasting || !(step.gang && hasStarted ? isBusy : becameBusy()));
 	};
--- a/tests/daemon/jobs/failed-workers.spec.ts
+++ b/tests/daemon/jobs/failed-workers.spec.ts
@@ -75,7 +75,9 @@
 	}
 
 	it('should be tried on a suspect that still runs other work', () => {
-		const long = stepOf({count: 2, perWorker: 1, label: 'gauge', estimateMs: 20_000});
+		const long = stepOf({
+			count: 2, perWorker: 1, label: 'gauge', estimateMs: 20_000,
+		});
 		const fateOf = ({unit}: RunStart): RunFate => (unit.startsWith('a') ? {tookMs: 20_000, how: 'done'} : {tookMs: 100, how: 'failed'});
 		const orders = [
 			{order: orderOf('a', [long], {workspace: undefined}), atMs: 0},
