--- a/review/stand-ins-2/processes.js
+++ b/review/stand-ins-2/processes.js
@@ -173,6 +173,8 @@
 			}));
 			return said.toSorted((one, other) => other.term - one.term)[0]?.host;
 		},
+		/** Resolves when the present process ends. */
+		exited: async host => children.get(host).exited,
 		logOf: host => logs.get(host) ?? '',
 		async stopAll() {
 			for (const child of children.values()) {
