--- a/review/7/case.js
+++ b/review/7/case.js
@@ -1,5 +1,5 @@
 /** Hundreds of changes of a manifest with many routes: do the processes of the core stay up? */
-/* eslint no-await-in-loop: off */
+/* eslint no-await-in-loop: off, no-unmodified-loop-condition: off */
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {pause} from '../stand-ins-2/http.js';
--- a/review/stand-ins-2/machines.js
+++ b/review/stand-ins-2/machines.js
@@ -16,7 +16,7 @@
 	const list = () => machines.map(machine => {
 		const {state} = states.get(machine.name);
 		return {
-			'host-machine': machine.name, pool: machine.pool, state, zone: 'bern-a', labels: ['a', 'r1-1'], capacity: machine.capacity, id: state === 'up' && machine.worker ? machine.worker.id : '',
+			'host-machine': machine.name, pool: machine.pool, state, zone: 'bern-a', labels: ['a', machine.rack], capacity: machine.capacity, id: state === 'up' && machine.worker ? machine.worker.id : '',
 		};
 	});
 
--- a/review/stand-ins-2/site.js
+++ b/review/stand-ins-2/site.js
@@ -29,7 +29,7 @@
 };
 
 /** Starts a deployment and publishes its first manifest. */
-export const startSite = async ({record, manifest, keepers, entries, workers = 4, pool = 'huvo11a', capacity = CAPACITY, machineOptions = {}, waves = new Map(), settings}) => {
+export const startSite = async ({record, manifest, keepers, entries, workers = 4, pool = 'huvo11a', capacity = CAPACITY, machineOptions = {}, waves = new Map(), settings, rackOf = () => 'r1-1'}) => {
 	const processes = await createProcesses({keepers, entries, settings});
 	const runs = [];
 	const onRun = event => {
@@ -41,10 +41,10 @@
 	let lives = 0;
 	const machines = Array.from({length: workers}, (_, index) => {
 		const machine = {
-			name: `m-${index + 1}`, pool, capacity, async boot() {
+			name: `m-${index + 1}`, pool, capacity, rack: rackOf(index), async boot() {
 				lives += 1;
 				return startWorker({
-					id: `i-${String(lives).padStart(8, '0')}`, address: processes.workerAddress(index), service: machine.pool, machine: machine.name, capacity, controls: processes.controls(), onRun,
+					id: `i-${String(lives).padStart(8, '0')}`, address: processes.workerAddress(index), service: machine.pool, machine: machine.name, rack: machine.rack, capacity, controls: processes.controls(), onRun,
 				});
 			},
 		};
--- a/review/stand-ins-2/worker.js
+++ b/review/stand-ins-2/worker.js
@@ -22,6 +22,7 @@
 	let ends = 0;
 	let leaseMs = 0;
 	let isOver = false;
+	let isDark = false;
 	let state = 'ready';
 	let seq = 0;
 	let reportAddress;
@@ -142,7 +143,7 @@
 	};
 
 	const server = await listen(address, async ({method, path, headers, body}) => {
-		if (isOver) {
+		if (isOver || isDark) {
 			return undefined;
 		}
 
@@ -166,7 +167,7 @@
 
 	const report = async () => {
 		seq += 1;
-		for (let tries = 0; tries < controls.length && !isOver; tries += 1) {
+		for (let tries = 0; tries < controls.length && !isOver && !isDark; tries += 1) {
 			const target = reportAddress ?? controls[turn % controls.length];
 			const {status, body} = await send({
 				method: 'POST', address: target, path: `/Instances.Heartbeat/${id}`, timeoutMs: 1000, body: {
@@ -197,6 +198,18 @@
 			state = 'draining';
 			void report();
 		},
+		/** Loses all that runs, and answers and reports nothing from now on. */
+		goDark() {
+			isDark = true;
+			for (const run of active.values()) {
+				clearTimeout(run.timer);
+				onRun({
+					what: 'end', worker: id, task: run.task, attempt: run.attempt, how: 'gone',
+				});
+			}
+
+			active.clear();
+		},
 		/** Ends the life at once, with all that runs. */
 		async end() {
 			isOver = true;
