--- a/review/7/case.js
+++ b/review/7/case.js
@@ -1,94 +1,91 @@
-/** Hundreds of changes of a manifest with many routes: do the processes of the core stay up? */
-/* eslint no-await-in-loop: off, no-unmodified-loop-condition: off */
+/** A planned replacement of one core machine, then the loss of two disks: is what was accepted still there? */
+/* eslint no-await-in-loop: off, no-void: off, no-unmodified-loop-condition: off */
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {pause} from '../stand-ins-2/http.js';
 import {manifestOf} from '../stand-ins-2/manifest.js';
+import {BOUNDS} from '../stand-ins-2/processes.js';
 import {createRecord} from '../stand-ins-2/record.js';
 import {
 	EXIT, isTroubled, runCase, startSite,
 } from '../stand-ins-2/site.js';
 
 const KEY = 'sjnbanfqasnmgkcuyj8p';
-/** Routes that `big_config` adds at its largest dose on the site. */
-const ROUTES = 1400;
-/** A storm of changes, as the site's days have them, and the pause until the next one. */
-const GAP_MS = 80;
-const STORM_MS = 2000;
-const REST_MS = 1500;
-const TRAFFIC_MS = 96_000;
-const RESTART_MS = 500;
-/** Ends of its own in a day, on half of the core, that make a fault. */
-const ENDS = 3;
+const JOBS = 8;
+const CATCH_UP_MS = BOUNDS['catch-up-s'] * 1000;
+/** Time for which a wiped machine is away. */
+const AWAY_MS = 1000;
 
 const record = createRecord(path.dirname(fileURLToPath(import.meta.url)));
-const extraRoutes = isTroubled
-	? Array.from({length: ROUTES}, (_, index) => ({name: `r-${index.toString(36).padStart(7, '0')}`, host: 'jepu9.example', 'path-prefix': `/wuhu${index}/`}))
-	: [];
+const idOf = number => number.toString(16).padStart(16, '0');
 
 await runCase(record, async () => {
-	const tenants = {cugo130: [KEY]};
-	const site = await startSite({record, manifest: manifestOf({version: 1, tenants})});
+	const site = await startSite({record, manifest: manifestOf({version: 1, tenants: {cugo130: [KEY]}})});
 	const {processes} = site;
-	const job = {id: '00000000000000a1', key: KEY};
-	const {status: jobStatus} = await site.call('POST', {
-		...job, body: {
-			spec: '{"ms":500}', steps: [{
-				count: 2, cpu: 1000, 'mem-mb': 256, 'estimate-ms': 500,
-			}],
-		},
-	});
-	const ends = new Map();
-	const untilMs = Date.now() + TRAFFIC_MS;
-	let acknowledged = 1;
-	let stormMs = Date.now();
-	let isOver = false;
+	const accepted = [];
+	for (let number = 1; number <= JOBS; number += 1) {
+		const {status} = await site.call('POST', {
+			id: idOf(number), key: KEY, body: {
+				spec: '{"ms":500}', steps: [{
+					count: 2, cpu: 1000, 'mem-mb': 256, 'estimate-ms': 500,
+				}],
+			},
+		});
+		if (status === 200) {
+			accepted.push(idOf(number));
+		}
+	}
 
-	/** Starts a process again a short time after it has ended by itself. */
-	const keepUp = async host => {
-		while (!isOver) {
-			const {code, signal} = await processes.exited(host);
-			if (isOver) {
-				return;
-			}
+	if (accepted.length < JOBS) {
+		return EXIT.notRun;
+	}
 
-			ends.set(host, (ends.get(host) ?? 0) + 1);
-			record.note('process ended by itself', {
-				host, code, signal, changes: acknowledged - 1, heap: /^FATAL ERROR.*$/mu.exec(processes.logOf(host))?.[0],
-			});
-			await pause(RESTART_MS);
-			if (!isOver) {
-				processes.start(host);
-			}
+	const old = processes.core[4];
+	const [successor] = processes.spare;
+	if (isTroubled) {
+		record.note('successor starts', {successor});
+		processes.start(successor);
+		await pause(CATCH_UP_MS + 1000);
+		record.note('SIGTERM', {old, exit: await processes.end(old, 'SIGTERM')});
+		await pause(300);
+		const {status} = await site.operate('POST', '/Config.Replace', manifestOf({version: 2, tenants: {cugo130: [KEY]}, timeoutMs: 2900}), {hosts: processes.core.slice(0, 4)});
+		record.note('manifest 2', {status});
+		const lost = processes.core.slice(0, 2);
+		await Promise.all(lost.map(async host => processes.end(host)));
+		for (const host of lost) {
+			processes.wipe(host);
 		}
-	};
 
-	for (const host of processes.core) {
-		keepUp(host).catch(error => {
-			record.note('could not restart', {host, cause: String(error)});
-		});
+		record.note('two disks lost', {lost});
+		await pause(AWAY_MS);
+		for (const host of lost) {
+			processes.start(host);
+		}
+
+		record.note('back with empty disks', {lost});
 	}
 
-	const isFault = () => [...ends.values()].filter(count => count >= ENDS).length * 2 >= processes.core.length;
-	for (let version = 2; Date.now() < untilMs && !isFault(); version += 1) {
-		const nextMs = Date.now() + GAP_MS;
-		const {status, tookMs} = await site.operate('POST', '/Config.Replace', manifestOf({
-			version, tenants, extraRoutes, timeoutMs: 2000 + version,
-		}), {forMs: Math.min(15_000, untilMs - Date.now())});
-		record.note('change', {version, status, tookMs});
-		acknowledged = status === 200 ? version : acknowledged;
-		const isStormOver = Date.now() - stormMs > STORM_MS;
-		await pause(isStormOver ? REST_MS : Math.max(0, nextMs - Date.now()));
-		stormMs = isStormOver ? Date.now() : stormMs;
+	await pause(BOUNDS['recovery-s'] * 1000);
+	const hosts = [...processes.core.slice(0, 4), ...(isTroubled ? [successor] : [])];
+	const read = await site.operate('GET', '/Config.Read', undefined, {hosts, forMs: 8000});
+	record.note('manifest read back', {status: read.status, version: read.body?.version});
+	let known = 0;
+	for (const id of accepted) {
+		const {status} = await site.call('GET', {id, key: KEY});
+		known += status === 200 ? 1 : 0;
 	}
 
-	const read = await site.operate('GET', '/Config.Read', undefined, {forMs: 2000});
-	const look = await site.call('GET', job);
-	isOver = true;
-	record.note('result', {
-		changes: acknowledged - 1, ends: Object.fromEntries(ends), manifestRead: read.status, jobAccepted: jobStatus, jobRead: look.status,
+	const later = await site.call('POST', {
+		id: idOf(JOBS + 1), key: KEY, body: {
+			spec: '{"ms":500}', steps: [{
+				count: 1, cpu: 1000, 'mem-mb': 256, 'estimate-ms': 500,
+			}],
+		},
 	});
-	const isBroken = isFault();
 	await site.stop();
-	return isBroken ? EXIT.broken : EXIT.held;
+	const isLost = known < accepted.length || read.status !== 200 || later.status !== 200;
+	record.note('result', {
+		accepted: accepted.length, known, manifestRead: read.status, laterJob: later.status,
+	});
+	return isLost ? EXIT.broken : EXIT.held;
 });
--- a/review/8/case.js
+++ b/review/8/case.js
@@ -1,7 +1,6 @@
-/** An entry stands still while jobs are handed in, and a key is taken away meanwhile: does a job run whose caller was told 401? */
-/* eslint no-await-in-loop: off */
+/** Hundreds of changes of a manifest with many routes: do the processes of the core stay up? */
+/* eslint no-await-in-loop: off, no-unmodified-loop-condition: off */
 import path from 'node:path';
-import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {pause} from '../stand-ins-2/http.js';
 import {manifestOf} from '../stand-ins-2/manifest.js';
@@ -10,69 +9,86 @@
 	EXIT, isTroubled, runCase, startSite,
 } from '../stand-ins-2/site.js';
 
-const ROUNDS = 5;
-/** Jobs that are handed in at once, each by a consumer with a connection of its own. */
-const JOBS = 40;
-const FIRST_FREEZE_MS = Number(process.env.FREEZE ?? 12);
-const FREEZE_STEP_MS = 5;
-/** Time for which the entry stands still; less than half of the longest freeze on the site. */
-const FREEZE_MS = 1300;
-const ROUND_MS = 6000;
+const KEY = 'sjnbanfqasnmgkcuyj8p';
+/** Routes that `big_config` adds at its largest dose on the site. */
+const ROUTES = 1400;
+/** A storm of changes, as the site's days have them, and the pause until the next one. */
+const GAP_MS = 80;
+const STORM_MS = 2000;
+const REST_MS = 1500;
+const TRAFFIC_MS = 96_000;
+const RESTART_MS = 500;
+/** Ends of its own in a day, on half of the core, that make a fault. */
+const ENDS = 3;
 
 const record = createRecord(path.dirname(fileURLToPath(import.meta.url)));
-const keyOf = round => `key-of-round-${round}`;
-const STAYS = 'jbvk9m68k7b2ex5wa5xw';
-/** Manifest in which the keys of the rounds before this one are taken away. */
-const manifestOfRound = round => manifestOf({
-	version: round + 1, tenants: {cugo130: [STAYS, ...Array.from({length: ROUNDS - round}, (_, index) => keyOf(round + index))]},
-});
+const extraRoutes = isTroubled
+	? Array.from({length: ROUTES}, (_, index) => ({name: `r-${index.toString(36).padStart(7, '0')}`, host: 'jepu9.example', 'path-prefix': `/wuhu${index}/`}))
+	: [];
 
 await runCase(record, async () => {
-	const site = await startSite({record, manifest: manifestOfRound(0), workers: 8});
+	const tenants = {cugo130: [KEY]};
+	const site = await startSite({record, manifest: manifestOf({version: 1, tenants})});
 	const {processes} = site;
-	const [edge] = processes.edge;
-	const jobs = [];
+	const job = {id: '00000000000000a1', key: KEY};
+	const {status: jobStatus} = await site.call('POST', {
+		...job, body: {
+			spec: '{"ms":500}', steps: [{
+				count: 2, cpu: 1000, 'mem-mb': 256, 'estimate-ms': 500,
+			}],
+		},
+	});
+	const ends = new Map();
+	const untilMs = Date.now() + TRAFFIC_MS;
+	let acknowledged = 1;
+	let stormMs = Date.now();
+	let isOver = false;
 
-	const submit = async (round, number) => {
-		const id = `${String(round).padStart(8, '0')}${String(number).padStart(8, '0')}`;
-		const {status} = await site.call('POST', {
-			id, key: keyOf(round), edge, body: {
-				spec: '{"ms":200,"cpu":500}', steps: [{
-					count: 1, cpu: 500, 'mem-mb': 100, 'estimate-ms': 200,
-				}],
-			},
-		});
-		jobs.push({id, status});
-	};
+	/** Starts a process again a short time after it has ended by itself. */
+	const keepUp = async host => {
+		while (!isOver) {
+			const {code, signal} = await processes.exited(host);
+			if (isOver) {
+				return;
+			}
 
-	for (let round = 0; round < ROUNDS; round += 1) {
-		const endMs = Date.now() + ROUND_MS;
-		const submissions = Array.from({length: JOBS}, async (_, number) => submit(round, number));
-		await pause(FIRST_FREEZE_MS + (round * FREEZE_STEP_MS));
-		if (isTroubled) {
-			processes.signal(edge, 'SIGSTOP');
-			record.note('SIGSTOP', {edge});
+			ends.set(host, (ends.get(host) ?? 0) + 1);
+			record.note('process ended by itself', {
+				host, code, signal, changes: acknowledged - 1, heap: /^FATAL ERROR.*$/mu.exec(processes.logOf(host))?.[0],
+			});
+			await pause(RESTART_MS);
+			if (!isOver) {
+				processes.start(host);
+			}
 		}
+	};
 
-		const wakeMs = Date.now() + FREEZE_MS;
-		await pause(50);
-		const {status} = await site.operate('POST', '/Config.Replace', manifestOfRound(round + 1));
-		record.note('key taken away', {key: keyOf(round), status});
-		await pause(Math.max(0, wakeMs - Date.now()));
-		if (isTroubled) {
-			processes.signal(edge, 'SIGCONT');
-			record.note('SIGCONT', {edge});
-		}
+	for (const host of processes.core) {
+		keepUp(host).catch(error => {
+			record.note('could not restart', {host, cause: String(error)});
+		});
+	}
 
-		await Promise.all(submissions);
-		await pause(Math.max(0, endMs - Date.now()));
+	const isFault = () => [...ends.values()].filter(count => count >= ENDS).length * 2 >= processes.core.length;
+	for (let version = 2; Date.now() < untilMs && !isFault(); version += 1) {
+		const nextMs = Date.now() + GAP_MS;
+		const {status, tookMs} = await site.operate('POST', '/Config.Replace', manifestOf({
+			version, tenants, extraRoutes, timeoutMs: 2000 + version,
+		}), {forMs: Math.min(15_000, untilMs - Date.now())});
+		record.note('change', {version, status, tookMs});
+		acknowledged = status === 200 ? version : acknowledged;
+		const isStormOver = Date.now() - stormMs > STORM_MS;
+		await pause(isStormOver ? REST_MS : Math.max(0, nextMs - Date.now()));
+		stormMs = isStormOver ? Date.now() : stormMs;
 	}
 
-	const started = new Set(site.runs.filter(run => run.what === 'start').map(run => run.task.split('.')[0]));
-	const refusedAndRun = jobs.filter(({id, status}) => status === 401 && started.has(id));
+	const read = await site.operate('GET', '/Config.Read', undefined, {forMs: 2000});
+	const look = await site.call('GET', job);
+	isOver = true;
 	record.note('result', {
-		jobs: jobs.length, accepted: jobs.filter(({status}) => status === 200).length, refused: jobs.filter(({status}) => status === 401).length, refusedAndRun: refusedAndRun.map(({id}) => id),
+		changes: acknowledged - 1, ends: Object.fromEntries(ends), manifestRead: read.status, jobAccepted: jobStatus, jobRead: look.status,
 	});
+	const isBroken = isFault();
 	await site.stop();
-	return refusedAndRun.length > 0 ? EXIT.broken : EXIT.held;
+	return isBroken ? EXIT.broken : EXIT.held;
 });
--- a/review/9/case.js
+++ b/review/9/case.js
@@ -1,60 +1,78 @@
-/** An entry of the list of machines cannot be read for a moment: is a wave said to be completed before its machine had its upkeep? */
+/** An entry stands still while jobs are handed in, and a key is taken away meanwhile: does a job run whose caller was told 401? */
 /* eslint no-await-in-loop: off */
 import path from 'node:path';
+import process from 'node:process';
 import {fileURLToPath} from 'node:url';
-import {pause, send} from '../stand-ins-2/http.js';
+import {pause} from '../stand-ins-2/http.js';
 import {manifestOf} from '../stand-ins-2/manifest.js';
 import {createRecord} from '../stand-ins-2/record.js';
 import {
 	EXIT, isTroubled, runCase, startSite,
 } from '../stand-ins-2/site.js';
 
-const KEY = 'sjnbanfqasnmgkcuyj8p';
-const WAVE = 1;
-const DEADLINE_S = 20;
-/** Time for which another writer's entry stands in the list, from when the wave is ordered. */
-const UNREADABLE_MS = 2000;
-const ASK_MS = 250;
+const ROUNDS = 5;
+/** Jobs that are handed in at once, each by a consumer with a connection of its own. */
+const JOBS = 40;
+const FIRST_FREEZE_MS = Number(process.env.FREEZE ?? 12);
+const FREEZE_STEP_MS = 5;
+/** Time for which the entry stands still; less than half of the longest freeze on the site. */
+const FREEZE_MS = 1300;
+const ROUND_MS = 6000;
 
 const record = createRecord(path.dirname(fileURLToPath(import.meta.url)));
+const keyOf = round => `key-of-round-${round}`;
+const STAYS = 'jbvk9m68k7b2ex5wa5xw';
+/** Manifest in which the keys of the rounds before this one are taken away. */
+const manifestOfRound = round => manifestOf({
+	version: round + 1, tenants: {cugo130: [STAYS, ...Array.from({length: ROUNDS - round}, (_, index) => keyOf(round + index))]},
+});
 
 await runCase(record, async () => {
-	const names = ['m-1', 'm-2'];
-	const waves = new Map([[WAVE, names]]);
-	let unreadable = false;
-	const site = await startSite({
-		record, waves, workers: 8, manifest: manifestOf({version: 1, tenants: {cugo130: [KEY]}}), machineOptions: {
-			alterList: entries => entries.map(entry => (unreadable && entry['host-machine'] === names[0] ? {...entry, 'host-machine': 17} : entry)),
-		},
-	});
-	const {processes, service} = site;
-	unreadable = isTroubled;
-	await pause(1600);
-	const orderedMs = Date.now();
-	const {status} = await site.operate('POST', '/wave-start', {
-		'rollout-wave': WAVE, machines: names, 'deadline-s': DEADLINE_S, cap: 1,
-	});
-	record.note('wave ordered', {status});
-	let isEarly = false;
-	let isCompleted = false;
-	for (let turn = 0; Date.now() - orderedMs < DEADLINE_S * 1000 && !isCompleted; turn += 1) {
-		unreadable &&= Date.now() - orderedMs < UNREADABLE_MS;
-		const begun = names.filter(name => service.hasBegun(name, WAVE));
-		const {status: askStatus, body} = await send({
-			method: 'GET', address: processes.controls()[turn % processes.core.length], path: `/wave-get/${WAVE}`, timeoutMs: 1000,
+	const site = await startSite({record, manifest: manifestOfRound(0), workers: 8});
+	const {processes} = site;
+	const [edge] = processes.edge;
+	const jobs = [];
+
+	const submit = async (round, number) => {
+		const id = `${String(round).padStart(8, '0')}${String(number).padStart(8, '0')}`;
+		const {status} = await site.call('POST', {
+			id, key: keyOf(round), edge, body: {
+				spec: '{"ms":200,"cpu":500}', steps: [{
+					count: 1, cpu: 500, 'mem-mb': 100, 'estimate-ms': 200,
+				}],
+			},
 		});
-		record.note('wave', {status: askStatus, state: body?.state, begun});
-		if (askStatus === 200 && body.state === 'completed') {
-			isCompleted = true;
-			isEarly = begun.length < names.length && names.some(name => !service.hasBegun(name, WAVE));
+		jobs.push({id, status});
+	};
+
+	for (let round = 0; round < ROUNDS; round += 1) {
+		const endMs = Date.now() + ROUND_MS;
+		const submissions = Array.from({length: JOBS}, async (_, number) => submit(round, number));
+		await pause(FIRST_FREEZE_MS + (round * FREEZE_STEP_MS));
+		if (isTroubled) {
+			processes.signal(edge, 'SIGSTOP');
+			record.note('SIGSTOP', {edge});
+		}
+
+		const wakeMs = Date.now() + FREEZE_MS;
+		await pause(50);
+		const {status} = await site.operate('POST', '/Config.Replace', manifestOfRound(round + 1));
+		record.note('key taken away', {key: keyOf(round), status});
+		await pause(Math.max(0, wakeMs - Date.now()));
+		if (isTroubled) {
+			processes.signal(edge, 'SIGCONT');
+			record.note('SIGCONT', {edge});
 		}
 
-		await pause(ASK_MS);
+		await Promise.all(submissions);
+		await pause(Math.max(0, endMs - Date.now()));
 	}
 
-	await pause(6000);
-	const never = names.filter(name => !service.hasBegun(name, WAVE));
-	record.note('result', {isCompleted, isEarly, neverBegun: never});
+	const started = new Set(site.runs.filter(run => run.what === 'start').map(run => run.task.split('.')[0]));
+	const refusedAndRun = jobs.filter(({id, status}) => status === 401 && started.has(id));
+	record.note('result', {
+		jobs: jobs.length, accepted: jobs.filter(({status}) => status === 200).length, refused: jobs.filter(({status}) => status === 401).length, refusedAndRun: refusedAndRun.map(({id}) => id),
+	});
 	await site.stop();
-	return isEarly ? EXIT.broken : (isCompleted ? EXIT.held : EXIT.notRun);
+	return refusedAndRun.length > 0 ? EXIT.broken : EXIT.held;
 });
