--- a/review/10/case.js
+++ b/review/10/case.mts
@@ -1,13 +1,14 @@
+/* eslint-disable @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-return -- plain script without types */
+
 /** An entry of the list of machines cannot be read for a moment: is a wave said to be completed before its machine had its upkeep? */
-/* eslint no-await-in-loop: off */
-import path from 'node:path';
-import {fileURLToPath} from 'node:url';
-import {pause, send} from '../stand-ins-2/http.js';
-import {manifestOf} from '../stand-ins-2/manifest.js';
-import {createRecord} from '../stand-ins-2/record.js';
+/* eslint-disable no-await-in-loop -- steps of a case follow one another; names of the settings file */
+import process from 'node:process';
+import {pause, send} from '../stand-ins-2/http.mjs';
+import {manifestOf} from '../stand-ins-2/manifest.mjs';
+import {createRecord} from '../stand-ins-2/record.mjs';
 import {
 	EXIT, isTroubled, runCase, startSite,
-} from '../stand-ins-2/site.js';
+} from '../stand-ins-2/site.mjs';
 
 const KEY = 'sjnbanfqasnmgkcuyj8p';
 const WAVE = 1;
@@ -16,7 +17,7 @@
 const UNREADABLE_MS = 2000;
 const ASK_MS = 250;
 
-const record = createRecord(path.dirname(fileURLToPath(import.meta.url)));
+const record = createRecord(process.cwd());
 
 await runCase(record, async () => {
 	const names = ['m-1', 'm-2'];
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,5 @@
 #!/usr/bin/env bash
-# Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")" && exec node case.js
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 plays the case without the disruption.
+cd "$(dirname "$0")" || exit 2
+[ -f ../lib/10/case.mjs ] || ../build-2.sh || exit 2
+TROUBLE="${TROUBLE:-1}" exec node ../lib/10/case.mjs
--- a/review/7/case.js
+++ b/review/7/case.mts
@@ -1,14 +1,15 @@
+/* eslint-disable @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-return -- plain script without types */
+
 /** A planned replacement of one core machine, then the loss of two disks: is what was accepted still there? */
-/* eslint no-await-in-loop: off, no-void: off, no-unmodified-loop-condition: off */
-import path from 'node:path';
-import {fileURLToPath} from 'node:url';
-import {pause} from '../stand-ins-2/http.js';
-import {manifestOf} from '../stand-ins-2/manifest.js';
-import {BOUNDS} from '../stand-ins-2/processes.js';
-import {createRecord} from '../stand-ins-2/record.js';
+/* eslint-disable no-await-in-loop -- steps of a case follow one another; names of the settings file */
+import process from 'node:process';
+import {pause} from '../stand-ins-2/http.mjs';
+import {manifestOf} from '../stand-ins-2/manifest.mjs';
+import {BOUNDS} from '../stand-ins-2/processes.mjs';
+import {createRecord} from '../stand-ins-2/record.mjs';
 import {
 	EXIT, isTroubled, runCase, startSite,
-} from '../stand-ins-2/site.js';
+} from '../stand-ins-2/site.mjs';
 
 const KEY = 'sjnbanfqasnmgkcuyj8p';
 const JOBS = 8;
@@ -16,7 +17,7 @@
 /** Time for which a wiped machine is away. */
 const AWAY_MS = 1000;
 
-const record = createRecord(path.dirname(fileURLToPath(import.meta.url)));
+const record = createRecord(process.cwd());
 const idOf = number => number.toString(16).padStart(16, '0');
 
 await runCase(record, async () => {
--- a/review/8/case.js
+++ b/review/8/case.mts
@@ -1,13 +1,14 @@
+/* eslint-disable @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-argument -- plain script without types */
+/* eslint-disable @typescript-eslint/restrict-plus-operands, @typescript-eslint/use-unknown-in-catch-callback-variable -- plain script without types */
 /** Hundreds of changes of a manifest with many routes: do the processes of the core stay up? */
-/* eslint no-await-in-loop: off, no-unmodified-loop-condition: off */
-import path from 'node:path';
-import {fileURLToPath} from 'node:url';
-import {pause} from '../stand-ins-2/http.js';
-import {manifestOf} from '../stand-ins-2/manifest.js';
-import {createRecord} from '../stand-ins-2/record.js';
+/* eslint-disable no-await-in-loop, no-unmodified-loop-condition -- steps of a case follow one another; names of the settings file */
+import process from 'node:process';
+import {pause} from '../stand-ins-2/http.mjs';
+import {manifestOf} from '../stand-ins-2/manifest.mjs';
+import {createRecord} from '../stand-ins-2/record.mjs';
 import {
 	EXIT, isTroubled, runCase, startSite,
-} from '../stand-ins-2/site.js';
+} from '../stand-ins-2/site.mjs';
 
 const KEY = 'sjnbanfqasnmgkcuyj8p';
 /** Routes that `big_config` adds at its largest dose on the site. */
@@ -21,7 +22,7 @@
 /** Ends of its own in a day, on half of the core, that make a fault. */
 const ENDS = 3;
 
-const record = createRecord(path.dirname(fileURLToPath(import.meta.url)));
+const record = createRecord(process.cwd());
 const extraRoutes = isTroubled
 	? Array.from({length: ROUTES}, (_, index) => ({name: `r-${index.toString(36).padStart(7, '0')}`, host: 'jepu9.example', 'path-prefix': `/wuhu${index}/`}))
 	: [];
--- a/review/9/case.js
+++ b/review/9/case.mts
@@ -1,14 +1,14 @@
+/* eslint-disable @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-return -- plain script without types */
+/* eslint-disable @typescript-eslint/restrict-plus-operands -- plain script without types */
 /** An entry stands still while jobs are handed in, and a key is taken away meanwhile: does a job run whose caller was told 401? */
-/* eslint no-await-in-loop: off */
-import path from 'node:path';
+/* eslint-disable no-await-in-loop -- steps of a case follow one another; names of the settings file */
 import process from 'node:process';
-import {fileURLToPath} from 'node:url';
-import {pause} from '../stand-ins-2/http.js';
-import {manifestOf} from '../stand-ins-2/manifest.js';
-import {createRecord} from '../stand-ins-2/record.js';
+import {pause} from '../stand-ins-2/http.mjs';
+import {manifestOf} from '../stand-ins-2/manifest.mjs';
+import {createRecord} from '../stand-ins-2/record.mjs';
 import {
 	EXIT, isTroubled, runCase, startSite,
-} from '../stand-ins-2/site.js';
+} from '../stand-ins-2/site.mjs';
 
 const ROUNDS = 5;
 /** Jobs that are handed in at once, each by a consumer with a connection of its own. */
@@ -19,7 +19,7 @@
 const FREEZE_MS = 1300;
 const ROUND_MS = 6000;
 
-const record = createRecord(path.dirname(fileURLToPath(import.meta.url)));
+const record = createRecord(process.cwd());
 const keyOf = round => `key-of-round-${round}`;
 const STAYS = 'jbvk9m68k7b2ex5wa5xw';
 /** Manifest in which the keys of the rounds before this one are taken away. */
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# Checks the stand-ins of the cases 7 to 10; they are plain scripts, so nothing is to be built.
+# Puts the stand-ins and the cases 7 to 10, plain scripts that the linter takes as .mts files, where Node runs them.
 set -eu
 cd "$(dirname "$0")"
-for file in stand-ins-2/*.js; do
-	node --check "$file"
+for file in stand-ins-2/*.mts {7..10}/*.mts; do
+	mkdir -p "lib/$(dirname "$file")"
+	cp "$file" "lib/${file%.mts}.mjs"
+	node --check "lib/${file%.mts}.mjs"
 done
--- a/review/stand-ins-2/http.js
+++ b/review/stand-ins-2/http.mts
@@ -1,3 +1,5 @@
+/* eslint-disable @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-argument, @typescript-eslint/no-unsafe-return -- plain script without types */
+/* eslint-disable @typescript-eslint/restrict-plus-operands -- plain script without types */
 /** HTTP helpers of the stand-ins. */
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
--- a/review/stand-ins-2/machines.js
+++ b/review/stand-ins-2/machines.mts
@@ -1,6 +1,8 @@
+/* eslint-disable @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-argument, @typescript-eslint/no-unsafe-return -- plain script without types */
+
 /** A sound stand-in of the platform's machine service: lists machines, and carries out moves and upkeep. */
-/* eslint no-await-in-loop: off, no-void: off, no-unmodified-loop-condition: off */
-import {listen, pause} from './http.js';
+
+import {listen, pause} from './http.mjs';
 
 const UPKEEP_MS = 2000;
 const MOVE_MS = 1500;
--- a/review/stand-ins-2/manifest.js
+++ b/review/stand-ins-2/manifest.mts
@@ -1,3 +1,5 @@
+/* eslint-disable @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-argument, @typescript-eslint/no-unsafe-return -- plain script without types */
+
 /** Manifests of a small deployment, in the format of the operator's interface. */
 
 export const HOST = 'pule25.example';
--- a/review/stand-ins-2/processes.js
+++ b/review/stand-ins-2/processes.mts
@@ -1,5 +1,7 @@
+/* eslint-disable @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-argument, @typescript-eslint/no-unsafe-return -- plain script without types */
+/* eslint-disable @typescript-eslint/restrict-plus-operands -- plain script without types */
 /** The project's programs as separate processes on loopback addresses, started with the commands of the deploy file. */
-/* eslint camelcase: off, @stylistic/max-len: off */
+/* eslint-disable @stylistic/max-len -- steps of a case follow one another; names of the settings file */
 import {spawn} from 'node:child_process';
 import {
 	appendFileSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync,
@@ -8,10 +10,10 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
-import {fileURLToPath} from 'node:url';
-import {pause} from './http.js';
+import {pause} from './http.mjs';
 
-export const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
+/** The repository; a case is run in its own folder. */
+export const root = path.resolve(process.cwd(), '../..');
 
 /** Bounds of the site `sw-bronzebend`. */
 export const BOUNDS = {
--- a/review/stand-ins-2/record.js
+++ b/review/stand-ins-2/record.mts
@@ -1,3 +1,5 @@
+/* eslint-disable @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-argument -- plain script without types */
+
 /** The record of one case: what was sent, answered and run. */
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
--- a/review/stand-ins-2/site.js
+++ b/review/stand-ins-2/site.mts
@@ -1,10 +1,12 @@
+/* eslint-disable @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-assignment -- plain script without types */
+
 /** A small deployment: the project's programs, stand-in executors, the machine service and an operator. */
-/* eslint no-await-in-loop: off, no-void: off, no-unmodified-loop-condition: off */
+/* eslint-disable no-await-in-loop -- steps of a case follow one another; names of the settings file */
 import process from 'node:process';
-import {pause, send} from './http.js';
-import {startMachines} from './machines.js';
-import {createProcesses} from './processes.js';
-import {startWorker} from './worker.js';
+import {pause, send} from './http.mjs';
+import {startMachines} from './machines.mjs';
+import {createProcesses} from './processes.mjs';
+import {startWorker} from './worker.mjs';
 
 const START_MS = 20_000;
 const CAPACITY = {cpu: 16_000, 'mem-mb': 32_768, gpu: 0};
--- a/review/stand-ins-2/worker.js
+++ b/review/stand-ins-2/worker.mts
@@ -1,6 +1,8 @@
+/* eslint-disable @typescript-eslint/no-unsafe-call, @typescript-eslint/no-unsafe-assignment, @typescript-eslint/no-unsafe-argument, @typescript-eslint/no-unsafe-return -- plain script without types */
+/* eslint-disable @typescript-eslint/restrict-plus-operands -- plain script without types */
 /** A sound stand-in executor: liveness reports, orders, a lease, and lists of its runs. */
-/* eslint no-await-in-loop: off, no-void: off, no-unmodified-loop-condition: off */
-import {listen, pause, send} from './http.js';
+/* eslint-disable no-await-in-loop, no-unmodified-loop-condition -- steps of a case follow one another; names of the settings file */
+import {listen, pause, send} from './http.mjs';
 
 const HEARTBEAT_MS = 1500;
 const MAX_LEASE_MS = 10_000;
