Let a keeper that shuts down give up its vote

Callers saw: after a planned replacement of a keeper and the loss of two disks within 3 s of its end, no keeper led again.

Cause: the successor joins as a sixth voter, so the quorum is four. The keeper that ended left its vote behind for 3 s of silence, counted anew by each leader; two lost disks in that time left three voters of six.

Fix: on SIGTERM a keeper asks the leader to be removed, and waits for the answer before it exits. The leader removes it if the group is over its size, so a replaced machine stops counting when it ends. Without a successor the vote stays, as the SIGTERM may be a restart. The decision moves to a pure function, nextMembers, which also ends the controller's part in choosing among members. A leader hands over to the voter that answered last among those with equal logs, and to none that shuts down.

--- /dev/null
+++ b/packages/daemon/src/jobs/group-requests.ts
@@ -0,0 +1,97 @@
+/** A keeper's own requests to the leader: to join the group when it is no voter, and to resign when it shuts down. */
+import type {Clock} from '@bronzebend/core';
+import {isNeeded} from '@bronzebend/replica';
+import type {Member, PeerMessage} from '@bronzebend/wire';
+import type {JobReplica} from './job-keeper.js';
+
+/** Interval at which a request to resign is repeated, in milliseconds. */
+const RESIGN_INTERVAL_MS = 100;
+
+/** How an attempt to resign ended: `kept` if the group needs the vote. */
+export type ResignationResult = 'left' | 'kept' | 'unanswered';
+
+/** Options of a keeper's requests. */
+export type GroupRequestsOptions = {
+	/** Identity of this keeper's replica. */
+	self: string;
+	node: string;
+	groupSize: number;
+	clock: Clock;
+	replica(): JobReplica | undefined;
+	seeds(): string[];
+	/** Hands leadership over if this keeper leads. */
+	handOver(): void;
+	send(to: string, message: PeerMessage): void;
+};
+
+/** Creates the requests of one keeper. */
+export const createGroupRequests = ({self, node, groupSize, clock, replica, seeds, handOver, send}: GroupRequestsOptions) => {
+	let answer: 'left' | 'kept' | undefined;
+	let isResigning = false;
+	const hasAnswer = (): boolean => answer !== undefined;
+
+	const members = (): Member[] => replica()?.raft.members() ?? [];
+	const ownEntry = (): Member | undefined => members().find(member => member.replica === self);
+
+	/** The leader, or every known keeper if `leader` is unknown to this replica. */
+	const targets = (): string[] => {
+		const {raft} = replica()!;
+		const leader = raft.members().find(member => member.replica === raft.leader() && member.node !== node);
+		const known = leader ? [leader.node] : [...seeds(), ...raft.members().map(member => member.node)];
+		return [...new Set(known)].filter(target => target !== node);
+	};
+
+	return {
+		/** Asks to join if this replica is no voter. */
+		joinIfNeeded(): void {
+			const raft = replica()?.raft;
+			if (!raft || isResigning || raft.role() === 'leader') {
+				return;
+			}
+
+			if (!ownEntry()?.voter) {
+				for (const target of targets()) {
+					send(target, {type: 'join', replica: self});
+				}
+			}
+		},
+
+		/**
+		Gives up this keeper's vote if the group is over its size, as it is once the successor of a replaced machine has joined.
+		Otherwise the shutdown may be a restart that keeps the disk, and the group needs the vote.
+
+		Waits for the leader's answer for at most `limitMs`.
+		*/
+		async resign(limitMs: number): Promise<ResignationResult> {
+			isResigning = true;
+			const untilMs = clock.monotonicMs() + limitMs;
+			while (!hasAnswer() && clock.monotonicMs() < untilMs) {
+				const own = ownEntry();
+				if (own && isNeeded(own, members(), groupSize)) {
+					return 'kept';
+				}
+
+				// Another keeper that shuts down may have handed over to this one.
+				handOver();
+				for (const target of replica() ? targets() : []) {
+					send(target, {type: 'resign', replica: self});
+				}
+
+				// Each request waits for the answer to the one before.
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise(resolve => {
+					setTimeout(resolve, RESIGN_INTERVAL_MS);
+				});
+			}
+
+			return answer ?? 'unanswered';
+		},
+
+		/** Handles the leader's answer to a request to resign. */
+		resignAnswered(id: string, outcome: 'left' | 'kept'): void {
+			if (id === self) {
+				answer = outcome;
+			}
+		},
+	};
+};
--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -13,6 +13,7 @@
 import {createGroupMessages} from '../keeper/group-messages.js';
 import type {Log, LogFactory} from '../utils/log.js';
 import {createCallRelay} from './call-relay.js';
+import {createGroupRequests, type ResignationResult} from './group-requests.js';
 import {createMembershipController} from './membership-controller.js';
 import type {WorkerConnector} from './ports.js';
 
@@ -164,6 +165,21 @@
 		clock, log, groupSize: options.groupSize, replica: () => replica, store: () => store,
 	});
 
+	const requests = createGroupRequests({
+		self: storage.replica,
+		node,
+		groupSize: options.groupSize,
+		clock,
+		replica: () => replica,
+		seeds: options.seeds,
+		handOver() {
+			if (isLeading()) {
+				group.transferLeadership(membership.isResigning);
+			}
+		},
+		send: options.send,
+	});
+
 	const keeperNodes = (): string[] => (options.mayForm && options.seeds().includes(node) ? options.seeds() : options.seeds().filter(seed => seed !== node));
 
 	const tryFormGroup = async (): Promise<void> => {
@@ -210,13 +226,8 @@
 
 		if (isLeading()) {
 			membership.step();
-		} else if (replica.raft.role() !== 'leader' && !replica.raft.members().some(member => member.replica === storage.replica && member.voter)) {
-			// The leader may be unknown to this replica, so every known node is asked.
-			const targets = new Set([...options.seeds(), ...replica.raft.members().map(member => member.node)]);
-			targets.delete(node);
-			for (const target of targets) {
-				options.send(target, {type: 'join', replica: storage.replica});
-			}
+		} else {
+			requests.joinIfNeeded();
 		}
 	};
 
@@ -262,6 +273,20 @@
 					return true;
 				}
 
+				case 'resign': {
+					const outcome = membership.resign(from, message.replica, isLeading());
+					if (outcome !== 'pending') {
+						options.send(from, {type: 'resign-reply', replica: message.replica, outcome});
+					}
+
+					return true;
+				}
+
+				case 'resign-reply': {
+					requests.resignAnswered(message.replica, message.outcome);
+					return true;
+				}
+
 				case 'view-query': {
 					options.send(from, {type: 'view', view: view()});
 					return true;
@@ -298,7 +323,7 @@
 		/** Stops relaying calls, and hands leadership to the most up-to-date voter; returns true if leadership is being handed over. */
 		transferLeadership(): boolean {
 			callRelay.drain();
-			const successor = group.transferLeadership();
+			const successor = group.transferLeadership(membership.isResigning);
 			if (successor) {
 				log.info('Handing leadership over.', {to: successor.node, term: replica?.raft.term()});
 			}
@@ -306,6 +331,13 @@
 			return successor !== undefined;
 		},
 
+		/** Gives up this keeper's vote if the group does not need it; waits for the leader's answer for at most `limitMs`. */
+		async resign(limitMs: number): Promise<ResignationResult> {
+			const result = await requests.resign(limitMs);
+			log.info('Asked to leave the group.', {result});
+			return result;
+		},
+
 		async stop(): Promise<void> {
 			stopped = true;
 			for (const timer of timers) {
--- a/packages/daemon/src/jobs/membership-controller.ts
+++ b/packages/daemon/src/jobs/membership-controller.ts
@@ -1,13 +1,14 @@
-/** Keeps the keeper group at its target size: adds replicas that ask to join, and replaces silent voters with them. */
+/** Keeps the voters of the keeper group equal to the running keepers: lets keepers join, resign, and replace silent ones. */
 import type {Clock, JobStore} from '@bronzebend/core';
+import {isNeeded, nextMembers} from '@bronzebend/replica';
 import type {Member} from '@bronzebend/wire';
 import type {Log} from '../utils/log.js';
 import type {JobReplica} from './job-keeper.js';
 
-/** Validity of a request to join, in milliseconds; it is repeated five times a second. */
-const JOIN_REQUEST_VALIDITY_MS = 1000;
-/** Silence after which a voter may be replaced by a replica that asks to join, in milliseconds. */
-const SILENT_VOTER_MS = 3000;
+/** Validity of a request to join or to resign, in milliseconds; it is repeated five times a second. */
+const REQUEST_VALIDITY_MS = 1000;
+/** Pause between two steps after which silence is measured anew, in milliseconds: the process itself did not run, and the answers of the members may still be unread. */
+const MAX_STEP_GAP_MS = 600;
 /** Time after which a leader declares the group whole although it is below its target size, in milliseconds. */
 const GROUP_SETTLE_MS = 8000;
 
@@ -20,45 +21,20 @@
 	store(): JobStore;
 };
 
+/** Answer to a keeper that resigns: it is no member any more, it stays a voter since the group needs it, or it must ask again. */
+export type ResignationAnswer = 'left' | 'kept' | 'pending';
+
 /** Creates the membership control of a keeper. */
 export const createMembershipController = ({clock, log, groupSize, replica, store}: MembershipControllerOptions) => {
-	const joinRequests = new Map<string, {node: string; atMs: number}>();
+	/** Latest request of each node. */
+	const joinRequests = new Map<string, {replica: string; atMs: number}>();
+	const resignations = new Map<string, {atMs: number}>();
 	let isChanging = false;
 	let leadingSinceMs = Infinity;
+	let listeningSinceMs = Infinity;
+	let lastStepMs = -Infinity;
 	let term = -1;
 
-	/** Returns the next set of members; undefined if nothing is to change. */
-	const nextMembers = (current: JobReplica, nowMs: number): Member[] | undefined => {
-		const {raft} = current;
-		const members = raft.members();
-		const voters = members.filter(member => member.voter);
-		const silent = voters.find(member => member.replica !== current.replica && nowMs - Math.max(raft.lastContactMs(member.replica), leadingSinceMs) > SILENT_VOTER_MS);
-		if (voters.length > groupSize && silent) {
-			return members.filter(member => member !== silent);
-		}
-
-		for (const [id, {node}] of joinRequests) {
-			const known = members.find(member => member.replica === id);
-			const sameNode = members.find(member => member.node === node && member.replica !== id);
-			if (sameNode) {
-				// The node lost its disk, so its previous replica identity cannot return.
-				return members.filter(member => member !== sameNode);
-			}
-
-			if (!known) {
-				return [...members, {replica: id, node, voter: false}];
-			}
-
-			if (!known.voter && raft.matchIndexOf(id) >= raft.commitIndex()) {
-				return voters.length >= groupSize && silent
-					? members.filter(member => member !== silent)
-					: members.map(member => (member === known ? {...known, voter: true} : member));
-			}
-		}
-
-		return undefined;
-	};
-
 	const change = async (current: JobReplica, next: Member[]): Promise<void> => {
 		isChanging = true;
 		try {
@@ -66,51 +42,103 @@
 			log.info('Changed the members of the group.', {members: next.map(member => `${member.node}${member.voter ? '' : ' (learner)'}`).join(' ')});
 		} catch (error) {
 			log.warn('Could not change the members of the group.', {cause: String(error)});
+			return;
 		} finally {
 			isChanging = false;
 		}
+
+		if (current.hasLease()) {
+			// The next change is often due at once, and the group is weaker between the two.
+			step();
+		}
+	};
+
+	const dropOldRequests = (requests: Map<string, {atMs: number}>, nowMs: number): void => {
+		for (const [key, {atMs}] of requests) {
+			if (nowMs - atMs > REQUEST_VALIDITY_MS) {
+				requests.delete(key);
+			}
+		}
+	};
+
+	const observe = (current: JobReplica, nowMs: number): void => {
+		if (current.raft.term() !== term) {
+			term = current.raft.term();
+			leadingSinceMs = nowMs;
+			listeningSinceMs = nowMs;
+		}
+
+		if (nowMs - lastStepMs > MAX_STEP_GAP_MS) {
+			listeningSinceMs = nowMs;
+		}
+
+		lastStepMs = nowMs;
+		dropOldRequests(joinRequests, nowMs);
+		dropOldRequests(resignations, nowMs);
+	};
+
+	/** Makes the next change to the group, if one is due; called on the leader only. */
+	const step = (): void => {
+		const current = replica();
+		if (!current || isChanging) {
+			return;
+		}
+
+		const nowMs = clock.monotonicMs();
+		observe(current, nowMs);
+		const {raft} = current;
+		const next = nextMembers({
+			self: current.replica,
+			members: raft.members(),
+			groupSize,
+			joining: [...joinRequests].map(([node, request]) => ({node, replica: request.replica})),
+			resigning: new Set(resignations.keys()),
+			silenceMs: id => nowMs - Math.max(raft.lastContactMs(id), listeningSinceMs),
+			isCaughtUp: id => raft.matchIndexOf(id) >= raft.commitIndex(),
+		});
+		if (next) {
+			void change(current, next);
+			return;
+		}
+
+		const voters = raft.members().filter(member => member.voter).length;
+		if (!store().isGroupWhole() && (voters >= groupSize || nowMs - leadingSinceMs > GROUP_SETTLE_MS)) {
+			isChanging = true;
+			current.propose({type: 'group-whole'}).catch((error: unknown) => {
+				log.debug('Could not record that the group is whole.', {cause: String(error)});
+			}).finally(() => {
+				isChanging = false;
+			});
+		}
 	};
 
 	return {
+		step,
+
 		/** Records that a replica which is not a voter asks to become one. */
 		asked(node: string, id: string): void {
-			joinRequests.set(id, {node, atMs: clock.monotonicMs()});
+			joinRequests.set(node, {replica: id, atMs: clock.monotonicMs()});
 		},
 
-		/** Makes the next change to the group, if one is due; called on the leader only. */
-		step(): void {
-			const current = replica();
-			if (!current || isChanging) {
-				return;
-			}
-
-			const nowMs = clock.monotonicMs();
-			if (current.raft.term() !== term) {
-				term = current.raft.term();
-				leadingSinceMs = nowMs;
-			}
+		/** True if a replica has asked to give up its vote lately. */
+		isResigning: (id: string): boolean => resignations.has(id),
 
-			for (const [id, {atMs}] of joinRequests) {
-				if (nowMs - atMs > JOIN_REQUEST_VALIDITY_MS) {
-					joinRequests.delete(id);
-				}
+		/** Handles the request of a keeper that shuts down to give up its vote; only a leader decides on it. */
+		resign(node: string, id: string, leads: boolean): ResignationAnswer {
+			joinRequests.delete(node);
+			resignations.set(id, {atMs: clock.monotonicMs()});
+			if (!leads) {
+				return 'pending';
 			}
 
-			const next = nextMembers(current, nowMs);
-			if (next) {
-				void change(current, next);
-				return;
+			step();
+			const members = replica()?.raft.members() ?? [];
+			const member = members.find(each => each.replica === id);
+			if (member) {
+				return isNeeded(member, members, groupSize) ? 'kept' : 'pending';
 			}
 
-			const voters = current.raft.members().filter(member => member.voter).length;
-			if (!store().isGroupWhole() && (voters >= groupSize || nowMs - leadingSinceMs > GROUP_SETTLE_MS)) {
-				isChanging = true;
-				current.propose({type: 'group-whole'}).catch((error: unknown) => {
-					log.debug('Could not record that the group is whole.', {cause: String(error)});
-				}).finally(() => {
-					isChanging = false;
-				});
-			}
+			return isChanging ? 'pending' : 'left';
 		},
 	};
 };
--- a/packages/daemon/src/keeper/group-messages.ts
+++ b/packages/daemon/src/keeper/group-messages.ts
@@ -5,7 +5,7 @@
 
 /** The operations of a replica that are needed here. */
 type GroupReplica = {
-	raft: Pick<Raft, 'role' | 'members' | 'matchIndexOf'>;
+	raft: Pick<Raft, 'role' | 'members' | 'matchIndexOf' | 'lastContactMs'>;
 	receive(from: string, message: (PeerMessage & {type: 'raft'})['message']): void;
 	transfer(to: string): void;
 };
@@ -51,16 +51,17 @@
 			}
 		},
 
-		/** Transfers leadership to the voter with the longest matching log. Returns undefined if this replica does not lead or there is no other voter. */
-		transferLeadership(): Member | undefined {
+		/** Transfers leadership to the voter with the longest matching log; among equals, to the one that answered last. `isLeaving` tells the voters that shut down too. Returns undefined if this replica does not lead or there is no other voter. */
+		transferLeadership(isLeaving: (replica: string) => boolean = () => false): Member | undefined {
 			const current = replica();
 			if (current?.raft.role() !== 'leader') {
 				return undefined;
 			}
 
 			const {raft} = current;
-			const others = raft.members().filter(member => member.voter && member.replica !== self);
-			others.sort((left, right) => raft.matchIndexOf(right.replica) - raft.matchIndexOf(left.replica));
+			const others = raft.members().filter(member => member.voter && member.replica !== self && !isLeaving(member.replica));
+			// In an idle group a voter that is gone may match as far as the others.
+			others.sort((left, right) => raft.matchIndexOf(right.replica) - raft.matchIndexOf(left.replica) || raft.lastContactMs(right.replica) - raft.lastContactMs(left.replica));
 			if (others[0]) {
 				current.transfer(others[0].replica);
 			}
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -226,6 +226,8 @@
 	z.strictObject({type: z.literal('view-query')}),
 	z.strictObject({type: z.literal('view'), view: z.custom<GroupView>()}),
 	z.strictObject({type: z.literal('join'), replica: z.string()}),
+	z.strictObject({type: z.literal('resign'), replica: z.string()}),
+	z.strictObject({type: z.literal('resign-reply'), replica: z.string(), outcome: z.enum(['left', 'kept'])}),
 	z.strictObject({
 		type: z.literal('worker-calls'), term: count, batch: z.custom<CallBatch>(), sendBy: clockReading.optional(),
 	}),
