Let a keeper that was removed by mistake join again

Cause: of two silent voters the leader removed the first in its list, the one that was cut off. A keeper asks to join only if its own log says that it is no voter, and a removed keeper never receives that entry.

Fix: a keeper that knows no leader asks to join; a leader ignores the request of a voter.

--- a/packages/daemon/src/jobs/group-requests.ts
+++ b/packages/daemon/src/jobs/group-requests.ts
@@ -49,7 +49,8 @@
 				return;
 			}
 
-			if (!ownEntry()?.voter) {
+			// A voter without a leader may have been removed while it was cut off; a leader ignores the request of a voter.
+			if (!ownEntry()?.voter || raft.leader() === undefined) {
 				for (const target of targets()) {
 					send(target, {type: 'join', replica: self});
 				}
--- a/packages/daemon/src/jobs/membership-controller.ts
+++ b/packages/daemon/src/jobs/membership-controller.ts
@@ -1,6 +1,6 @@
 /** Keeps the voters of the keeper group equal to the running keepers: lets keepers join, resign, and replace silent ones. */
 import type {Clock, JobStore} from '@bronzebend/core';
-import {isNeeded, nextMembers} from '@bronzebend/replica';
+import {isNeeded, nextMembers, PRESENT_MEMBER_MS} from '@bronzebend/replica';
 import type {Member} from '@bronzebend/wire';
 import type {Log} from '../utils/log.js';
 import type {JobReplica} from './job-keeper.js';
@@ -94,6 +94,8 @@
 			joining: [...joinRequests].map(([node, request]) => ({node, replica: request.replica})),
 			resigning: new Set(resignations.keys()),
 			silenceMs: id => nowMs - Math.max(raft.lastContactMs(id), listeningSinceMs),
+			// A new leader's record starts with the time of its election, which is no answer.
+			isPresent: id => raft.lastContactMs(id) > listeningSinceMs && nowMs - raft.lastContactMs(id) <= PRESENT_MEMBER_MS,
 			isCaughtUp: id => raft.matchIndexOf(id) >= raft.commitIndex(),
 		});
 		if (next) {
--- a/packages/replica/src/next-members.ts
+++ b/packages/replica/src/next-members.ts
@@ -1,10 +1,16 @@
 /**
 Decides the next change of a replica group's members, so that the voters become the replicas that are running.
+
+Any replica may be removed by mistake, since a replica that is cut off looks like one that is gone. This is
+harmless: a replica that runs without a leader asks to join, and takes the place of a silent voter.
 */
 import type {Member} from '@bronzebend/wire';
 
-/** Silence after which a voter may be removed from a group over its size, or replaced, in milliseconds. */
-export const SILENT_MEMBER_MS = 3000;
+/** Silence after which a voter may be removed from a group over its size, or replaced, in milliseconds; longer than an election. */
+export const SILENT_MEMBER_MS = 1000;
+
+/** Time since its last answer up to which a member counts as present, in milliseconds; three heartbeats. */
+export const PRESENT_MEMBER_MS = 450;
 
 /** A replica that asks to join, and its node. */
 export type JoinRequest = {replica: string; node: string};
@@ -22,6 +28,8 @@
 	resigning: ReadonlySet<string>;
 	/** Time since a member last answered, in milliseconds, without the time in which the leader did not listen. */
 	silenceMs(replica: string): number;
+	/** True if a member has answered a moment ago. */
+	isPresent(replica: string): boolean;
 	/** True if a member has received every committed entry. */
 	isCaughtUp(replica: string): boolean;
 };
@@ -31,7 +39,7 @@
 	&& members.every(each => each.voter) && members.length <= groupSize;
 
 /** Returns the next members, which differ by one voter at most; undefined if nothing is to change. */
-export const nextMembers = ({self, members, groupSize, joining, resigning, silenceMs, isCaughtUp}: GroupSigns): Member[] | undefined => {
+export const nextMembers = ({self, members, groupSize, joining, resigning, silenceMs, isPresent, isCaughtUp}: GroupSigns): Member[] | undefined => {
 	const without = (gone: Member): Member[] => members.filter(member => member !== gone);
 	const voters = members.filter(member => member.voter);
 	const isOverSize = voters.length > groupSize;
@@ -65,7 +73,10 @@
 				return without(silentVoter);
 			}
 
-			return members.map(member => (member === known ? {...known, voter: true} : member));
+			// A larger group needs a larger quorum, so it must not grow beside a voter that may be gone.
+			if (voters.length < groupSize || voters.every(voter => voter.replica === self || isPresent(voter.replica))) {
+				return members.map(member => (member === known ? {...known, voter: true} : member));
+			}
 		}
 	}
 
--- a/tests/daemon/jobs/keeper-group.spec.ts
+++ b/tests/daemon/jobs/keeper-group.spec.ts
@@ -25,6 +25,15 @@
 		await group.close();
 	});
 
+	it('should be the running keepers after the leader was cut off and replaced by a new one', async () => {
+		const leader = group.leader()!.view().leader!;
+		group.cut(leader);
+		await group.start('k4:1');
+		assert.ok(await group.holds(() => group.leader() !== undefined && group.leader()!.view().leader !== leader && group.voters().includes('k4:1')));
+		group.join(leader);
+		assert.ok(await group.holds(() => areVoters([...FIRST, 'k4:1'])), group.voters().join(' '));
+	});
+
 	it('should include a keeper that lost its disk, under its new identity only', async () => {
 		const lost = others(group.leader()!.view().leader!)[0]!;
 		await group.wipe(lost);
@@ -54,6 +63,15 @@
 		assert.ok(await group.holds(() => areVoters(FIRST)));
 	});
 
+	it('should let a keeper that resigned join again after a restart on its folder', async () => {
+		await add('k4:1');
+		const node = others(group.leader()!.view().leader!)[0]!;
+		assert.equal(await group.keeper(node).resign(5000), 'left');
+		await group.stop(node);
+		assert.ok(!group.voters().includes(node));
+		await add(node);
+	});
+
 	it('should not wait for the leader beyond the limit given', async () => {
 		await add('k4:1');
 		const node = others(group.leader()!.view().leader!)[0]!;
@@ -63,3 +81,28 @@
 		assert.ok(Date.now() - startedMs < 1500);
 	});
 });
+
+describe('the voters of a group of five keepers', {timeout: 60_000}, () => {
+	/** Longer than a leader waits for a silent voter. */
+	const silentMs = 4500;
+
+	// Guards against a live keeper that is removed while it is cut off and never asks to join again, while a dead one stays a voter.
+	it('should be the running keepers after one was cut off while another was lost for good', async () => {
+		const first = ['k1:1', 'k2:1', 'k3:1', 'k4:1', 'k5:1'];
+		const group = await createKeeperGroup(5, first);
+		try {
+			await group.form();
+			await group.start('k6:1');
+			assert.ok(await group.holds(() => group.voters().length === 6));
+			const [isolated, gone] = first.filter(node => node !== group.leader()!.view().leader) as [string, string];
+			group.cut(isolated);
+			await group.stop(gone);
+			assert.ok(await group.holds(() => group.voters().length === 5, silentMs), group.voters().join(' '));
+			group.join(isolated);
+			const isSettled = (): boolean => group.voters().length === 5 && !group.voters().includes(gone) && group.voters().includes(isolated);
+			assert.ok(await group.holds(isSettled), `voters ${group.voters().join(' ')}, running ${group.nodes().join(' ')}`);
+		} finally {
+			await group.close();
+		}
+	});
+});
