Bound the log by its size, not only by the number of its entries

Until then each keeper held every version of the manifest, and read them all again at a start.

Each bound is on what costs memory, so it holds for entries of any size.

--- a/packages/replica/src/log-writer.ts
+++ b/packages/replica/src/log-writer.ts
@@ -2,11 +2,14 @@
 Writes the Raft log and hard state to disk, in order and in the background, and delays the messages
 that depend on a write until it is synced. Between two batches it saves the snapshots that are due.
 */
+import {encodeEntry} from '@bronzebend/wire';
 import type {Outgoing, RaftOutput} from './raft.js';
 import {DiskFullError, type Storage, type StorageOperation} from './storage.js';
 
 /** Number of operations waiting for the disk above which events have to wait too; some seconds' worth. */
 const MAX_UNSAVED_OPERATIONS = 500;
+/** Size of the entries waiting for the disk above which events have to wait too, in bytes. */
+const MAX_UNSAVED_BYTES = 16 * 1024 * 1024;
 /** Delay before a batch is retried on a full disk, in milliseconds. */
 const DISK_FULL_RETRY_MS = 500;
 
@@ -38,7 +41,7 @@
 
 /** Creates a writer; once started, it works until nothing is left to write. */
 export const createLogWriter = (options: LogWriterOptions) => {
-	let unsaved: {operations: StorageOperation[]; deferred: Outgoing[]} = {operations: [], deferred: []};
+	let unsaved: {operations: StorageOperation[]; deferred: Outgoing[]; bytes: number} = {operations: [], deferred: [], bytes: 0};
 	let savePromise: Promise<void> = Promise.resolve();
 	let busy = false;
 	let stopped = false;
@@ -74,7 +77,7 @@
 		try {
 			while (!isStopped() && hasWork()) {
 				const {operations, deferred} = unsaved;
-				unsaved = {operations: [], deferred: []};
+				unsaved = {operations: [], deferred: [], bytes: 0};
 				// Taken together with the operations, so that it covers nothing that the disk does not hold after them.
 				const saveSnapshot = options.isSnapshotDue() ? options.takeSnapshot() : undefined;
 				if (operations.length > 0) {
@@ -104,7 +107,7 @@
 		isBusy,
 		isDiskFull: () => diskFull,
 		/** True if events should wait for the disk. */
-		isCongested: (): boolean => diskFull || unsaved.operations.length > MAX_UNSAVED_OPERATIONS,
+		isCongested: (): boolean => diskFull || unsaved.operations.length > MAX_UNSAVED_OPERATIONS || unsaved.bytes > MAX_UNSAVED_BYTES,
 
 		/** Adds the part of an output that needs the disk; must be called right after its event is handled. */
 		add({hardState, append, afterSync}: Pick<RaftOutput, 'hardState' | 'append' | 'afterSync'>): void {
@@ -114,6 +117,7 @@
 
 			if (append.length > 0) {
 				unsaved.operations.push({type: 'append', entries: append});
+				unsaved.bytes += append.reduce((sum, entry) => sum + encodeEntry(entry).length, 0);
 			}
 
 			unsaved.deferred.push(...afterSync);
--- a/packages/replica/src/raft-log.ts
+++ b/packages/replica/src/raft-log.ts
@@ -1,5 +1,5 @@
 /** The in-memory part of the replicated log, from the last snapshot on. */
-import type {LogEntry, Member} from '@bronzebend/wire';
+import {encodeEntry, type LogEntry, type Member} from '@bronzebend/wire';
 
 /** Position and members that precede the first entry of the log. */
 export type LogBase = {index: number; term: number; members: Member[]};
@@ -42,7 +42,18 @@
 		membersIndex: (): number => latest.index,
 		membersAt: (index: number): Member[] => membersAt(index).members,
 
-		slice: (from: number, maxCount: number = Number.MAX_SAFE_INTEGER): LogEntry[] => entries.slice(from - start.index - 1, from - start.index - 1 + maxCount),
+		slice: (from: number): LogEntry[] => entries.slice(from - start.index - 1),
+
+		/** Entries from an index on that fit into one message: at least one, if there is one. */
+		sliceForMessage(from: number, maxCount: number, maxBytes: number): LogEntry[] {
+			const candidates = entries.slice(from - start.index - 1, from - start.index - 1 + maxCount);
+			let bytes = 0;
+			const tooMany = candidates.findIndex((entry, position) => {
+				bytes += encodeEntry(entry).length;
+				return position > 0 && bytes > maxBytes;
+			});
+			return tooMany === -1 ? candidates : candidates.slice(0, tooMany);
+		},
 
 		/** Appends entries; existing entries from the first one's index on are removed. */
 		append(added: readonly LogEntry[]): void {
--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -31,6 +31,8 @@
 
 /** Maximum number of entries in one append message. */
 const MAX_ENTRIES_PER_APPEND = 256;
+/** Maximum size of the entries in one append message, in bytes; a larger entry is sent alone. */
+const MAX_BYTES_PER_APPEND = 1024 * 1024;
 
 /** Term and vote; must be durable before any message that depends on them is sent. */
 export type HardState = {term: number; votedFor: string | undefined};
@@ -163,7 +165,7 @@
 			return;
 		}
 
-		const entries = log.slice(peer.next, MAX_ENTRIES_PER_APPEND);
+		const entries = log.sliceForMessage(peer.next, MAX_ENTRIES_PER_APPEND, MAX_BYTES_PER_APPEND);
 		peer.next += entries.length;
 		output.beforeSync.push({
 			to: member.replica, message: {
@@ -605,6 +607,8 @@
 		members: () => log.members(),
 		membersAt: (index: number) => log.membersAt(index),
 		termAt: (index: number) => log.termAt(index),
+		/** Position after which this replica holds the log's entries. */
+		startIndex: () => log.startIndex(),
 		entriesAfter: (index: number): LogEntry[] => log.slice(index + 1),
 		matchIndexOf: (id: string): number => (id === replica ? syncedIndex : progress.get(id)?.match ?? 0),
 
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -13,12 +13,10 @@
 	createRaft, type Outgoing, type Raft, type RaftEvent, type RaftOutput, type RaftTimings,
 } from './raft.js';
 import {NotLeaderError, OutcomeUnknownError} from './replica-errors.js';
+import {isSnapshotDue, SNAPSHOT_INTERVAL_ENTRIES} from './snapshot-policy.js';
 import {createSnapshotSaver} from './snapshot-saver.js';
 import {DiskFullError, type Storage} from './storage.js';
 
-/** Number of applied entries after which a snapshot is taken and the log truncated. */
-export const SNAPSHOT_INTERVAL_ENTRIES = 1000;
-
 /** State machine to which committed commands are applied. */
 export type StateMachine<Outcome, Command = ControlCommand> = {
 	apply(command: Command, index: number): Outcome;
@@ -197,7 +195,11 @@
 		applyOutput(output);
 	};
 
-	const isSnapshotDue = (): boolean => appliedIndex - (storage.snapshot()?.index ?? 0) >= snapshotInterval && saver.mayTake();
+	const mayTakeSnapshot = (): boolean => {
+		const last = storage.snapshot();
+		const growth = {entries: appliedIndex - (last?.index ?? 0), bytes: storage.grownBytes(), snapshotBytes: last?.data.length ?? 0};
+		return isSnapshotDue(growth, snapshotInterval) && saver.mayTake();
+	};
 
 	/** Takes a snapshot of the state now, and returns a function that saves it while further events are handled. */
 	const takeSnapshot = (): () => Promise<void> => {
@@ -259,7 +261,7 @@
 
 	const writer = createLogWriter({
 		storage,
-		isSnapshotDue,
+		isSnapshotDue: mayTakeSnapshot,
 		takeSnapshot,
 		lastPosition() {
 			const index = raft.lastIndex();
--- a/packages/replica/src/storage.ts
+++ b/packages/replica/src/storage.ts
@@ -161,6 +161,8 @@
 	let {snapshot, restored} = content;
 	let {hardState} = restored;
 	let logBytes = content.validBytes;
+	/** Size of the log when it was last rewritten. */
+	let rewrittenBytes = 0;
 	let folderSynced = false;
 	/** The log ends with part of a record that a full disk refused to take and to remove. */
 	let hasPartialRecord = false;
@@ -223,6 +225,7 @@
 		const record = encodeOperations(operations);
 		await replaceFile(disk, LOG_FILE, record);
 		logBytes = record.length;
+		rewrittenBytes = record.length;
 		hasPartialRecord = false;
 	};
 
@@ -232,6 +235,8 @@
 		tornBytes: content.tornBytes,
 		snapshot: () => snapshot,
 		logBytes: () => logBytes,
+		/** Bytes by which the log has grown since the last snapshot; its whole size after a start. */
+		grownBytes: () => logBytes - rewrittenBytes,
 
 		/**
 		Makes a batch durable.
