Show a job as begun by a worker's word only

Cause: a job became `running` when a start was recorded, before the order was sent, and stayed so when the run was given up.

Fix: a job has begun once a worker confirmed a start, listed a run, or ended one other than as lost. The leader records it with the next starts, or within 0.5 s when none follow, once for a job; a new leader learns the rest from the lists. Scheduling is unchanged.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './jobs/begun-jobs.js';
 export * from './control/assignments.js';
 export * from './control/claims.js';
 export * from './control/control-state.js';
--- a/packages/core/src/jobs/job-commands.ts
+++ b/packages/core/src/jobs/job-commands.ts
@@ -37,8 +37,8 @@
 	| {type: 'publish-fleet'; manifest: FleetManifest}
 	| {type: 'submit'; order: JobOrder; atMs: number}
 	| {type: 'cancel'; job: string; atMs: number}
-	/** Records runs that are about to start; `lives` describes those that the store does not know yet. */
-	| {type: 'runs-start'; lives: WorkerLife[]; runs: RunStart[]}
+	/** Records runs that are about to start; `lives` describes those that the store does not know yet, and `begun` names jobs of which a worker has a run. */
+	| {type: 'runs-start'; lives: WorkerLife[]; runs: RunStart[]; begun?: string[]}
 	| {type: 'runs-over'; life: string; runs: EndedRun[]; atMs: number}
 	| {type: 'wave'; wave: UpkeepWave}
 	| {type: 'wave-begun'; number: number; machine: string}
--- a/packages/core/src/jobs/job-store.ts
+++ b/packages/core/src/jobs/job-store.ts
@@ -14,7 +14,7 @@
 	JobStoreSnapshot, JobCommand, JobOutcome, MachineOrder, EndedRun, RunStart, UpkeepWave, WorkerLife,
 } from './job-commands.js';
 import {
-	createJob, isDone, isOpen, isStepReady, type Job, JobStates, parseUnitName, type WorkUnit,
+	createJob, hasProgress, isDone, isOpen, isStepReady, type Job, JobStates, parseUnitName, RunEnds, type WorkUnit,
 } from './job.js';
 import {recordRunEnd} from './run-ends.js';
 
@@ -38,6 +38,11 @@
 export const createJobStore = (snapshot?: JobStoreSnapshot) => {
 	let manifestIndex: ManifestIndex | undefined = snapshot?.manifest && createManifestIndex(snapshot.manifest);
 	repairGangs(snapshot?.jobs ?? []);
+	for (const job of snapshot?.jobs ?? []) {
+		// Snapshots of earlier versions do not say whether a job has begun.
+		job.hasBegun ??= hasProgress(job);
+	}
+
 	const jobs = new Map(snapshot?.jobs.map(job => [job.order.id, job]));
 	const openJobs = new Map([...jobs].filter(([, job]) => isOpen(job) || job.running > 0));
 	const lives = new Map(snapshot?.lives.map(life => [life.life, life]));
@@ -176,6 +181,7 @@
 		addRunUsage(job, step, life, -1);
 		removeRun(life, name);
 		job.running -= 1;
+		job.hasBegun ||= run.how !== RunEnds.lost;
 		recordRunEnd(job, found, run);
 		const {maxAttempts} = manifestIndex?.queue(job.order.queue) ?? job.queue;
 		if (isOpen(job) && unit.state === 'idle' && !job.order.steps[step]!.lasting && unit.failures >= maxAttempts) {
@@ -230,6 +236,12 @@
 
 			case 'runs-start': {
 				addLives(command.lives);
+				for (const id of command.begun ?? []) {
+					const job = jobs.get(id);
+					if (job) {
+						job.hasBegun = true;
+					}
+				}
 
 				return {type: 'runs-started', accepted: command.runs.filter(run => startRun(run))};
 			}
@@ -320,8 +332,8 @@
 		machineOrder: (machine: string): MachineOrder | undefined => machineOrders.get(machine),
 		/** True once the group of keepers has reached its full size. */
 		isGroupWhole: () => groupWhole,
-		/** Number of accepted jobs of a queue that have not started a work unit. */
-		pending: (queue: string): number => [...openJobs.values()].filter(job => job.order.queue === queue && job.state === JobStates.queued).length,
+		/** Accepted jobs of a queue that have not begun, as far as it is recorded. */
+		pending: (queue: string): Job[] => [...openJobs.values()].filter(job => job.order.queue === queue && isOpen(job) && !job.hasBegun),
 
 		snapshot: (): JobStoreSnapshot => ({
 			manifest: manifestIndex?.manifest, jobs: [...jobs.values()], lives: [...lives.values()], waves: [...waves.values()], groupWhole, accepted, machineOrders: [...machineOrders],
--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -83,7 +83,10 @@
 	/** The queue as it was when the job was accepted. */
 	queue: JobQueue;
 	acceptedAtMs: number;
+	/** `running` from the first recorded start on, which no worker may have received. */
 	state: JobState;
+	/** A worker has confirmed, listed or ended a run of this job. */
+	hasBegun: boolean;
 	endedAtMs: number;
 	occurrences: Occurrence[];
 	/** Work units that run now. */
@@ -114,6 +117,9 @@
 		: undefined;
 };
 
+/** The job of a work unit, by the unit's name. */
+export const jobOfUnit = (name: string): string => name.slice(0, name.indexOf('.'));
+
 /** Largest number of work units in one job. */
 const MAX_WORK_UNITS = 20_000;
 
@@ -153,6 +159,7 @@
 	queue,
 	acceptedAtMs,
 	state: JobStates.queued,
+	hasBegun: false,
 	endedAtMs: 0,
 	running: 0,
 	occurrences: Array.from({length: order.times}, (_, number) => ({
@@ -168,6 +175,9 @@
 /** True while work units of the job can start. */
 export const isOpen = (job: Job): boolean => job.state === JobStates.queued || job.state === JobStates.running;
 
+/** True if a run of the job has ended by a worker's word, as far as the work units tell. */
+export const hasProgress = (job: Job): boolean => job.occurrences.some(({steps}) => steps.some(units => units.some(unit => unit.state === 'done' || unit.failures > 0 || unit.checkpoint !== '')));
+
 /** True if all work units of all occurrences are done. */
 export const isDone = (job: Job): boolean => job.occurrences.every(each => each.doneInStep.every((done, number) => done === job.order.steps[number]!.count));
 
--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -73,8 +73,8 @@
 	isListed: boolean;
 };
 
-/** Result of reconciling a worker's lists: runs that have ended, runs to stop, and the last finished run to acknowledge. */
-export type ReconcileResult = {endedRuns: EndedRun[]; runsToStop: Array<{unit: string; attempt: number}>; ackSeq: number};
+/** Result of reconciling a worker's lists: work units whose runs are listed for the first time, runs that have ended, runs to stop, and the last finished run to acknowledge. */
+export type ReconcileResult = {begunUnits: string[]; endedRuns: EndedRun[]; runsToStop: Array<{unit: string; attempt: number}>; ackSeq: number};
 
 /** The leader's view of one life. */
 export type WorkerTrack = ReturnType<typeof createWorkerTrack>;
@@ -178,6 +178,10 @@
 			run.percentMs = receivedMs;
 		}
 
+		if (!run.isListed) {
+			result.begunUnits.push(active.unit);
+		}
+
 		run.isListed = true;
 		run.load = active.load;
 		run.checkpoint = active.checkpoint;
@@ -249,7 +253,9 @@
 		reconcile(lists: WorkerLists, sentMs: number, receivedMs: number): ReconcileResult {
 			clock = {receivedMs, clockMs: lists.clockMs};
 			contactMs = receivedMs;
-			const result: ReconcileResult = {endedRuns: [], runsToStop: [], ackSeq: Math.max(ackSeq, ...lists.finished.map(end => end.seq))};
+			const result: ReconcileResult = {
+				begunUnits: [], endedRuns: [], runsToStop: [], ackSeq: Math.max(ackSeq, ...lists.finished.map(end => end.seq)),
+			};
 			const listed = new Set<string>();
 			for (const end of lists.finished) {
 				listed.add(`${end.unit}#${end.attempt}`);
--- a/packages/daemon/src/jobs/job-call-handler.ts
+++ b/packages/daemon/src/jobs/job-call-handler.ts
@@ -1,7 +1,7 @@
 /** Handles job calls on the leader: decides each from the replicated job state, and commits changes before acknowledging them. */
 import {
 	checkOrder, JobOrderError, measureBacklogs, retryAfterMs, UnreachableError,
-	type Backlog, type CallTarget, type Clock, type JobAnswer, type JobStore, type JobCall, type JobCommand, type JobDescription,
+	type Backlog, type BegunJobs, type CallTarget, type Clock, type JobAnswer, type JobStore, type JobCall, type JobCommand, type JobDescription,
 	type Job, type JobOrder, type JobOutcome, type JobQueue, type RunEstimates,
 } from '@bronzebend/core';
 import {DiskFullError, NotLeaderError} from '@bronzebend/replica';
@@ -19,6 +19,7 @@
 /** Options of a job call handler. */
 export type JobCallHandlerOptions = {
 	store: JobStore;
+	begunJobs: BegunJobs;
 	estimates: RunEstimates;
 	clock: Clock;
 	log: Log;
@@ -206,11 +207,11 @@
 		}
 
 		if (resolved.subPath === '') {
-			return {type: 'pending', count: store.pending(resolved.queue.name)};
+			return {type: 'pending', count: options.begunJobs.pending(resolved.queue.name)};
 		}
 
 		const job = store.job(resolved.subPath);
-		return job ? {type: 'state', state: job.state} : {type: 'no-job'};
+		return job ? {type: 'state', state: options.begunJobs.stateOf(job)} : {type: 'no-job'};
 	};
 
 	const cancel = async (target: CallTarget): Promise<JobAnswer> => {
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -1,6 +1,6 @@
 /** The leader's work during one term: answers calls, starts and stops runs, and gives orders to machines. */
 import {
-	createArrivalMeter, lifeOf, planStarts,
+	createArrivalMeter, createBegunJobs, lifeOf, planStarts,
 	type JobAnswer, type JobCall, type RunStart, type SchedulingInput,
 } from '@bronzebend/core';
 import {createAdviceCache} from './advice-cache.js';
@@ -24,6 +24,8 @@
 const MIN_PASS_PAUSE_MS = 12;
 /** Starts in one pass at most; the rest follow in the next pass. */
 const MAX_STARTS_PER_PASS = 200;
+/** Interval at which jobs that have begun are recorded while no runs start, in milliseconds. */
+const BEGUN_RECORD_INTERVAL_MS = 500;
 /** Orders to machines per second if the options name no limit. */
 const DEFAULT_ORDERS_PER_S = 20;
 /** Silence after which a worker is removed from the directory, in milliseconds; far longer than any lease. */
@@ -38,6 +40,8 @@
 		store, clock, log, metrics,
 	});
 	const arrivals = createArrivalMeter();
+	const begunJobs = createBegunJobs(store);
+	let begunRecordedMs = clock.monotonicMs();
 	/** Lives with starts that have been proposed and may not be committed yet. */
 	let proposedLives: ReadonlySet<string> = new Set();
 	let isStopped = false;
@@ -66,6 +70,7 @@
 		maxStopMs: options.maxStopMs,
 		propose,
 		isLeading: leads,
+		onRunSeen: begunJobs.runSeen,
 		onChange() {
 			requestPass();
 		},
@@ -160,13 +165,17 @@
 
 		const tookMs = clock.monotonicMs() - startedMs;
 		metrics.planSeconds.observe(tookMs / 1000);
-		if (starts.length === 0) {
+		// Recorded with the next starts; without any, often enough that a new leader knows it.
+		const begun = starts.length > 0 || clock.monotonicMs() - begunRecordedMs > BEGUN_RECORD_INTERVAL_MS ? begunJobs.unrecorded() : [];
+		if (starts.length === 0 && begun.length === 0) {
 			reports.passed({
 				planMs: tookMs, commitMs: 0, starts: 0, isCut: false, cutSteps,
 			});
 			return tookMs;
 		}
 
+		begunRecordedMs = clock.monotonicMs();
+
 		const lives = new Set(starts.map(start => start.life));
 		proposedLives = lives;
 		const outcome = await propose({
@@ -175,6 +184,7 @@
 				life, id, bornMs, address, pool, zone, machine, capacity, labels,
 			})),
 			runs: starts,
+			begun,
 		});
 		reports.passed({
 			planMs: tookMs, commitMs: clock.monotonicMs() - startedMs - tookMs, starts: starts.length, isCut: starts.length >= MAX_STARTS_PER_PASS, cutSteps,
@@ -247,6 +257,7 @@
 
 	const callHandler = createJobCallHandler({
 		store,
+		begunJobs,
 		estimates: monitor.estimates,
 		clock,
 		log: options.logs('desk'),
--- a/packages/daemon/src/jobs/worker-fleet.ts
+++ b/packages/daemon/src/jobs/worker-fleet.ts
@@ -35,6 +35,8 @@
 	maxStopMs: number;
 	propose(command: JobCommand): Promise<JobOutcome>;
 	isLeading(): boolean;
+	/** Called when a worker confirmed a start, or listed a run for the first time. */
+	onRunSeen(unit: string): void;
 	/** Called when work or free capacity may have become available. */
 	onChange(): void;
 };
@@ -178,6 +180,7 @@
 			recordEnds,
 			onPolled,
 			onStartAccepted: monitor.accepted,
+			onRunSeen: options.onRunSeen,
 			onStartFailed(start, reason) {
 				monitor.startFailed(start, reason);
 			},
--- a/packages/daemon/src/jobs/worker-session-options.ts
+++ b/packages/daemon/src/jobs/worker-session-options.ts
@@ -30,6 +30,8 @@
 	onPolled(track: WorkerTrack): void;
 	/** Called when the worker accepted a start. */
 	onStartAccepted(life: string): void;
+	/** Called when the worker confirmed a start, or listed a run for the first time. */
+	onRunSeen(unit: string): void;
 	/** Called when a start had no effect or got no answer. */
 	onStartFailed(start: RunStart, reason: string): void;
 	/** Called when a poll could not be sent to the worker. */
--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -126,6 +126,10 @@
 	};
 
 	const applyReconciled = async (reconciled: ReconcileResult, {active, finished}: WorkerLists): Promise<void> => {
+		for (const unit of reconciled.begunUnits) {
+			options.onRunSeen(unit);
+		}
+
 		for (const {unit, attempt} of reconciled.runsToStop) {
 			void stop(unit, attempt);
 		}
--- a/packages/daemon/src/jobs/worker-starts.ts
+++ b/packages/daemon/src/jobs/worker-starts.ts
@@ -5,7 +5,7 @@
 import type {WorkerSessionOptions} from './worker-session-options.js';
 
 /** Creates the starts of one session. */
-export const createWorkerStarts = ({life, store, port, fence, clock, log, recordEnds, onStartAccepted, onStartFailed, track, mayAct, timed, onOtherLife, ensurePolling}: WorkerSessionOptions & {
+export const createWorkerStarts = ({life, store, port, fence, clock, log, recordEnds, onStartAccepted, onRunSeen, onStartFailed, track, mayAct, timed, onOtherLife, ensurePolling}: WorkerSessionOptions & {
 	track: WorkerTrack;
 	/** False while the session must give no orders. */
 	mayAct(): boolean;
@@ -40,6 +40,7 @@
 			case 'done': {
 				track.confirmed(start.unit, start.attempt, clock.monotonicMs());
 				onStartAccepted(life.life);
+				onRunSeen(start.unit);
 				return;
 			}
 
--- a/tests/daemon/jobs/job-call-handler.spec.ts
+++ b/tests/daemon/jobs/job-call-handler.spec.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createRunEstimates, type CallTarget, type JobOutcome} from '@bronzebend/core';
+import {
+	createBegunJobs, createRunEstimates, type CallTarget, type JobOutcome,
+} from '@bronzebend/core';
 import {createJobCallHandler, createJobMetrics, silentLogs} from '@bronzebend/daemon';
 import {orderOf, stepOf, storeWith} from '../../fixtures/job-fixtures.js';
 
@@ -16,6 +18,7 @@
 	let nowMs = 0;
 	const handler = createJobCallHandler({
 		store,
+		begunJobs: createBegunJobs(store),
 		estimates: createRunEstimates(),
 		clock: {wallMs: () => nowMs, monotonicMs: () => nowMs},
 		log: silentLogs('test'),
@@ -35,6 +38,7 @@
 	const {steps, spec, times, startAtMs, intervalMs} = orderOf(ID, [stepOf({count: 4, estimateMs: 1000})]);
 	return {
 		store,
+		begunJobs: createBegunJobs(store),
 		submit: async (path = TARGET.path) => handler.answer({
 			type: 'submit', target: {...TARGET, path}, job: {
 				steps, spec, times, startAtMs, intervalMs,
--- a/tests/daemon/jobs/restarted-worker-lease.spec.ts
+++ b/tests/daemon/jobs/restarted-worker-lease.spec.ts
@@ -62,6 +62,7 @@
 			recordEnds: async () => true,
 			onPolled: () => undefined,
 			onStartAccepted: () => undefined,
+			onRunSeen: () => undefined,
 			onStartFailed: () => undefined,
 			onUnreachable: () => undefined,
 			onLifeOver: () => undefined,
--- a/tests/daemon/jobs/worker-session.spec.ts
+++ b/tests/daemon/jobs/worker-session.spec.ts
@@ -94,6 +94,7 @@
 		},
 		onPolled: () => undefined,
 		onStartAccepted: () => undefined,
+		onRunSeen: () => undefined,
 		onStartFailed(_start, reason) {
 			calls.failed.push(reason);
 		},
