Do not take the refusal of a retry for that of the call

Cause: an unanswered attempt may have been accepted. The group client named two refusals that do not hold after one; 401, 404 and 400 passed.

Reads keep their refusal.

--- a/packages/daemon/src/jobs/group-client.ts
+++ b/packages/daemon/src/jobs/group-client.ts
@@ -4,6 +4,7 @@
 } from '@bronzebend/core';
 import type {NotLeading, PeerMessage} from '@bronzebend/wire';
 import type {Log} from '../utils/log.js';
+import {qualifyAnswer} from './qualified-answers.js';
 
 /** Time limit for one attempt, in milliseconds; allows for several commits on a slow disk. */
 const ATTEMPT_TIMEOUT_MS = 900;
@@ -90,17 +91,6 @@
 		send(to, {type: 'job-call', id, call});
 	});
 
-	/** After an unanswered attempt the call may have taken effect, so a refusal becomes an unknown outcome. */
-	const qualifyRefusal = (answer: JobAnswer, inDoubt: boolean): JobAnswer => {
-		if (inDoubt && (answer.type === 'rejected' || answer.type === 'unavailable')) {
-			return {
-				type: 'unavailable', reason: 'outcome-unknown', mayHaveRun: true, retryAfterMs: answer.retryAfterMs,
-			};
-		}
-
-		return answer;
-	};
-
 	return {
 		leader: () => leader,
 		/** Milliseconds since the last message from the leader; Infinity if there is no leader. */
@@ -132,7 +122,7 @@
 
 					await pause();
 				} else {
-					return qualifyRefusal(answer, inDoubt);
+					return inDoubt ? qualifyAnswer(call, answer) : answer;
 				}
 			}
 
--- a/tests/daemon/jobs/group-client.spec.ts
+++ b/tests/daemon/jobs/group-client.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {systemClock, type JobAnswer} from '@bronzebend/core';
+import {systemClock, type JobAnswer, type JobCall} from '@bronzebend/core';
 import {createGroupClient, silentLogs} from '@bronzebend/daemon';
 import type {NotLeading, PeerMessage} from '@bronzebend/wire';
 
@@ -97,6 +97,63 @@
 	});
 });
 
+describe('the answer to a call after an unanswered attempt', () => {
+	const target = {host: 'desk.example', path: '/quotes/aaaaaaaaaaaaaaaa', key: 'key-north'};
+	const submit: JobCall = {
+		type: 'submit', target, job: {
+			spec: '', steps: [], times: 1, startAtMs: 0, intervalMs: 0,
+		},
+	};
+	const refusals: JobAnswer[] = [
+		{type: 'unknown-key'},
+		{type: 'unknown-queue'},
+		{type: 'bad-path'},
+		{type: 'rejected', reason: 'backlog', retryAfterMs: 1000},
+		{
+			type: 'unavailable', reason: 'group-forming', mayHaveRun: false, retryAfterMs: 1000,
+		},
+	];
+
+	const answerAfterDoubt = async (made: JobCall, last: JobAnswer): Promise<JobAnswer> => {
+		let tries = 0;
+		const {client} = clientWith({
+			a() {
+				tries += 1;
+				return tries === 1 ? undefined : last;
+			},
+		}, () => 'a', () => true, 100);
+		const answer = await client.call(made, 5000);
+		client.close();
+		return answer;
+	};
+
+	// Guards against a refusal of the last attempt that is told as that of the call, while an earlier attempt was accepted.
+	for (const made of [submit, {type: 'cancel', target}] as const) {
+		for (const refusal of refusals) {
+			it(`should be an unknown outcome if a ${made.type} is answered ${refusal.type} then`, async () => {
+				const answer = await answerAfterDoubt(made, refusal);
+				assert.deepEqual([answer.type, 'mayHaveRun' in answer && answer.mayHaveRun], ['unavailable', true]);
+			});
+		}
+	}
+
+	for (const answer of [{type: 'accepted'}, {type: 'cancelled'}, {type: 'no-job'}] as const) {
+		it(`should be ${answer.type} if the leader says so then`, async () => {
+			assert.deepEqual(await answerAfterDoubt(submit, answer), answer);
+		});
+	}
+
+	it('should be the refusal if the call only reads', async () => {
+		assert.deepEqual(await answerAfterDoubt({type: 'look', target}, {type: 'unknown-key'}), {type: 'unknown-key'});
+	});
+
+	it('should be the refusal if no attempt was left unanswered', async () => {
+		const {client} = clientWith({a: () => ({type: 'unknown-key'})}, () => 'a');
+		assert.deepEqual(await client.call(submit, 5000), {type: 'unknown-key'});
+		client.close();
+	});
+});
+
 describe('a group client whose seeds are exchanged', () => {
 	it('should find the leader through the new seeds after all former ones are gone, and send a pending call to it once', async () => {
 		let seeds = ['gone-1', 'gone-2', 'gone-3'];
