Number calls from a random start, and take answers of the called node only

Callers might see: the answer to another call. An entry or keeper that starts again within the time of a commit took a late answer to the process before it for its own, as the calls of each process were numbered from 1. Found by reading, not seen in a run.

Fix: the first number is random over 47 bits, and an answer counts only if it comes from the node that was called, which the number alone does not tell. The product's node agent numbers its calls in the same way.

--- a/packages/daemon/src/jobs/group-client.ts
+++ b/packages/daemon/src/jobs/group-client.ts
@@ -1,4 +1,5 @@
 /** Client for the leader of the keeper group; finds the leader through the seed nodes. */
+import {randomInt} from 'node:crypto';
 import type {
 	Clock, GroupView, JobAnswer, JobCall,
 } from '@bronzebend/core';
@@ -17,6 +18,9 @@
 /** Interval at which a call checks for a leader, in milliseconds. */
 const LEADER_POLL_MS = 25;
 
+/** Upper limit of the number of the first call; leaves enough numbers for the calls of any process. */
+const MAX_FIRST_ID = 2 ** 47;
+
 /** Options of a group client. */
 export type GroupClientOptions = {
 	node: string;
@@ -39,7 +43,8 @@
 	let leader: string | undefined;
 	let lastContactMs = -Infinity;
 	let view: GroupView | undefined;
-	let lastId = 0;
+	// A late answer to the process before this one on the same address must not match a call of this one.
+	let lastId = randomInt(MAX_FIRST_ID);
 
 	const setLeader = (next: string | undefined): void => {
 		if (next === leader) {
@@ -139,7 +144,11 @@
 					lastContactMs = clock.monotonicMs();
 				}
 
-				pendingCalls.get(message.id)?.resolve(message.answer);
+				const pending = pendingCalls.get(message.id);
+				if (pending?.to === from) {
+					pending.resolve(message.answer);
+				}
+
 				return true;
 			}
 
--- a/packages/daemon/src/node/node-agent.ts
+++ b/packages/daemon/src/node/node-agent.ts
@@ -1,4 +1,5 @@
 /** A node's connection to the leader: heartbeats, view, calls. */
+import {randomInt} from 'node:crypto';
 import {BronzebendError, type Clock} from '@bronzebend/core';
 import type {
 	CallResult, DispatchOrder, DispatchReport, HeartbeatReply, LeaderCall, NodeAddress, PeerMessage,
@@ -41,6 +42,9 @@
 	onChange(change: {view: boolean; cluster: boolean}): void;
 };
 
+/** Upper limit of the ID of the first call; leaves enough IDs for the calls of any process. */
+const MAX_FIRST_CALL_ID = 2 ** 47;
+
 type PendingCall = {resolve(result: CallResult): void; timer: NodeJS.Timeout};
 
 /** A node's connection to the leader. */
@@ -54,7 +58,8 @@
 	let keeperIndex = 0;
 	let leader: string | undefined;
 	let seq = 0;
-	let callId = 0;
+	// A late answer to the process before this one on the same address must not match a call of this one.
+	let callId = randomInt(MAX_FIRST_CALL_ID);
 	let lastReplyAtMs = clock.monotonicMs();
 	let draining = false;
 	let timer: NodeJS.Timeout | undefined;
--- a/tests/daemon/jobs/group-client.spec.ts
+++ b/tests/daemon/jobs/group-client.spec.ts
@@ -154,6 +154,44 @@
 	});
 });
 
+describe('a group client that starts again on the same node', () => {
+	/** Makes one call that gets no answer; returns the client and the number of the call. */
+	const callOnce = async (): Promise<{client: ReturnType<typeof createGroupClient>; id: number; answer: Promise<JobAnswer>}> => {
+		let onId: (id: number) => void = () => undefined;
+		const sent = new Promise<number>(resolve => {
+			onId = resolve;
+		});
+		const client = createGroupClient({
+			node: 'me', seeds: () => ['a'], clock: systemClock, log: silentLogs('test'), send(to: string, message: PeerMessage) {
+				if (message.type === 'job-call') {
+					onId(message.id);
+				}
+			},
+		});
+		client.receive('a', {type: 'view', view: {leader: 'a', members: ['a'], leading: true}});
+		const answer = client.call(call, 400);
+		return {client, id: await sent, answer};
+	};
+
+	it('should not take a late answer to the process before it for its own', async () => {
+		const before = await callOnce();
+		const after = await callOnce();
+		after.client.receive('a', {type: 'job-answer', id: before.id, answer: manifest});
+		const answer = await after.answer;
+		await before.answer;
+		before.client.close();
+		after.client.close();
+		assert.notDeepEqual(answer, manifest);
+	});
+
+	it('should not take the answer of another node than the one it called', async () => {
+		const {client, id, answer} = await callOnce();
+		client.receive('b', {type: 'job-answer', id, answer: manifest});
+		assert.notDeepEqual(await answer, manifest);
+		client.close();
+	});
+});
+
 describe('a group client whose seeds are exchanged', () => {
 	it('should find the leader through the new seeds after all former ones are gone, and send a pending call to it once', async () => {
 		let seeds = ['gone-1', 'gone-2', 'gone-3'];
