Let a keeper that found no group shut down at once

Found by reading the change that gives votes up, and covered by a new test in keeper-group.spec.ts, which was not run without the change.

--- a/packages/daemon/src/jobs/group-requests.ts
+++ b/packages/daemon/src/jobs/group-requests.ts
@@ -67,6 +67,10 @@
 			isResigning = true;
 			const untilMs = clock.monotonicMs() + limitMs;
 			while (!hasAnswer() && clock.monotonicMs() < untilMs) {
+				if (!replica()) {
+					return 'left';
+				}
+
 				const own = ownEntry();
 				if (own && isNeeded(own, members(), groupSize)) {
 					return 'kept';
@@ -74,7 +78,7 @@
 
 				// Another keeper that shuts down may have handed over to this one.
 				handOver();
-				for (const target of replica() ? targets() : []) {
+				for (const target of targets()) {
 					send(target, {type: 'resign', replica: self});
 				}
 
--- a/tests/daemon/jobs/keeper-group.spec.ts
+++ b/tests/daemon/jobs/keeper-group.spec.ts
@@ -72,6 +72,12 @@
 		await add(node);
 	});
 
+	it('should let a keeper that found no group shut down at once', async () => {
+		group.cut('k4:1');
+		await group.start('k4:1');
+		assert.equal(await group.keeper('k4:1').resign(60_000), 'left');
+	});
+
 	it('should not wait for the leader beyond the limit given', async () => {
 		await add('k4:1');
 		const node = others(group.leader()!.view().leader!)[0]!;
