--- a/packages/daemon/src/jobs/group-requests.ts
+++ b/packages/daemon/src/jobs/group-requests.ts
@@ -19,7 +19,7 @@
 	clock: Clock;
 	replica(): JobReplica | undefined;
 	seeds(): string[];
-	/** Hands leadership over if this keeper leads. */
+	/** Hands leadership over; called on the leader only. */
 	handOver(): void;
 	send(to: string, message: PeerMessage): void;
 };
@@ -76,8 +76,11 @@
 					return 'kept';
 				}
 
-				// Another keeper that shuts down may have handed over to this one.
-				handOver();
+				if (replica()?.hasLease()) {
+					// Another keeper that shuts down may have handed over to this one.
+					handOver();
+				}
+
 				for (const target of targets()) {
 					send(target, {type: 'resign', replica: self});
 				}
--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -172,11 +172,7 @@
 		clock,
 		replica: () => replica,
 		seeds: options.seeds,
-		handOver() {
-			if (isLeading()) {
-				group.transferLeadership(membership.isResigning);
-			}
-		},
+		handOver: () => group.transferLeadership(membership.isResigning),
 		send: options.send,
 	});
 
