--- a/packages/core/src/jobs/worker-track.ts
+++ b/packages/core/src/jobs/worker-track.ts
@@ -73,8 +73,8 @@
 	isListed: boolean;
 };
 
-/** Result of reconciling a worker's lists: work units whose runs are listed for the first time, runs that have ended, runs to stop, and the last finished run to acknowledge. */
-export type ReconcileResult = {begunUnits: string[]; endedRuns: EndedRun[]; runsToStop: Array<{unit: string; attempt: number}>; ackSeq: number};
+/** Result of reconciling a worker's lists: runs that have ended, runs to stop, and the last finished run to acknowledge. */
+export type ReconcileResult = {endedRuns: EndedRun[]; runsToStop: Array<{unit: string; attempt: number}>; ackSeq: number};
 
 /** The leader's view of one life. */
 export type WorkerTrack = ReturnType<typeof createWorkerTrack>;
@@ -99,6 +99,7 @@
 	/** Expiries of calls in flight, with their numbers. */
 	const expiriesInFlight = new Map<number, number>();
 	let ackSeq = 0;
+	let newlyListed: string[] = [];
 	let contactMs = options.nowMs;
 	// An earlier leader granted leases of the same length, the last of them before this view was created.
 	const inheritedUntilMs = options.inherited ? options.nowMs + longestLeaseMs(leaseMs) : -Infinity;
@@ -179,7 +180,7 @@
 		}
 
 		if (!run.isListed) {
-			result.begunUnits.push(active.unit);
+			newlyListed.push(active.unit);
 		}
 
 		run.isListed = true;
@@ -194,6 +195,8 @@
 		life,
 		runs: runs as ReadonlyMap<string, RunProgress>,
 		contactMs: () => contactMs,
+		/** Work units whose runs the latest lists were the first to show. */
+		newlyListed: (): readonly string[] => newlyListed,
 		/** Sequence number up to which finished runs are recorded. */
 		ackSeq: () => ackSeq,
 
@@ -253,9 +256,8 @@
 		reconcile(lists: WorkerLists, sentMs: number, receivedMs: number): ReconcileResult {
 			clock = {receivedMs, clockMs: lists.clockMs};
 			contactMs = receivedMs;
-			const result: ReconcileResult = {
-				begunUnits: [], endedRuns: [], runsToStop: [], ackSeq: Math.max(ackSeq, ...lists.finished.map(end => end.seq)),
-			};
+			const result: ReconcileResult = {endedRuns: [], runsToStop: [], ackSeq: Math.max(ackSeq, ...lists.finished.map(end => end.seq))};
+			newlyListed = [];
 			const listed = new Set<string>();
 			for (const end of lists.finished) {
 				listed.add(`${end.unit}#${end.attempt}`);
--- a/packages/daemon/src/jobs/worker-session.ts
+++ b/packages/daemon/src/jobs/worker-session.ts
@@ -126,7 +126,7 @@
 	};
 
 	const applyReconciled = async (reconciled: ReconcileResult, {active, finished}: WorkerLists): Promise<void> => {
-		for (const unit of reconciled.begunUnits) {
+		for (const unit of track.newlyListed()) {
 			options.onRunSeen(unit);
 		}
 
