Ignore the answers of a keeper that was removed

Callers saw the leader's process end with code 1 when the cut of a removed keeper healed, and no acknowledgement until the next election; the machine then counts as a loss that no fault-tolerance knows of.

Cause: the leader kept the progress of a removed replica, and looked its member up to resend entries when it rejected an append message sent before its removal. The look-up found none, and reading its replica threw.

Why it works: progress is dropped with the change of members, so a stranger's answer finds none; a replica that is added again gets a new record.

--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -177,7 +177,10 @@
 	const broadcast = (nowMs: number): void => {
 		heartbeatAtMs = nowMs + timings.heartbeatMs;
 		isCommitUnsent = false;
-		for (const member of peers()) {
+		const members = peers();
+		// A replica that was removed may still answer earlier messages, and starts anew if it is added again.
+		progress = new Map([...progress].filter(([id]) => members.some(member => member.replica === id)));
+		for (const member of members) {
 			if (!progress.has(member.replica)) {
 				progress.set(member.replica, createProgress(log.lastIndex() + 1, -Infinity));
 			}
--- a/tests/replica/raft.spec.ts
+++ b/tests/replica/raft.spec.ts
@@ -102,6 +102,35 @@
 		);
 	});
 
+	// Guards against a leader that ends with an unexpected error when a keeper that it has just removed answers an earlier message.
+	it('should ignore a late answer of a replica that was removed, and start anew with one that is added again', () => {
+		const group = createRaftGroup(5, 10);
+		const leader = electLeader(group);
+		const removed = group.ids.find(id => id !== leader)!;
+		const leaderNode = group.node(leader);
+		const members = leaderNode.raft.members();
+		const change = (next: typeof members) => {
+			group.handle(leaderNode, {type: 'propose', payloads: [{type: 'members', members: next}]});
+			group.run(500);
+		};
+
+		group.crash(removed);
+		change(members.filter(member => member.replica !== removed));
+		group.handle(leaderNode, {
+			type: 'receive', from: removed, message: {
+				type: 'append-reply', term: leaderNode.raft.term(), success: false, index: 0, sentAtMs: group.nowMs(),
+			},
+		});
+		assert.equal(leaderNode.raft.lastContactMs(removed), -Infinity);
+
+		group.restart(removed);
+		change(members.map(member => (member.replica === removed ? {...member, voter: false} : member)));
+		group.propose('a');
+		group.run(500);
+		assert.deepEqual(group.leaders(), [leader]);
+		assert.deepEqual(group.marksOf(removed), ['a']);
+	});
+
 	it('should never vote twice in a term across a restart', () => {
 		const group = createRaftGroup(3, 9);
 		const leader = electLeader(group);
