--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,6 +15,8 @@
 export * from './jobs/call-relay.js';
 export * from './jobs/relayed-calls.js';
 export * from './jobs/group-client.js';
+export * from './jobs/group-watch.js';
+export type * from './jobs/job-keeper-options.js';
 export * from './jobs/job-keeper.js';
 export * from './jobs/job-call-handler.js';
 export * from './jobs/job-leader.js';
--- a/packages/daemon/src/jobs/group-requests.ts
+++ b/packages/daemon/src/jobs/group-requests.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@bronzebend/core';
 import {isNeeded} from '@bronzebend/replica';
 import type {Member, PeerMessage} from '@bronzebend/wire';
-import type {JobReplica} from './job-keeper.js';
+import type {JobReplica} from './job-keeper-options.js';
 
 /** Interval at which a request to resign is repeated, in milliseconds. */
 const RESIGN_INTERVAL_MS = 100;
--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -1,21 +1,19 @@
 /** A keeper of the replicated job state: runs its replica, joins the group, and does the leader's work while it leads. */
 import {
-	createJobStore,
-	type RelayedResult, type Clock, type GroupView, type JobAnswer, type JobStore, type JobStoreSnapshot, type JobCall, type JobCommand, type JobOutcome,
+	createJobStore, type GroupView, type JobAnswer, type JobStoreSnapshot, type JobCall, type JobCommand, type JobOutcome,
 } from '@bronzebend/core';
 import {
-	createFileDisk, createReplica, decodeBytes, DiskFullError, encodeBytes, openStorage, type RaftTimings, type Replica,
+	createFileDisk, createReplica, decodeBytes, DiskFullError, encodeBytes, openStorage,
 } from '@bronzebend/replica';
-import type {
-	ClockReading, Member, NotLeading, PeerMessage,
-} from '@bronzebend/wire';
+import type {Member, NotLeading, PeerMessage} from '@bronzebend/wire';
 import {decideGroupFormation} from '../keeper/bootstrap.js';
 import {createGroupMessages} from '../keeper/group-messages.js';
-import type {Log, LogFactory} from '../utils/log.js';
+import type {Log} from '../utils/log.js';
 import {createCallRelay} from './call-relay.js';
 import {createGroupRequests, type ResignationResult} from './group-requests.js';
+import {createGroupWatch} from './group-watch.js';
+import type {JobKeeperOptions, JobReplica, LeaderWork} from './job-keeper-options.js';
 import {createMembershipController} from './membership-controller.js';
-import type {WorkerConnector} from './ports.js';
 
 /** Interval of the replica's ticks, in milliseconds. */
 const REPLICA_TICK_INTERVAL_MS = 25;
@@ -26,52 +24,6 @@
 /** Log entries between two snapshots; a snapshot takes about as long as a few hundred entries. */
 const SNAPSHOT_ENTRIES = 4000;
 
-/** A replica of the job state. */
-export type JobReplica = Replica<JobOutcome, JobCommand>;
-
-/** The leader's work during one term. */
-export type LeaderWork = {
-	answer(call: JobCall): Promise<JobAnswer>;
-	/** Takes the results of calls relayed by another keeper. */
-	receiveResults(from: string, results: readonly RelayedResult[], reading: ClockReading): void;
-	stop(): void;
-};
-
-/** What the leader's work gets from the keeper. */
-export type LeaderContext = {
-	term: number;
-	store: JobStore;
-	propose(command: JobCommand): Promise<JobOutcome>;
-	isLeading(): boolean;
-	/** Nodes of the other keepers that answered recently. */
-	liveKeepers(): string[];
-	/** When this process applied the last order to a machine, on its own steady clock in milliseconds; undefined if the order came with a snapshot. */
-	orderAppliedMs(machine: string): number | undefined;
-};
-
-/** Options of a keeper. */
-export type JobKeeperOptions = {
-	node: string;
-	folder: string;
-	/** Nodes named in the settings. */
-	seeds(): string[];
-	/** True if this keeper may form a new group when none exists. */
-	mayForm: boolean;
-	/** Target number of voters. */
-	groupSize: number;
-	clock: Clock;
-	/** Never runs ahead of real time, not even after a suspension; measures spans that must have fully passed. */
-	steadyClock: Clock;
-	timings?: RaftTimings;
-	random: () => number;
-	logs: LogFactory;
-	send(to: string, message: PeerMessage): void;
-	/** Connects to workers; used to relay calls while another keeper leads. */
-	connect: WorkerConnector;
-	lead(context: LeaderContext): LeaderWork;
-	onFatal(error: unknown): void;
-};
-
 /** A running keeper. */
 export type JobKeeper = Awaited<ReturnType<typeof createJobKeeper>>;
 
@@ -165,6 +117,10 @@
 		clock, log, groupSize: options.groupSize, replica: () => replica, store: () => store,
 	});
 
+	const watch = createGroupWatch({
+		clock, log, replica: () => replica, seeds: options.seeds,
+	});
+
 	const requests = createGroupRequests({
 		self: storage.replica,
 		node,
@@ -205,6 +161,7 @@
 		}
 
 		updateWork();
+		watch.check();
 		if (!replica) {
 			for (const seed of keeperNodes().filter(other => other !== node)) {
 				options.send(seed, {type: 'probe'});
@@ -260,6 +217,7 @@
 		/** Handles a message; returns false if it is not for a keeper. */
 		receive(from: string, message: PeerMessage): boolean {
 			if (group.receive(from, message)) {
+				watch.heard(from);
 				return true;
 			}
 
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -6,7 +6,7 @@
 import {createAdviceCache} from './advice-cache.js';
 import {createRelayedCalls} from './relayed-calls.js';
 import {createJobCallHandler} from './job-call-handler.js';
-import type {LeaderContext, LeaderWork} from './job-keeper.js';
+import type {LeaderContext, LeaderWork} from './job-keeper-options.js';
 import type {JobLeaderOptions} from './job-leader-options.js';
 import {createLeaderReports} from './leader-reports.js';
 import {createMachineController} from './machine-controller.js';
--- a/packages/daemon/src/jobs/membership-controller.ts
+++ b/packages/daemon/src/jobs/membership-controller.ts
@@ -3,7 +3,7 @@
 import {isNeeded, nextMembers, PRESENT_MEMBER_MS} from '@bronzebend/replica';
 import type {Member} from '@bronzebend/wire';
 import type {Log} from '../utils/log.js';
-import type {JobReplica} from './job-keeper.js';
+import type {JobReplica} from './job-keeper-options.js';
 
 /** Validity of a request to join or to resign, in milliseconds; it is repeated five times a second. */
 const REQUEST_VALIDITY_MS = 1000;
