Soak the core: cut, lose and replace the machines of real keepers in chains

No more machines are lost at once than fault-tolerance allows, catch-up included. An operator changes the manifest all the while; the checks are those of its promises.

A program runs under a wrapper that sends its connections to other nodes through the relay; the programs themselves are unchanged.

--- /dev/null
+++ b/utils/soak-core.ts
@@ -0,0 +1,212 @@
+/**
+Soak of the core: real keepers and entries as separate processes, whose machines are cut off, lost and replaced in chains that are drawn
+from a seed or read from a day file, while an operator changes the manifest and callers submit jobs. Ends with code 1 if a promise was
+broken, and with code 2 if a soak could not run; the logs of both are kept.
+
+	npm run soak:core -- SEED... [--day FILE] [--programs FOLDER] [--logs FOLDER] [--entries N] [--pools N] [--workers-per-pool N]
+		[--jobs-per-s N] [--busy N] [--keep]
+*/
+import {type ChildProcess, spawn} from 'node:child_process';
+import {
+	mkdirSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {createRandom} from '@bronzebend/core';
+import {root} from './process-cluster.js';
+import {createCallers} from './soak/callers.js';
+import {
+	CONTACT_MS, checkReadBack, findCoreBreaks, type CoreBreak, type CoreSeen,
+} from './soak/core/checks.js';
+import {
+	describeCoreFault, drawCoreFaults, readDay, type CoreFault,
+} from './soak/core/faults.js';
+import {createCoreGroup} from './soak/core/group.js';
+import {createOperator} from './soak/core/operator.js';
+import {findStrayVoters} from './soak/core/voters.js';
+import {findViolations} from './soak/ledger.js';
+import {startSite, type SiteSize} from './soak/site.js';
+
+const KEEPERS = 5;
+const TOLERATED = 2;
+/** Time after the last fault for which changes go on, in milliseconds: until the core is calm, and the time of two changes. */
+const CALM_MS = CONTACT_MS + 8000;
+/** Time after the traffic in which jobs have to be known, in milliseconds, and in which they have to end. */
+const KNOWN_MS = 14_000;
+const FINISH_MS = 120_000;
+const FINISH_PAUSE_MS = 500;
+const MAX_PRINTED = 8;
+
+type Options = {seed: number; faults: CoreFault[]; programs: string; folder: string; size: SiteSize; jobsPerS: number};
+type Result = {breaks: CoreBreak[]; changes: number; acknowledged: number; jobs: number; faults: string[]; longestWaitMs: number};
+
+const print = (text: string): void => {
+	process.stdout.write(`${text}\n`);
+};
+
+const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, milliseconds);
+});
+
+/** Asks for the jobs until all have ended; a job that is unknown after its time is a break. */
+const finishJobs = async (callers: ReturnType<typeof createCallers>): Promise<CoreBreak[]> => {
+	const startMs = Date.now();
+	const breaks: CoreBreak[] = [];
+	let isChecked = false;
+	for (let open = 1; open > 0 && Date.now() - startMs < FINISH_MS;) {
+		await pause(FINISH_PAUSE_MS);
+		open = await callers.finish();
+		if (!isChecked && Date.now() - startMs > KNOWN_MS) {
+			isChecked = true;
+			breaks.push(...callers.jobs
+				.filter(job => !job.isCancelled && job.statuses.includes(200) && (job.lastState ?? 'status').startsWith('status'))
+				.map(job => ({rule: 'job-unknown' as const, detail: `job ${job.id}, state ${job.lastState ?? 'none'}`})));
+		}
+	}
+
+	return breaks;
+};
+
+const soak = async ({seed, faults, programs, folder, size, jobsPerS}: Options): Promise<Result> => {
+	const site = await startSite({
+		size, folder, programs, random: createRandom(seed + 1), isRelayed: true,
+	});
+	try {
+		const startMs = Date.now();
+		let isOver = false;
+		let isClosed = false;
+		const entries = site.addresses.entries.map(host => `${host}:${site.addresses.callers}`);
+		const group = createCoreGroup({
+			...site, links: site.links!, random: createRandom(seed + 2), tolerated: TOLERATED,
+		});
+		const operator = createOperator({
+			random: createRandom(seed + 3), controls: site.controls, entries, manifestOf: site.manifestOf, isOver: () => isOver,
+		});
+		const callers = createCallers({
+			random: createRandom(seed + 4), seed, entries, queues: site.queues, jobsPerS, lasting: site.queues.length, isOver: () => isOver,
+		});
+		const traffic = Promise.all([operator.run(() => isClosed), callers.run()]);
+		await Promise.all(faults.map(async fault => {
+			await pause(fault.atMs);
+			await group.inject(fault);
+		}));
+		await pause(CALM_MS);
+		isOver = true;
+		const endMs = Date.now();
+		isClosed = true;
+		await traffic;
+		const last = await operator.readBack(CONTACT_MS);
+		const unknown = await finishJobs(callers);
+		const {changes, readings, probes} = operator;
+		const seen: CoreSeen = {
+			changes, readings, probes, disturbances: group.disturbances, startMs, endMs,
+		};
+		const violations = findViolations({
+			jobs: callers.jobs, runs: site.runs, acknowledgedVersion: 0, readVersion: 0,
+		});
+		return {
+			breaks: [
+				...findCoreBreaks(seen),
+				...checkReadBack(seen, last),
+				...findStrayVoters(folder, group.hosts()),
+				...unknown,
+				...violations,
+				...site.processes.ended().map(host => ({rule: 'process-ended' as const, detail: host})),
+			],
+			changes: changes.length,
+			acknowledged: changes.filter(change => change.status === 200).length,
+			jobs: callers.jobs.length,
+			faults: [...faults.map(fault => describeCoreFault(fault)), ...group.disturbances.map(({what, startMs: fromMs, endMs: toMs}) => `${what} from ${fromMs - startMs} to ${toMs - startMs} ms`)],
+			longestWaitMs: Math.max(0, ...changes.map(change => Math.min(change.answeredMs, endMs) - change.sentMs)),
+		};
+	} finally {
+		await site.stop();
+	}
+};
+
+const number = (value: string, name: string): number => {
+	const parsed = Number(value);
+	if (!(parsed >= 0)) {
+		process.stderr.write(`--${name} is a number.\n`);
+		process.exit(2);
+	}
+
+	return parsed;
+};
+
+const {values, positionals} = parseArgs({
+	allowPositionals: true, options: {
+		day: {type: 'string'},
+		programs: {type: 'string', default: root},
+		logs: {type: 'string', default: os.tmpdir()},
+		entries: {type: 'string', default: '2'},
+		pools: {type: 'string', default: '3'},
+		'workers-per-pool': {type: 'string', default: '4'},
+		'jobs-per-s': {type: 'string', default: '5'},
+		busy: {type: 'string', default: '0'},
+		keep: {type: 'boolean', default: false},
+	},
+});
+const seeds = positionals.map(Number);
+if (seeds.length === 0 || seeds.some(seed => !Number.isSafeInteger(seed))) {
+	process.stderr.write('Usage: npm run soak:core -- SEED... [--day FILE] [--programs FOLDER]; a seed is a whole number.\n');
+	process.exit(2);
+}
+
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+	process.on(signal, () => process.exit(2));
+}
+
+const size: SiteSize = {
+	keepers: KEEPERS, entries: number(values.entries, 'entries'), pools: number(values.pools, 'pools'), workersPerPool: number(values['workers-per-pool'], 'workers-per-pool'),
+};
+const day = values.day === undefined ? undefined : readDay(readFileSync(values.day, 'utf8'));
+if (day && day.skipped.length > 0) {
+	print(`Entries that do not concern the core are left out: ${day.skipped.join(' ')}`);
+}
+
+const busy: ChildProcess[] = Array.from({length: number(values.busy, 'busy')}, () => spawn(process.execPath, ['-e', 'for (;;);'], {stdio: 'ignore'}));
+process.on('exit', () => {
+	for (const child of busy) {
+		child.kill('SIGKILL');
+	}
+});
+
+let broken = 0;
+let failed = 0;
+print('| seed | faults | changes | acknowledged | jobs | longest wait for an answer, ms | broken | longest stall of the stand-ins, ms |\n| --- | --- | --- | --- | --- | --- | --- | --- |');
+for (const seed of seeds) {
+	const folder = path.join(values.logs, `soak-core-${seed}-${process.pid}`);
+	mkdirSync(folder, {recursive: true});
+	const faults = day?.faults ?? drawCoreFaults(createRandom(seed), size.entries);
+	const stalls = monitorEventLoopDelay({resolution: 10});
+	stalls.enable();
+	try {
+		const result = await soak({
+			seed, faults, programs: path.resolve(values.programs), folder, size, jobsPerS: number(values['jobs-per-s'], 'jobs-per-s'),
+		});
+		broken += result.breaks.length;
+		print(`| ${seed} | ${faults.length} | ${result.changes} | ${result.acknowledged} | ${result.jobs} | ${result.longestWaitMs} | ${result.breaks.length} | ${Math.round(stalls.max / 1e6)} |`);
+		const lines = [...result.faults, ...result.breaks.map(({rule, detail}) => `${rule}: ${detail}`)];
+		writeFileSync(path.join(folder, 'breaks.txt'), `${lines.join('\n')}\n`);
+		if (result.breaks.length > 0) {
+			print([...result.faults, ...result.breaks.slice(0, MAX_PRINTED).map(({rule, detail}) => `${rule}: ${detail}`)].map(line => `  ${line}`).join('\n'));
+		}
+
+		if (result.breaks.length > 0 || values.keep) {
+			print(`  logs: ${folder}`);
+		} else {
+			rmSync(folder, {recursive: true, force: true});
+		}
+	} catch (error) {
+		failed += 1;
+		print(`| ${seed} | could not run: ${String(error)} |\n  logs: ${folder}`);
+	}
+
+	stalls.disable();
+}
+
+process.exit(broken > 0 ? 1 : (failed > 0 ? 2 : 0));
--- /dev/null
+++ b/utils/soak/core/faults.ts
@@ -0,0 +1,166 @@
+/** Faults of the core in a soak: drawn from a seed, or read from a day file. */
+import type {Random} from '@bronzebend/core';
+import {parse} from 'smol-toml';
+
+/** Which keeper is hit: one that seems to lead, one that does not, or any. */
+export type Target = 'leader' | 'follower' | 'any';
+
+/** A fault, and its earliest time in milliseconds; it waits until the deployment may lose the machine. */
+export type CoreFault = {atMs: number} & (
+	/** The other keepers do not reach it, are not reached by it, or both. */
+	| {type: 'cut'; target: Target; forMs: number; direction: 'both' | 'in' | 'out'}
+	| {type: 'kill' | 'power-loss' | 'wipe' | 'stop' | 'freeze'; target: Target; forMs: number}
+	/** Gone for good; an empty machine starts at another address after a time. */
+	| {type: 'replace'; target: Target; afterMs: number}
+	/** An empty machine starts; the one that it replaces is stopped after a time. */
+	| {type: 'replace-planned'; target: Target; afterMs: number}
+	| {type: 'slow-link' | 'slow-disk'; target: Target; forMs: number; delayMs: number}
+	| {type: 'reset'; target: Target}
+	/** The settings name the keepers that are up now. */
+	| {type: 'seeds'}
+	/** An entry and the keepers do not reach each other. */
+	| {type: 'entry-cut'; entry: number; forMs: number}
+);
+
+/** Time of the first fault, in milliseconds. */
+const FIRST_MS = 2000;
+const CHAINS = {min: 2, max: 4} as const;
+/** Time between two chains, in milliseconds; in most cases long enough for the group to settle between them. */
+const CHAIN_GAP_MS = {min: 9000, max: 14_000} as const;
+/** Time between two faults of a chain, in milliseconds. */
+const LINK_GAP_MS = {min: 0, max: 3000} as const;
+const FOR_MS = {min: 300, max: 6000} as const;
+/** Length of a cut beside which another keeper is replaced; the group has to settle on one of the two first. */
+const LONG_CUT_MS = {min: 3000, max: 7000} as const;
+const SUCCESSOR_MS = {min: 200, max: 2500} as const;
+const LEAD_MS = {min: 2000, max: 6000} as const;
+const LINK_DELAY_MS = {min: 20, max: 700} as const;
+const SYNC_DELAY_MS = {min: 20, max: 900} as const;
+
+const between = (random: Random, {min, max}: {min: number; max: number}): number => Math.round(min + (random() * (max - min)));
+const pick = <Item>(random: Random, items: readonly Item[]): Item => items[Math.floor(random() * items.length)]!;
+
+const LOSSES = ['replace', 'replace', 'wipe', 'kill', 'power-loss'] as const;
+const TYPES = ['cut', 'cut', 'cut', 'replace', 'replace', 'replace-planned', 'kill', 'power-loss', 'wipe', 'stop', 'freeze', 'slow-link', 'slow-disk', 'reset', 'seeds', 'entry-cut'] as const;
+
+const drawFault = (random: Random, type: CoreFault['type'], atMs: number, entries: number): CoreFault => {
+	const target = pick<Target>(random, ['leader', 'follower', 'follower', 'any']);
+	const forMs = between(random, FOR_MS);
+	switch (type) {
+		case 'cut': {
+			return {
+				type, atMs, target, forMs, direction: pick(random, ['both', 'both', 'in', 'out']),
+			};
+		}
+
+		case 'replace': {
+			return {
+				type, atMs, target, afterMs: between(random, SUCCESSOR_MS),
+			};
+		}
+
+		case 'replace-planned': {
+			return {
+				type, atMs, target, afterMs: between(random, LEAD_MS),
+			};
+		}
+
+		case 'slow-link':
+		case 'slow-disk': {
+			return {
+				type, atMs, target, forMs, delayMs: between(random, type === 'slow-link' ? LINK_DELAY_MS : SYNC_DELAY_MS),
+			};
+		}
+
+		case 'reset': {
+			return {type, atMs, target};
+		}
+
+		case 'seeds': {
+			return {type, atMs};
+		}
+
+		case 'entry-cut': {
+			return {
+				type, atMs, forMs, entry: Math.floor(random() * entries),
+			};
+		}
+
+		default: {
+			return {
+				type, atMs, target, forMs,
+			};
+		}
+	}
+};
+
+/** Draws chains of faults: the first is often a cut beside a replacement, the last is two losses close to each other. */
+export const drawCoreFaults = (random: Random, entries: number): CoreFault[] => {
+	const chains = between(random, CHAINS);
+	let atMs = FIRST_MS;
+	return Array.from({length: chains}, (_, index) => {
+		const isFirst = index === 0 && random() < 0.6;
+		const isLast = index === chains - 1;
+		const count = isFirst || isLast ? 2 : between(random, {min: 1, max: 3});
+		const types: Array<CoreFault['type']> = Array.from({length: count}, () => pick<CoreFault['type']>(random, isLast ? LOSSES : TYPES));
+		let faultAtMs = atMs;
+		atMs += between(random, CHAIN_GAP_MS);
+		return (isFirst ? ['cut', 'replace'] as const : types).map(type => {
+			const drawn = drawFault(random, type, faultAtMs, entries);
+			const fault = isFirst && drawn.type === 'cut' ? {...drawn, forMs: between(random, LONG_CUT_MS)} : drawn;
+			faultAtMs += between(random, LINK_GAP_MS);
+			return fault;
+		});
+	}).flat();
+};
+
+type DayEntry = {kind: string; at: number; for_s?: number; x?: number; how?: string; count?: number};
+
+const DEFAULT_FOR_S = 5;
+
+const targetOf = (how: string): Target => (/leader|renewed|giver/u.test(how) ? 'leader' : (how.includes('follower') ? 'follower' : 'any'));
+
+const fromEntry = ({kind, at, for_s: forS = DEFAULT_FOR_S, x = 1, how = ''}: DayEntry): CoreFault | undefined => {
+	const common = {atMs: at * 1000, target: targetOf(how)};
+	const forMs = forS * 1000;
+	switch (kind) {
+		case 'core_cut': {
+			return {
+				...common, type: 'cut', forMs, direction: how.includes('one_way') ? 'in' : 'both',
+			};
+		}
+
+		case 'replace_core': {
+			return {...common, type: how.includes('planned') ? 'replace-planned' : 'replace', afterMs: x * 1000};
+		}
+
+		case 'after_ack_wipe': {
+			return {...common, type: 'wipe', forMs};
+		}
+
+		case 'after_ack_kill': {
+			return {...common, type: 'power-loss', forMs};
+		}
+
+		case 'seed_turnover': {
+			return {type: 'seeds', atMs: at * 1000};
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+};
+
+/** Reads the entries of a day file that concern the core; `skipped` names the kinds of the others. */
+export const readDay = (text: string): {faults: CoreFault[]; skipped: string[]} => {
+	const day = (parse(text).day as unknown as Array<{plan?: DayEntry[]; faults?: DayEntry[]}>)[0]!;
+	const entries = [...(day.plan ?? []), ...(day.faults ?? [])].toSorted((one, other) => one.at - other.at);
+	return {
+		faults: entries.flatMap(entry => Array.from({length: entry.count ?? 1}, () => fromEntry(entry)).filter(fault => fault !== undefined)),
+		skipped: entries.filter(entry => fromEntry(entry) === undefined).map(entry => entry.kind),
+	};
+};
+
+/** Describes a fault in one line. */
+export const describeCoreFault = ({atMs, type, ...detail}: CoreFault): string => `${(atMs / 1000).toFixed(1)} s ${type} ${Object.entries(detail).map(([key, value]) => `${key} ${value}`).join(', ')}`;
--- /dev/null
+++ b/utils/soak/core/group.ts
@@ -0,0 +1,247 @@
+/** The core machines of a soak, and what happens to them: no more of them are lost at once than the deployment tolerates. */
+import type {Random} from '@bronzebend/core';
+import type {Addresses, Processes} from '../processes.js';
+import type {CoreFault, Target} from './faults.js';
+import type {Links} from './links.js';
+
+/** Time for which a machine still counts as lost after it is back or new, in milliseconds. */
+const CATCH_UP_MS = 4000;
+/** Time by which operators and workers learn of a changed list of keepers late, in milliseconds. */
+const LIST_LAG_MS = 3000;
+/** Interval at which a fault that waits for its turn tries again, in milliseconds. */
+const TURN_MS = 50;
+/** Time for which a fault waits for the machine that it is meant for, in milliseconds; then it hits any. */
+const MAX_TARGET_WAIT_MS = 3000;
+/** Time from SIGTERM until a process is killed, in milliseconds. */
+const GRACE_MS = 6000;
+/** Time for the relay to take note of an effect, in milliseconds. */
+const RELAY_MS = 20;
+/** First address of a successor. */
+const FIRST_SUCCESSOR = 6;
+
+/** A time in which something was disturbed, in Unix milliseconds. */
+export type Disturbance = {what: string; startMs: number; endMs: number};
+
+/** The place of one core machine, which its successor takes over. */
+type Place = {host: string; isBusy: boolean; lostUntilMs: number};
+
+const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, milliseconds);
+});
+
+export type CoreGroup = ReturnType<typeof createCoreGroup>;
+
+export const createCoreGroup = ({processes, addresses, controls, links, random, tolerated, record}: {
+	processes: Processes; addresses: Addresses; controls: string[]; links: Links; random: Random; tolerated: number;
+	record(who: string, what: string, detail?: Record<string, unknown>): void;
+}) => {
+	const places: Place[] = addresses.keepers.map(host => ({host, isBusy: false, lostUntilMs: 0}));
+	const disturbances: Disturbance[] = [];
+	const known = [...addresses.keepers];
+	let lastSuccessor = FIRST_SUCCESSOR - 1;
+
+	const isLost = (place: Place): boolean => Date.now() < place.lostUntilMs;
+	const coreExcept = (host: string): string[] => known.filter(other => other !== host);
+	const everyoneExcept = (host: string): string[] => [...coreExcept(host), ...addresses.entries];
+
+	/** Takes a place that may be lost now; a machine that is disturbed already is left alone. */
+	const take = async (wanted: Target): Promise<Place> => {
+		const untilMs = Date.now() + MAX_TARGET_WAIT_MS;
+		for (;;) {
+			const target = Date.now() < untilMs ? wanted : 'any';
+			const free = places.filter(place => !place.isBusy);
+			const leader = free.find(place => place.host === processes.leader());
+			const candidates = target === 'any' ? free : free.filter(place => (place === leader) === (target === 'leader'));
+			const place = candidates[Math.floor(random() * candidates.length)];
+			const lost = places.filter(other => other !== place && isLost(other)).length;
+			if (place && lost < tolerated) {
+				place.isBusy = true;
+				place.lostUntilMs = Infinity;
+				return place;
+			}
+
+			await pause(TURN_MS);
+		}
+	};
+
+	/** Runs what happens to a place; its machine counts as lost until some time after that, or until the time that `act` returns. */
+	const disturb = async (fault: CoreFault & {target: Target}, act: (place: Place) => Promise<number | void>): Promise<void> => {
+		const place = await take(fault.target);
+		const disturbance = {what: `${fault.type} ${place.host}`, startMs: Date.now(), endMs: Infinity};
+		disturbances.push(disturbance);
+		record('soak', 'fault', {...fault, host: place.host, isLeader: place.host === processes.leader()});
+		const lostUntilMs = await act(place);
+		disturbance.endMs = Date.now();
+		place.lostUntilMs = lostUntilMs ?? Date.now() + CATCH_UP_MS;
+		place.isBusy = false;
+		record('soak', 'fault over', {type: fault.type, host: place.host});
+	};
+
+	/** Cuts a host off from others without a notice to either side. */
+	const isolate = (host: string, others: string[], direction: 'both' | 'in' | 'out'): (() => void) => {
+		const heals = [
+			...(direction === 'out' ? [] : [links.begin({from: others, to: [host], blocks: true})]),
+			...(direction === 'in' ? [] : [links.begin({from: [host], to: others, blocks: true})]),
+		];
+		return () => {
+			for (const heal of heals) {
+				heal();
+			}
+		};
+	};
+
+	/** Ends the process of a machine without a word to the others. */
+	const darken = async (host: string): Promise<() => void> => {
+		const heal = isolate(host, everyoneExcept(host), 'both');
+		await pause(RELAY_MS);
+		await processes.end(host, 'SIGKILL');
+		return heal;
+	};
+
+	const startSuccessor = (): string => {
+		lastSuccessor += 1;
+		const host = addresses.keepers[0]!.replace(/\d+$/u, String(lastSuccessor));
+		known.push(host);
+		processes.start(host, false);
+		return host;
+	};
+
+	const exchangeInList = (before: string, after: string): void => {
+		setTimeout(() => {
+			controls.splice(controls.indexOf(`${before}:${addresses.control}`), 1, `${after}:${addresses.control}`);
+		}, LIST_LAG_MS);
+	};
+
+	const endGracefully = async (host: string): Promise<void> => {
+		const late = setTimeout(() => {
+			void processes.end(host, 'SIGKILL');
+		}, GRACE_MS);
+		await processes.end(host, 'SIGTERM');
+		clearTimeout(late);
+	};
+
+	const healAfter = async (forMs: number, heal: () => void): Promise<void> => {
+		await pause(forMs);
+		heal();
+	};
+
+	/** Injects a fault as soon as its machine may be lost; resolves once it is over. */
+	const inject = async (fault: CoreFault): Promise<void> => {
+		switch (fault.type) {
+			case 'cut': {
+				await disturb(fault, async ({host}) => healAfter(fault.forMs, isolate(host, coreExcept(host), fault.direction)));
+				return;
+			}
+
+			case 'kill':
+			case 'power-loss':
+			case 'wipe':
+			case 'stop': {
+				await disturb(fault, async ({host}) => {
+					const heal = fault.type === 'kill' || fault.type === 'stop' ? undefined : await darken(host);
+					if (fault.type === 'stop') {
+						await endGracefully(host);
+					} else if (!heal) {
+						await processes.end(host, 'SIGKILL');
+					}
+
+					await pause(fault.forMs);
+					if (fault.type === 'wipe') {
+						processes.wipe(host);
+					}
+
+					heal?.();
+					processes.start(host, false);
+				});
+				return;
+			}
+
+			case 'freeze': {
+				await disturb(fault, async ({host}) => {
+					processes.freeze(host, true);
+					await pause(fault.forMs);
+					processes.freeze(host, false);
+				});
+				return;
+			}
+
+			case 'replace': {
+				await disturb(fault, async place => {
+					const before = place.host;
+					await darken(before);
+					await pause(fault.afterMs);
+					place.host = startSuccessor();
+					exchangeInList(before, place.host);
+				});
+				return;
+			}
+
+			case 'replace-planned': {
+				await disturb(fault, async place => {
+					const before = place.host;
+					const after = startSuccessor();
+					const lostUntilMs = Date.now() + CATCH_UP_MS;
+					await pause(fault.afterMs);
+					place.host = after;
+					place.lostUntilMs = lostUntilMs;
+					exchangeInList(before, after);
+					await endGracefully(before);
+					return lostUntilMs;
+				});
+				return;
+			}
+
+			case 'slow-link': {
+				await disturb(fault, async ({host}) => {
+					const effects = [{from: [host], to: everyoneExcept(host)}, {from: everyoneExcept(host), to: [host]}].map(effect => links.begin({...effect, delayMs: fault.delayMs}));
+					await pause(fault.forMs);
+					for (const heal of effects) {
+						heal();
+					}
+				});
+				return;
+			}
+
+			case 'slow-disk': {
+				await disturb(fault, async ({host}) => {
+					processes.slowDisk(host, fault.delayMs);
+					await pause(fault.forMs);
+					processes.slowDisk(host, 0);
+				});
+				return;
+			}
+
+			case 'reset': {
+				await disturb(fault, async ({host}) => {
+					links.reset([host]);
+				});
+				return;
+			}
+
+			case 'seeds': {
+				const hosts = places.map(place => place.host).toSorted(() => random() - 0.5);
+				setTimeout(() => {
+					processes.setSeeds(hosts.slice(0, 3), [...places.map(place => place.host), ...addresses.entries]);
+					record('soak', 'seeds', {hosts});
+				}, LIST_LAG_MS);
+				return;
+			}
+
+			case 'entry-cut': {
+				const host = addresses.entries[fault.entry]!;
+				const disturbance = {what: `${fault.type} ${host}`, startMs: Date.now(), endMs: Infinity};
+				disturbances.push(disturbance);
+				record('soak', 'fault', {...fault, host});
+				await healAfter(fault.forMs, isolate(host, known, 'both'));
+				disturbance.endMs = Date.now();
+			}
+		}
+	};
+
+	return {
+		inject,
+		disturbances,
+		/** Hosts of the keepers, without those that were removed. */
+		hosts: (): string[] => places.map(place => place.host),
+	};
+};
--- a/utils/soak/processes.ts
+++ b/utils/soak/processes.ts
@@ -1,21 +1,27 @@
 /** Keepers and entries of a soak: real processes of a checkout, on loopback addresses of their own. */
 import {type ChildProcess, spawn} from 'node:child_process';
-import {appendFileSync, mkdirSync, writeFileSync} from 'node:fs';
+import {
+	appendFileSync, mkdirSync, rmSync, writeFileSync,
+} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {PROGRAM_VARIABLE, type ProgramMessage, type ProgramSettings} from './core/program-settings.js';
 
 const PORTS = {
-	peer: 17_400, control: 17_410, callers: 17_420, readiness: 17_421, machines: 17_430, worker: 17_440,
+	peer: 17_400, control: 17_410, callers: 17_420, readiness: 17_421, machines: 17_430, worker: 17_440, relay: 17_450,
 } as const;
+const SEEDS = 3;
 export const HEARTBEAT_MS = 1500;
 export const MAX_LEASE_MS = 10_000;
+const WRAPPER = fileURLToPath(new URL('core/program.js', import.meta.url));
 
-/** Addresses of a soak; those of two processes never meet. */
+/** Addresses of a soak; those of two processes never meet. The keepers' list may change. */
 export const addressesOf = ({keepers, entries, workers}: {keepers: number; entries: number; workers: number}) => {
 	const network = `127.${64 + (process.pid % 128)}.${Math.floor(process.pid / 128) % 250}`;
 	const hosts = (count: number, first: number): string[] => Array.from({length: count}, (_, index) => `${network}.${first + index}`);
 	return {
-		...PORTS, keepers: hosts(keepers, 1), entries: hosts(entries, 21), machinesHost: `${network}.50`, workers: hosts(workers, 101),
+		...PORTS, keepers: hosts(keepers, 1), entries: hosts(entries, 21), machinesHost: `${network}.50`, relayHost: `${network}.51`, workers: hosts(workers, 101),
 	};
 };
 
@@ -23,26 +29,32 @@
 
 export type Processes = ReturnType<typeof createProcesses>;
 
-/** @param programs Checkout whose programs run. */
-export const createProcesses = ({folder, programs, addresses, record}: {folder: string; programs: string; addresses: Addresses; record(who: string, what: string, detail?: Record<string, unknown>): void}) => {
+/**
+@param programs Checkout whose programs run.
+@param isRelayed True if the processes reach each other through the relay of the soak.
+*/
+export const createProcesses = ({folder, programs, addresses, record, isRelayed = false}: {folder: string; programs: string; addresses: Addresses; record(who: string, what: string, detail?: Record<string, unknown>): void; isRelayed?: boolean}) => {
 	const {keepers, entries} = addresses;
+	const tolerated = Math.floor((keepers.length - 1) / 2);
+	const started = new Map<string, boolean>();
+	let seeds = keepers.slice(0, SEEDS);
 	const children = new Map<string, ChildProcess>();
 	const away = new Set<string>();
 	let leader: string | undefined;
 
 	const settingsOf = (host: string, isFirst: boolean): string => {
-		const isKeeper = keepers.includes(host);
+		const isKeeper = !entries.includes(host);
 		return JSON.stringify({
 			'node-name': `${isKeeper ? 'keeper' : 'entry'}-${host}`,
 			ip: host,
 			zone: 'a',
 			listen: isKeeper ? {'control-plane': `${host}:${addresses.control}`} : {frontend: `${host}:${addresses.callers}`, readiness: `${host}:${addresses.readiness}`},
 			'internal-ports': [addresses.peer, addresses.peer + 9],
-			seeds: keepers.slice(0, 3).map(seed => `${seed}:${addresses.control}`),
+			seeds: seeds.map(seed => `${seed}:${addresses.control}`),
 			bootstrap: isFirst,
-			'data-dir': isKeeper ? path.join(folder, `data-${host}`) : null,
+			'data-dir': isKeeper ? dataFolder(host) : null,
 			'heartbeat-ms': HEARTBEAT_MS,
-			'fault-tolerance': {machines: Math.floor((keepers.length - 1) / 2), zones: 0, regions: 0},
+			'fault-tolerance': {machines: tolerated, zones: 0, regions: 0},
 			bounds: {'hold-max-ms': MAX_LEASE_MS, 'lease-ms': 3000, 'grace-s': 6},
 			'cloud-api': {
 				addr: `${addresses.machinesHost}:${addresses.machines}`, 'rate-per-s': 64, duties: [], 'duty-per-s': 64,
@@ -57,17 +69,23 @@
 		}
 	};
 
+	const settingsFile = (host: string): string => path.join(folder, `${host}.yaml`);
+	const dataFolder = (host: string): string => path.join(folder, `data-${host}`);
+
 	const start = (host: string, isFirst: boolean): void => {
-		mkdirSync(path.join(folder, `data-${host}`), {recursive: true});
-		const file = path.join(folder, `${host}.yaml`);
-		writeFileSync(file, settingsOf(host, isFirst));
-		const isKeeper = keepers.includes(host);
-		const child = spawn(process.execPath, [`--max-old-space-size=${isKeeper ? 192 : 96}`, path.join(programs, 'platform/lib/main.js'), isKeeper ? 'keeper' : 'entry'], {
-			stdio: ['ignore', 'pipe', 'pipe'],
-			env: {...process.env, BRONZEBEND_CONFIG: file, BRONZEBEND_SECRET: 'a secret of this soak'},
+		mkdirSync(dataFolder(host), {recursive: true});
+		started.set(host, isFirst);
+		writeFileSync(settingsFile(host), settingsOf(host, isFirst));
+		const isKeeper = !entries.includes(host);
+		const program: ProgramSettings = {self: host, peerPort: addresses.peer, relay: {host: addresses.relayHost, port: addresses.relay}};
+		const child = spawn(process.execPath, [`--max-old-space-size=${isKeeper ? 192 : 96}`, ...(isRelayed ? [WRAPPER] : []), path.join(programs, 'platform/lib/main.js'), isKeeper ? 'keeper' : 'entry'], {
+			stdio: ['ignore', 'pipe', 'pipe', ...(isRelayed ? ['ipc' as const] : [])],
+			env: {
+				...process.env, BRONZEBEND_CONFIG: settingsFile(host), BRONZEBEND_SECRET: 'a secret of this soak', ...(isRelayed ? {[PROGRAM_VARIABLE]: JSON.stringify(program)} : {}),
+			},
 		});
 		const log = path.join(folder, `${host}.log`);
-		for (const stream of [child.stdout, child.stderr]) {
+		for (const stream of [child.stdout!, child.stderr!]) {
 			stream.on('data', (chunk: Uint8Array) => {
 				appendFileSync(log, chunk);
 				noteLeader(host, chunk);
@@ -100,6 +118,34 @@
 
 	return {
 		leader: () => leader,
+		start,
+		/** Ends a process and waits until it has exited; it is then away. */
+		async end(host: string, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+			away.add(host);
+			record(host, signal);
+			children.get(host)!.kill(signal);
+			await exited(host);
+		},
+		/** Stops a process where it stands, or lets it go on. */
+		freeze(host: string, isFrozen: boolean): void {
+			record(host, isFrozen ? 'SIGSTOP' : 'SIGCONT');
+			children.get(host)!.kill(isFrozen ? 'SIGSTOP' : 'SIGCONT');
+		},
+		/** Empties the data folder of a process that is away. */
+		wipe(host: string): void {
+			rmSync(dataFolder(host), {recursive: true, force: true});
+		},
+		/** Sets the delay of each sync to the disk of a running process, in milliseconds. */
+		slowDisk(host: string, syncDelayMs: number): void {
+			children.get(host)!.send({syncDelayMs} satisfies ProgramMessage, () => undefined);
+		},
+		/** Changes the seeds in the settings of some processes, and of those that start from now on. */
+		setSeeds(next: readonly string[], hosts: readonly string[]): void {
+			seeds = [...next];
+			for (const host of hosts) {
+				writeFileSync(settingsFile(host), settingsOf(host, started.get(host)!));
+			}
+		},
 		/** Ends or pauses a process, and starts or wakes it after a time, in milliseconds. A process that is away is left alone. */
 		async disturb(host: string, how: 'kill' | 'stop' | 'pause', forMs: number): Promise<void> {
 			if (away.has(host)) {
--- a/utils/soak/site.ts
+++ b/utils/soak/site.ts
@@ -8,6 +8,7 @@
 import {
 	addressesOf, createProcesses, HEARTBEAT_MS, MAX_LEASE_MS,
 } from './processes.js';
+import {startLinks} from './core/links.js';
 import {send, type SendResult} from './send.js';
 import {createSoakWorker} from './worker.js';
 import type {SoakRun} from './worker-life.js';
@@ -45,7 +46,8 @@
 /** Path prefix of a pool's queue. */
 const prefixOf = (pool: string): string => `/${pool}/`;
 
-export const startSite = async ({size, folder, programs, random}: {size: SiteSize; folder: string; programs: string; random: Random}) => {
+/** @param isRelayed True if the processes reach each other through the relay of the soak. */
+export const startSite = async ({size, folder, programs, random, isRelayed = false}: {size: SiteSize; folder: string; programs: string; random: Random; isRelayed?: boolean}) => {
 	mkdirSync(folder, {recursive: true});
 	const pools = [...Array.from({length: size.pools - 1}, (_, index) => `pool-${index + 1}`), STANDBY];
 	const working = pools.filter(pool => pool !== STANDBY);
@@ -77,8 +79,9 @@
 		return id;
 	};
 
+	const links = isRelayed ? await startLinks({host: addresses.relayHost, port: addresses.relay, peerPort: addresses.peer}) : undefined;
 	const processes = createProcesses({
-		folder, programs, addresses, record,
+		folder, programs, addresses, record, isRelayed,
 	});
 	const workers = await Promise.all(addresses.workers.map(async (host, index) => createSoakWorker({
 		machine: `m-${index + 1}`, id: nextId(index), pool: pools[Math.floor(index / size.workersPerPool)]!, zone: 'a', host, port: addresses.worker, controls, clock: systemClock, clockRate: SLOWEST_CLOCK + (random() * (1 - SLOWEST_CLOCK)), capacity: CAPACITY, labels: ['a', `r1-${1 + (index % 4)}`], heartbeatMs: HEARTBEAT_MS, maxLeaseMs: MAX_LEASE_MS, random, workOf, runs, record,
@@ -120,6 +123,7 @@
 
 		machines.close();
 		await processes.stopAll();
+		await links?.close();
 		flush();
 	};
 
@@ -145,7 +149,9 @@
 	await pause(SETTLE_MS);
 	record('soak', 'settled', {startMs: Date.now() - startedMs});
 	return {
-		addresses, processes, workers, machines, runs, record, stop,
+		addresses, processes, workers, machines, runs, record, stop, links, manifestOf,
+		/** Control addresses of the keepers, as operators and workers know them; the list may change. */
+		controls,
 		newIdOf,
 		queues: working.map(pool => prefixOf(pool)),
 		indexOf: (worker: string): number | undefined => indexById.get(worker),
