Let a keeper without a vote forget a leader that is silent

Callers saw nothing at once: a successor ran and never became a voter, so the group stayed a voter short for good.

Cause: a keeper asks the leader it knows to let it join, or everybody if it knows none. Only a voter forgot its leader when its election timer ran out. If the leader that had added the successor as a learner was lost before the others received that entry, the next leader sent it nothing and was never asked.

Why it works: the timer clears the leader on every replica, so the keeper asks all known nodes again, among them the leader.

--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -250,12 +250,13 @@
 
 	const preCampaign = (nowMs: number): void => {
 		resetElection(nowMs);
+		// Also without a vote: a replica that believes in a leader asks nobody else to let it join.
+		leader = undefined;
 		if (!isVoter(replica)) {
 			return;
 		}
 
 		role = 'candidate';
-		leader = undefined;
 		preVoting = true;
 		votes = new Set([replica]);
 		if (votes.size >= quorum()) {
--- a/tests/daemon/jobs/keeper-group.spec.ts
+++ b/tests/daemon/jobs/keeper-group.spec.ts
@@ -2,8 +2,11 @@
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import {createKeeperGroup, type KeeperGroup} from '../../fixtures/keeper-group.js';
 
+/** Longer than a request to join is valid. */
+const REQUEST_MS = 1200;
 const FIRST = ['k1:1', 'k2:1', 'k3:1'];
 describe('the voters of a keeper group', {timeout: 60_000}, () => {
 	let group: KeeperGroup;
@@ -78,6 +81,29 @@
 		assert.equal(await group.keeper('k4:1').resign(60_000), 'left');
 	});
 
+	// Guards against a successor that asks none but the leader that added it, which was lost before the others learned of it.
+	it('should include a successor whose first leader was lost before the others knew of it', async () => {
+		const leader = group.leader()!;
+		const leaderNode = leader.view().leader!;
+		group.separate(leaderNode, ['k4:1']);
+		await group.start('k4:1');
+		assert.ok(await group.holds(() => group.keeper('k4:1').replica() !== undefined), 'the successor knows the group');
+		group.separate(leaderNode, others(leaderNode, 'k4:1'));
+		assert.ok(await group.holds(() => group.keeper('k4:1').replica()?.raft.leader() === leader.replica()!.replica), 'the successor follows the leader');
+		const followers = others(leaderNode, 'k4:1');
+		for (const node of followers) {
+			group.cut(node);
+		}
+
+		await pause(REQUEST_MS);
+		await group.stop(leaderNode);
+		for (const node of followers) {
+			group.join(node);
+		}
+
+		assert.ok(await group.holds(() => areVoters([...FIRST.filter(node => node !== leaderNode), 'k4:1'])), group.voters().join(' '));
+	});
+
 	it('should not wait for the leader beyond the limit given', async () => {
 		await add('k4:1');
 		const node = others(group.leader()!.view().leader!)[0]!;
--- a/tests/replica/raft.spec.ts
+++ b/tests/replica/raft.spec.ts
@@ -131,6 +131,26 @@
 		assert.deepEqual(group.marksOf(removed), ['a']);
 	});
 
+	it('should forget a leader that has been silent, also as a learner', () => {
+		const voters = ['r1', 'r2', 'r3'].map(replica => ({replica, node: replica, voter: true}));
+		const raft = createRaft({
+			replica: 'r4',
+			restored: {hardState: {term: 1, votedFor: undefined}, base: {index: 0, term: 0, members: [...voters, {replica: 'r4', node: 'r4', voter: false}]}, entries: []},
+			random: () => 0,
+			readSnapshot: () => undefined,
+			startedAtMs: 0,
+		});
+		raft.handle({
+			type: 'receive', from: 'r1', message: {
+				type: 'append', term: 1, prevIndex: 0, prevTerm: 0, entries: [], commit: 0, sentAtMs: 0,
+			},
+		}, 10);
+		assert.equal(raft.leader(), 'r1');
+		raft.handle({type: 'tick'}, 10 + defaultTimings.maxElectionMs);
+		assert.equal(raft.leader(), undefined);
+		assert.equal(raft.role(), 'follower');
+	});
+
 	it('should never vote twice in a term across a restart', () => {
 		const group = createRaftGroup(3, 9);
 		const leader = electLeader(group);
