Measure the silence of a voter in the time in which the leader ran

Callers saw nothing at once: a machine that was gone stayed a voter, and a later loss within fault-tolerance could take the quorum.

Cause: each pause of the leader's process above 600 ms started the measure of silence anew. A process that waits that long for its processor more than once a second never found a voter silent for 1 s.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -18,6 +18,8 @@
 export * from './jobs/group-watch.js';
 export type * from './jobs/job-keeper-options.js';
 export * from './jobs/job-keeper.js';
+export * from './jobs/member-silence.js';
+export * from './jobs/membership-controller.js';
 export * from './jobs/job-call-handler.js';
 export * from './jobs/job-leader.js';
 export type * from './jobs/job-leader-options.js';
--- a/packages/daemon/src/jobs/membership-controller.ts
+++ b/packages/daemon/src/jobs/membership-controller.ts
@@ -4,11 +4,10 @@
 import type {Member} from '@bronzebend/wire';
 import type {Log} from '../utils/log.js';
 import type {JobReplica} from './job-keeper-options.js';
+import {createMemberSilence} from './member-silence.js';
 
 /** Validity of a request to join or to resign, in milliseconds; it is repeated five times a second. */
 const REQUEST_VALIDITY_MS = 1000;
-/** Pause between two steps after which silence is measured anew, in milliseconds: the process itself did not run, and the answers of the members may still be unread. */
-const MAX_STEP_GAP_MS = 600;
 /** Time after which a leader declares the group whole although it is below its target size, in milliseconds. */
 const GROUP_SETTLE_MS = 8000;
 
@@ -29,11 +28,8 @@
 	/** Latest request of each node. */
 	const joinRequests = new Map<string, {replica: string; atMs: number}>();
 	const resignations = new Map<string, {atMs: number}>();
+	const silence = createMemberSilence();
 	let isChanging = false;
-	let leadingSinceMs = Infinity;
-	let listeningSinceMs = Infinity;
-	let lastStepMs = -Infinity;
-	let term = -1;
 
 	const change = async (current: JobReplica, next: Member[]): Promise<void> => {
 		isChanging = true;
@@ -61,41 +57,30 @@
 		}
 	};
 
-	const observe = (current: JobReplica, nowMs: number): void => {
-		if (current.raft.term() !== term) {
-			term = current.raft.term();
-			leadingSinceMs = nowMs;
-			listeningSinceMs = nowMs;
-		}
-
-		if (nowMs - lastStepMs > MAX_STEP_GAP_MS) {
-			listeningSinceMs = nowMs;
-		}
-
-		lastStepMs = nowMs;
-		dropOldRequests(joinRequests, nowMs);
-		dropOldRequests(resignations, nowMs);
-	};
-
 	/** Makes the next change to the group, if one is due; called on the leader only. */
 	const step = (): void => {
 		const current = replica();
-		if (!current || isChanging) {
+		if (!current) {
 			return;
 		}
 
 		const nowMs = clock.monotonicMs();
-		observe(current, nowMs);
 		const {raft} = current;
+		silence.observe(nowMs, {term: raft.term(), members: raft.members().map(member => member.replica), lastContactMs: raft.lastContactMs});
+		if (isChanging) {
+			return;
+		}
+
+		dropOldRequests(joinRequests, nowMs);
+		dropOldRequests(resignations, nowMs);
 		const next = nextMembers({
 			self: current.replica,
 			members: raft.members(),
 			groupSize,
 			joining: [...joinRequests].map(([node, request]) => ({node, replica: request.replica})),
 			resigning: new Set(resignations.keys()),
-			silenceMs: id => nowMs - Math.max(raft.lastContactMs(id), listeningSinceMs),
-			// A new leader's record starts with the time of its election, which is no answer.
-			isPresent: id => raft.lastContactMs(id) > listeningSinceMs && nowMs - raft.lastContactMs(id) <= PRESENT_MEMBER_MS,
+			silenceMs: silence.silenceMs,
+			isPresent: id => nowMs - (silence.answeredAtMs(id) ?? -Infinity) <= PRESENT_MEMBER_MS,
 			isCaughtUp: id => raft.matchIndexOf(id) >= raft.commitIndex(),
 		});
 		if (next) {
@@ -104,7 +89,7 @@
 		}
 
 		const voters = raft.members().filter(member => member.voter).length;
-		if (!store().isGroupWhole() && (voters >= groupSize || nowMs - leadingSinceMs > GROUP_SETTLE_MS)) {
+		if (!store().isGroupWhole() && (voters >= groupSize || nowMs - silence.leadingSinceMs() > GROUP_SETTLE_MS)) {
 			isChanging = true;
 			current.propose({type: 'group-whole'}).catch((error: unknown) => {
 				log.debug('Could not record that the group is whole.', {cause: String(error)});
