--- a/tests/utils/soak-core.spec.ts
+++ b/tests/utils/soak-core.spec.ts
@@ -89,7 +89,7 @@
 
 	it('should be the same for the same seed, and end in two losses', () => {
 		assert.deepEqual(drawCoreFaults(createRandom(7), 2), drawCoreFaults(createRandom(7), 2));
-		const losses = new Set(['replace', 'wipe', 'kill', 'power-loss']);
+		const losses = new Set(['replace', 'wipe', 'power-loss']);
 		for (let seed = 1; seed < 50; seed += 1) {
 			assert.ok(drawCoreFaults(createRandom(seed), 2).slice(-2).every(({type}) => losses.has(type)));
 		}
--- a/utils/soak/core/faults.ts
+++ b/utils/soak/core/faults.ts
@@ -40,7 +40,9 @@
 const between = (random: Random, {min, max}: {min: number; max: number}): number => Math.round(min + (random() * (max - min)));
 const pick = <Item>(random: Random, items: readonly Item[]): Item => items[Math.floor(random() * items.length)]!;
 
-const LOSSES = ['replace', 'replace', 'wipe', 'kill', 'power-loss'] as const;
+const LOSSES = ['replace', 'replace', 'replace', 'wipe', 'wipe', 'power-loss'] as const;
+/** Share of the soaks that begin with a cut beside a replacement. */
+const CUT_FIRST_SHARE = 0.75;
 const TYPES = ['cut', 'cut', 'cut', 'replace', 'replace', 'replace-planned', 'kill', 'power-loss', 'wipe', 'stop', 'freeze', 'slow-link', 'slow-disk', 'reset', 'seeds', 'entry-cut'] as const;
 
 const drawFault = (random: Random, type: CoreFault['type'], atMs: number, entries: number): CoreFault => {
@@ -99,7 +101,7 @@
 	const chains = between(random, CHAINS);
 	let atMs = FIRST_MS;
 	return Array.from({length: chains}, (_, index) => {
-		const isFirst = index === 0 && random() < 0.6;
+		const isFirst = index === 0 && random() < CUT_FIRST_SHARE;
 		const isLast = index === chains - 1;
 		const count = isFirst || isLast ? 2 : between(random, {min: 1, max: 3});
 		const types: Array<CoreFault['type']> = Array.from({length: count}, () => pick<CoreFault['type']>(random, isLast ? LOSSES : TYPES));
