Make a distant learner a voter while there is work

Callers saw nothing at once: the successor of a keeper stayed without a vote for as long as changes were committed faster than its round trip.

Cause: a learner had to have every committed entry at the moment of a check.

Why it works: a learner is caught up once it has what was committed 300 to 600 ms ago. The change of members commits only with all entries before it on a quorum of the new voters, so nothing depends on the exact moment.

--- a/packages/daemon/src/jobs/membership-controller.ts
+++ b/packages/daemon/src/jobs/membership-controller.ts
@@ -81,7 +81,7 @@
 			resigning: new Set(resignations.keys()),
 			silenceMs: silence.silenceMs,
 			isPresent: id => nowMs - (silence.answeredAtMs(id) ?? -Infinity) <= PRESENT_MEMBER_MS,
-			isCaughtUp: id => raft.matchIndexOf(id) >= raft.commitIndex(),
+			isCaughtUp: raft.isCaughtUp,
 		});
 		if (next) {
 			void change(current, next);
--- a/packages/daemon/src/keeper/member-changes.ts
+++ b/packages/daemon/src/keeper/member-changes.ts
@@ -79,7 +79,7 @@
 			}
 
 			const lagError = new KeeperChangeError('keeper-lags', `Cannot make keeper ${node} a voter: it did not receive the log in time. It stays a learner; add it again.`);
-			await waitFor(() => current.raft.matchIndexOf(id) >= current.raft.commitIndex(), lagError);
+			await waitFor(() => current.raft.isCaughtUp(id), lagError);
 			await current.changeMembers(current.raft.members().map(member => (member.replica === id ? {...member, voter: true} : member)));
 			return current.raft.members();
 		},
--- a/packages/replica/src/next-members.ts
+++ b/packages/replica/src/next-members.ts
@@ -30,7 +30,7 @@
 	silenceMs(replica: string): number;
 	/** True if a member has answered a moment ago. */
 	isPresent(replica: string): boolean;
-	/** True if a member has received every committed entry. */
+	/** True if a member has received the log, but for the latest entries. */
 	isCaughtUp(replica: string): boolean;
 };
 
--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -29,6 +29,9 @@
 /** Maximum delay before a voter campaigns itself after denying a pre-vote to a candidate whose log is behind, in milliseconds; several round trips. */
 const MAX_CAMPAIGN_DELAY_MS = 60;
 
+/** Interval at which a leader notes its commit index, in milliseconds. A replica that has received what was committed one to two intervals ago is caught up; a distant one never has all that is committed now while there is work. */
+const COMMIT_MARK_MS = 300;
+
 /** Maximum number of entries in one append message. */
 const MAX_ENTRIES_PER_APPEND = 256;
 /** Maximum size of the entries in one append message, in bytes; a larger entry is sent alone. */
@@ -106,6 +109,8 @@
 	let heartbeatAtMs = 0;
 	let votes = new Set<string>();
 	let preVoting = false;
+	/** Commit index at the latest mark and at the one before. */
+	let commitMarks = {latest: Infinity, earlier: Infinity, nextAtMs: Infinity};
 	let transferTo: string | undefined;
 	let transferUntilMs = 0;
 	let progress = new Map<string, Progress>();
@@ -221,6 +226,7 @@
 		transferTo = undefined;
 		progress = new Map(peers().map(member => [member.replica, createProgress(log.lastIndex() + 1, nowMs)]));
 		termStartIndex = log.lastIndex() + 1;
+		commitMarks = {latest: termStartIndex, earlier: termStartIndex, nextAtMs: nowMs + COMMIT_MARK_MS};
 		appendToLog([{index: termStartIndex, term, payload: {type: 'no-op'}}]);
 		broadcast(nowMs);
 	};
@@ -501,11 +507,17 @@
 			return;
 		}
 
+		if (nowMs >= commitMarks.nextAtMs) {
+			commitMarks = {latest: commitIndex, earlier: commitMarks.latest, nextAtMs: nowMs + COMMIT_MARK_MS};
+		}
+
 		if (isCommitUnsent || nowMs >= heartbeatAtMs) {
 			broadcast(nowMs);
 		}
 	};
 
+	const isCaughtUp = (id: string): boolean => (progress.get(id)?.match ?? 0) >= commitMarks.earlier;
+
 	const checkMembers = (next: readonly Member[]): void => {
 		if (commitIndex < termStartIndex || commitIndex < log.membersIndex()) {
 			throw new MembershipError('membership-busy', 'Cannot change keepers: an earlier change is not committed yet. Try again in a second.');
@@ -519,7 +531,7 @@
 			throw new MembershipError('membership-one-at-a-time', 'Cannot change keepers: only one voter at a time may join or leave.');
 		}
 
-		if (joining.some(id => (progress.get(id)?.match ?? 0) < commitIndex)) {
+		if (joining.some(id => !isCaughtUp(id))) {
 			throw new MembershipError('membership-not-caught-up', 'Cannot make the keeper a voter: it has not received the whole log yet. Add it as a learner and wait.');
 		}
 	};
@@ -616,6 +628,9 @@
 		entriesAfter: (index: number): LogEntry[] => log.slice(index + 1),
 		matchIndexOf: (id: string): number => (id === replica ? syncedIndex : progress.get(id)?.match ?? 0),
 
+		/** True on a leader if another replica has received the log, but for the latest entries. */
+		isCaughtUp,
+
 		/** Send time of the latest message that a replica has answered, on this leader's clock, in milliseconds; -Infinity if none. */
 		lastContactMs: (id: string): number => progress.get(id)?.lastContactMs() ?? -Infinity,
 
--- a/tests/daemon/jobs/keeper-group.spec.ts
+++ b/tests/daemon/jobs/keeper-group.spec.ts
@@ -5,6 +5,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {createKeeperGroup, type KeeperGroup} from '../../fixtures/keeper-group.js';
 
+/** Time that a deployment gives a new keeper, in milliseconds. */
+const CATCH_UP_MS = 4000;
 /** Longer than a request to join is valid. */
 const REQUEST_MS = 1200;
 const FIRST = ['k1:1', 'k2:1', 'k3:1'];
@@ -104,6 +106,20 @@
 		assert.ok(await group.holds(() => areVoters([...FIRST.filter(node => node !== leaderNode), 'k4:1'])), group.voters().join(' '));
 	});
 
+	// Guards against a successor in another region that stays without a vote for as long as there is work.
+	it('should include a distant keeper while changes are committed all the time', async () => {
+		const propose = setInterval(() => {
+			void group.leader()?.replica()?.propose({type: 'group-whole'}).catch(() => undefined);
+		}, 4);
+		try {
+			group.delay('k4:1', 15);
+			await group.start('k4:1');
+			assert.ok(await group.holds(() => group.voters().includes('k4:1'), CATCH_UP_MS), group.voters().join(' '));
+		} finally {
+			clearInterval(propose);
+		}
+	});
+
 	it('should not wait for the leader beyond the limit given', async () => {
 		await add('k4:1');
 		const node = others(group.leader()!.view().leader!)[0]!;
--- a/tests/daemon/jobs/membership-controller.spec.ts
+++ b/tests/daemon/jobs/membership-controller.spec.ts
@@ -16,8 +16,7 @@
 		term: () => TERM,
 		members: () => members,
 		lastContactMs: (id: string) => contactMs.get(id) ?? -Infinity,
-		matchIndexOf: () => 9,
-		commitIndex: () => 9,
+		isCaughtUp: () => true,
 	};
 	const controller = createMembershipController({
 		clock: {monotonicMs: () => nowMs, wallMs: () => nowMs},
