Give the vote of a keeper that resigns to its successor beside a slow voter

Callers saw nothing at once: a keeper that was replaced as planned waited for 3 s and left its vote behind.

Cause: the group does not grow beside a voter that has not answered for 450 ms, and a slow voter that answers within 1 s is not replaced either, so the successor stayed a learner and the request to resign had no answer.

Why it works: where the group must not grow, and the voters that answer are a quorum without the one that resigns, it is removed first. The successor then joins a group that is a voter short, which needs no larger quorum.

--- a/packages/replica/src/next-members.ts
+++ b/packages/replica/src/next-members.ts
@@ -44,7 +44,16 @@
 	const voters = members.filter(member => member.voter);
 	const isOverSize = voters.length > groupSize;
 
-	const resigned = members.find(member => member.replica !== self && resigning.has(member.replica) && (isOverSize || !member.voter));
+	const mayGrow = voters.every(voter => voter.replica === self || isPresent(voter.replica));
+	const hasSuccessor = joining.some(({replica}) => !resigning.has(replica) && isPresent(replica) && isCaughtUp(replica) && members.some(member => member.replica === replica && !member.voter));
+
+	/** True if a successor cannot join beside a voter, since another one is slow, and those that answer are a quorum without it. */
+	const mayMakeRoom = (leaving: Member): boolean => {
+		const rest = voters.filter(voter => voter !== leaving);
+		return !mayGrow && hasSuccessor && rest.filter(voter => voter.replica === self || isPresent(voter.replica)).length * 2 > rest.length;
+	};
+
+	const resigned = members.find(member => member.replica !== self && resigning.has(member.replica) && (isOverSize || !member.voter || mayMakeRoom(member)));
 	if (resigned) {
 		return without(resigned);
 	}
@@ -74,7 +83,7 @@
 			}
 
 			// A larger group needs a larger quorum, so it must not grow beside a voter that may be gone.
-			if (voters.length < groupSize || voters.every(voter => voter.replica === self || isPresent(voter.replica))) {
+			if (voters.length < groupSize || mayGrow) {
 				return members.map(member => (member === known ? {...known, voter: true} : member));
 			}
 		}
--- a/tests/daemon/jobs/keeper-group.spec.ts
+++ b/tests/daemon/jobs/keeper-group.spec.ts
@@ -153,4 +153,22 @@
 			await group.close();
 		}
 	});
+
+	// Guards against a vote that is left behind because the group does not grow beside a voter that is slow, though not silent.
+	it('should include the successor of a keeper that resigns beside a slow one', async () => {
+		const first = ['k1:1', 'k2:1', 'k3:1', 'k4:1', 'k5:1'];
+		const group = await createKeeperGroup(5, first);
+		try {
+			await group.form();
+			const [slow, leaving] = first.filter(node => node !== group.leader()!.view().leader) as [string, string];
+			group.delay(slow, 300);
+			await group.start('k6:1');
+			assert.ok(await group.holds(() => group.members().some(member => member.node === 'k6:1')));
+			assert.equal(await group.keeper(leaving).resign(3000), 'left');
+			await group.stop(leaving);
+			assert.ok(await group.holds(() => group.voters().length === 5 && group.voters().includes('k6:1')), group.voters().join(' '));
+		} finally {
+			await group.close();
+		}
+	});
 });
