Name the keepers of the lagging list in the settings of processes that start in a soak of the core

A process that started late was given the first three keepers for ever, which may all have been replaced. It gets three of the operator's list now, which lags by 3 s.

--- a/utils/soak/core/group.ts
+++ b/utils/soak/core/group.ts
@@ -1,6 +1,6 @@
 /** The core machines of a soak, and what happens to them: no more of them are lost at once than the deployment tolerates. */
 import type {Random} from '@bronzebend/core';
-import type {Addresses, Processes} from '../processes.js';
+import {SEEDS, type Addresses, type Processes} from '../processes.js';
 import type {CoreFault, Target} from './faults.js';
 import type {Links} from './links.js';
 
@@ -106,9 +106,17 @@
 		return host;
 	};
 
+	/** Names some keepers in the settings of processes that start from now on, and of those given. */
+	const nameSeeds = (keepers: readonly string[], hosts: readonly string[]): void => {
+		const seeds = keepers.toSorted(() => random() - 0.5).slice(0, SEEDS);
+		processes.setSeeds(seeds, hosts);
+		record('soak', 'seeds', {seeds, hosts});
+	};
+
 	const exchangeInList = (before: string, after: string): void => {
 		setTimeout(() => {
 			controls.splice(controls.indexOf(`${before}:${addresses.control}`), 1, `${after}:${addresses.control}`);
+			nameSeeds(controls.map(address => address.split(':')[0]!), []);
 		}, LIST_LAG_MS);
 	};
 
@@ -219,10 +227,9 @@
 			}
 
 			case 'seeds': {
-				const hosts = places.map(place => place.host).toSorted(() => random() - 0.5);
 				setTimeout(() => {
-					processes.setSeeds(hosts.slice(0, 3), [...places.map(place => place.host), ...addresses.entries]);
-					record('soak', 'seeds', {hosts});
+					const hosts = places.map(place => place.host);
+					nameSeeds(hosts, [...hosts, ...addresses.entries]);
 				}, LIST_LAG_MS);
 				return;
 			}
--- a/utils/soak/processes.ts
+++ b/utils/soak/processes.ts
@@ -11,7 +11,8 @@
 const PORTS = {
 	peer: 17_400, control: 17_410, callers: 17_420, readiness: 17_421, machines: 17_430, worker: 17_440, relay: 17_450,
 } as const;
-const SEEDS = 3;
+/** Keepers named in the settings of a process. */
+export const SEEDS = 3;
 export const HEARTBEAT_MS = 1500;
 export const MAX_LEASE_MS = 10_000;
 const WRAPPER = fileURLToPath(new URL('core/program.js', import.meta.url));
