Complete no wave over an entry of the machine list without a readable name

The operator saw a wave completed although one of its machines stayed and never had its upkeep.

Cause: a machine that the list does not name counts as gone, and an invalid entry stood for its machine only if the name could be read.

Evidence: the new case in unnamed-workers.spec.ts failed before. The test of the list's odd entries asks for more now: that those without a name are reported as well.

Why it works: such an entry may be that of any machine, so the list shows of none that it is gone; waves whose machines have all begun are not touched.

--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -70,8 +70,8 @@
 	/** Name of each worker's machine, the first one listed; rebuilt only when the list is read. */
 	let machineByWorker = new Map<string, string>();
 	let listReadMs = -Infinity;
-	/** Names of machines whose entries in the list were invalid. */
-	let unreadable: ReadonlySet<string> = new Set();
+	/** Names of machines whose entries in the list were invalid; undefined for one without a readable name. */
+	let unreadable: ReadonlySet<string | undefined> = new Set();
 	let mustRefresh = false;
 	let isBusy = false;
 
@@ -194,8 +194,11 @@
 		return result;
 	};
 
+	/** False only if the list shows that a machine is gone; an entry without a readable name may be that of any machine. */
+	const mayExist = (name: string): boolean => machines.has(name) || unreadable.has(name) || unreadable.has(undefined);
+
 	const completeWaves = async (): Promise<void> => {
-		const over = store.waves().filter(wave => !wave.completed && !completing.has(wave.number) && planner.isComplete(wave, name => machines.has(name) || unreadable.has(name)));
+		const over = store.waves().filter(wave => !wave.completed && !completing.has(wave.number) && planner.isComplete(wave, mayExist));
 		await Promise.all(over.map(async wave => {
 			completing.add(wave.number);
 			try {
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -37,8 +37,8 @@
 	maySend(): boolean;
 };
 
-/** A list of machines, and the names in entries that were left out of it as invalid. */
-export type MachineList = {machines: Machine[]; unreadable: string[]};
+/** A list of machines, and the names in entries that were left out of it as invalid; undefined for an entry without a readable name. */
+export type MachineList = {machines: Machine[]; unreadable: Array<string | undefined>};
 
 /** Calls to the platform that manages the machines. */
 export type MachinePort = {
--- a/tests/daemon/jobs/unnamed-workers.spec.ts
+++ b/tests/daemon/jobs/unnamed-workers.spec.ts
@@ -65,8 +65,8 @@
 	});
 
 	// An odd entry had completed a wave whose machine was never taken down.
-	for (const unreadable of [['m1'], []]) {
-		it(`should ${unreadable.length > 0 ? 'not ' : ''}be completed while its only machine is ${unreadable.length > 0 ? 'listed in an invalid entry' : 'not listed'}`, async () => {
+	for (const unreadable of [['m1'], [undefined], []]) {
+		it(`should ${unreadable.length > 0 ? 'not ' : ''}be completed while its only machine is ${unreadable.length > 0 ? `listed in an invalid entry ${unreadable[0] === undefined ? 'without a name' : 'with its name'}` : 'not listed'}`, async () => {
 			const store = storeWith([], manifestOf());
 			store.apply({
 				type: 'wave', wave: {
--- a/tests/platform/machine-client.spec.ts
+++ b/tests/platform/machine-client.spec.ts
@@ -86,7 +86,7 @@
 		const {port} = server.address() as {port: number};
 		const machines = connectMachines(`127.0.0.1:${port}`, silentLogs('test'));
 		const list = await machines.list();
-		assert.deepEqual([new Set(list?.unreadable), list?.machines.map(({name, workerId}) => [name, workerId])], [new Set(['m-1']), [['m-1', 'i-1']]]);
+		assert.deepEqual([new Set(list?.unreadable), list?.machines.map(({name, workerId}) => [name, workerId])], [new Set(['m-1', undefined]), [['m-1', 'i-1']]]);
 		isTooDeep = true;
 		assert.equal(await machines.list(), undefined);
 	});
