Count orders of earlier terms that may still be on their way

After a change of leader two machines of a wave with a cap of one could be down at once, and more work units of a step be ended than it may miss.

Cause: the counts used the orders of the current term only.

Evidence: the new test in machine-controller.spec.ts (an order that takes 1 s, a change of leader meanwhile) had 2 machines down before, in both of its cases, and 1 now.

Why it works: an order is recorded before it is sent; records of earlier terms count until the holder's lease is over. The record names the kind of the order, so that moves do not count against a wave's cap.

--- a/packages/core/src/jobs/job-commands.ts
+++ b/packages/core/src/jobs/job-commands.ts
@@ -44,7 +44,7 @@
 	| {type: 'wave-begun'; number: number; machine: string}
 	| {type: 'wave-completed'; number: number}
 	/** Records an order to a machine before it is sent, so that a later holder does not send its own too soon after it and places no work on the life that it ends. */
-	| {type: 'machine-order'; machine: string; holder: string; atMs: number; life?: string}
+	| {type: 'machine-order'; machine: string; holder: string; atMs: number; life?: string; kind?: MachineOrderKind}
 	| {type: 'group-whole'};
 
 /** Outcome of applying a command. */
@@ -57,8 +57,11 @@
 	| {type: 'runs-started'; accepted: RunStart[]}
 	| {type: 'applied'};
 
-/** The last order to a machine, and the life that it ends if it is carried out. */
-export type MachineOrder = {holder: string; atMs: number; life?: string};
+/** Kinds of order to a machine. */
+export type MachineOrderKind = 'upkeep' | 'move';
+
+/** The last order to a machine, and the life that it ends if it is carried out. Records of earlier versions name no kind. */
+export type MachineOrder = {holder: string; atMs: number; life?: string; kind?: MachineOrderKind};
 
 /** Serializable state of the job store. */
 export type JobStoreSnapshot = {manifest?: FleetManifest; jobs: Job[]; lives: WorkerLife[]; waves: UpkeepWave[]; groupWhole: boolean; accepted: number; machineOrders: Array<[string, MachineOrder]>};
--- a/packages/core/src/jobs/job-store.ts
+++ b/packages/core/src/jobs/job-store.ts
@@ -281,7 +281,10 @@
 			}
 
 			case 'machine-order': {
-				machineOrders.set(command.machine, {holder: command.holder, atMs: command.atMs, life: command.life});
+				const {machine, holder, atMs, life, kind} = command;
+				machineOrders.set(machine, {
+					holder, atMs, life, kind,
+				});
 				return {type: 'applied'};
 			}
 
@@ -330,6 +333,7 @@
 		usageOfWorkspace: (workspace: string): Resources => usageOfWorkspace.get(workspace) ?? NO_RESOURCES,
 		waves: (): UpkeepWave[] => [...waves.values()],
 		machineOrder: (machine: string): MachineOrder | undefined => machineOrders.get(machine),
+		machineOrders: (): Iterable<[string, MachineOrder]> => machineOrders,
 		/** True once the group of keepers has reached its full size. */
 		isGroupWhole: () => groupWhole,
 		/** Accepted jobs of a queue that have not begun, as far as it is recorded. */
--- a/packages/core/src/jobs/upkeep.ts
+++ b/packages/core/src/jobs/upkeep.ts
@@ -1,7 +1,7 @@
 /** Decides which machines of a wave begin their upkeep next, within the wave's cap and the availability budgets of steps. */
 import type {Resources} from './fleet-manifest.js';
 import type {JobStore} from './job-store.js';
-import {type UpkeepWave, workerOfLife} from './job-commands.js';
+import {type MachineOrderKind, type UpkeepWave, workerOfLife} from './job-commands.js';
 import type {WorkerDirectory} from './worker-directory.js';
 import type {WorkerTrack} from './worker-track.js';
 
@@ -16,9 +16,6 @@
 	return store.busyLifeOn(machine.name, machine.workerId)?.life;
 };
 
-/** Kinds of order to a machine. */
-export type MachineOrderKind = 'upkeep' | 'move';
-
 /** States of a machine. */
 export const MachineStates = {
 	up: 'up', moving: 'moving', upkeep: 'upkeep', down: 'down',
--- a/packages/daemon/src/jobs/foreign-orders.ts
+++ b/packages/daemon/src/jobs/foreign-orders.ts
@@ -1,5 +1,5 @@
 /** What a holder of machine orders knows about the orders that other holders gave before its term. */
-import type {Clock, JobStore} from '@bronzebend/core';
+import type {Clock, JobStore, MachineOrderKind} from '@bronzebend/core';
 
 /** Time after its commit within which an order must be sent, in milliseconds; a later one is withheld. */
 export const SEND_TIMEOUT_MS = 500;
@@ -33,6 +33,7 @@
 /** Starts with the orders on record at the beginning of a term. */
 export const createForeignOrders = ({store, holder, holderLeaseMs, orderAppliedMs, clock}: ForeignOrdersOptions) => {
 	const startedMs = clock.monotonicMs();
+	const spanMs = holderLeaseMs + HOLDER_MARGIN_MS;
 
 	const last = (machine: string): ForeignOrder | undefined => {
 		const order = store.machineOrder(machine);
@@ -56,11 +57,15 @@
 		/** Returns true if no other holder can have given this machine an order recently. */
 		isClear(machine: string): boolean {
 			const order = last(machine);
-			const spanMs = holderLeaseMs + HOLDER_MARGIN_MS;
 			// Wall clocks of two nodes are compared only if this process has not applied the record itself.
 			return order === undefined || order.lastAgeMs > spanMs || (order.lastAgeSince === 'term' && Math.abs(order.lastWallAgeMs) > spanMs + MAX_CLOCK_DIFFERENCE_MS);
 		},
 
+		/** Kinds of the orders of earlier terms that may still be on their way, by machine; `ordered` has the machines to which this term has given orders. An order of unknown kind counts as upkeep. */
+		underWay: (ordered: ReadonlySet<string>): Array<[string, MachineOrderKind]> => [...store.machineOrders()]
+			.filter(([machine]) => !ordered.has(machine) && clock.monotonicMs() - (orderAppliedMs(machine) ?? startedMs) <= spanMs)
+			.map(([machine, order]) => [machine, order.kind ?? 'upkeep']),
+
 		/** Time on the steady clock, in milliseconds, from which on no order on record can be sent any more, unless this term gave it. */
 		settledMs: (machine: string): number => (orderAppliedMs(machine) ?? startedMs) + SEND_TIMEOUT_MS,
 	};
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -84,7 +84,7 @@
 		machines,
 		lifeOf,
 		trackOf: options.trackOf,
-		pendingOrders: new Map([...pendingOrders].map(([name, order]) => [name, order.kind])),
+		pendingOrders: new Map([...foreignOrders.underWay(ordered), ...[...pendingOrders].map(([name, order]) => [name, order.kind] as const)]),
 		shortPools: options.shortPools(),
 		standbyPools: standbyPools(),
 		nowMs: clock.monotonicMs(),
@@ -153,7 +153,7 @@
 		pendingOrders.set(machine, {atMs: proposedMs, state: 'sent', kind});
 		try {
 			await options.propose({
-				type: 'machine-order', machine, holder: options.holder, atMs: clock.wallMs(), life,
+				type: 'machine-order', machine, holder: options.holder, atMs: clock.wallMs(), life, kind,
 			});
 		} catch (error) {
 			pendingOrders.delete(machine);
--- a/tests/daemon/jobs/machine-controller.spec.ts
+++ b/tests/daemon/jobs/machine-controller.spec.ts
@@ -36,4 +36,23 @@
 			assert.deepEqual(group.conflictingOrders(), []);
 		});
 	}
+
+	// Guards against two machines down in a wave of one at a time, since the order of the leader before is still on its way.
+	for (const next of ['two', 'one']) {
+		it(`should count an order of an earlier term that the platform has not carried out yet, when ${next === 'one' ? 'the same keeper' : 'another keeper'} leads next`, async () => {
+			const group = createMachineGroup({answerMs: 1500, cap: 1, transitMs: 1000});
+			group.list('m1', 'moving');
+			group.lead('one');
+			for (let check = 0; check < 400 && group.sent() === 0; check += 1) {
+				await group.pass(5);
+			}
+
+			group.list('m1', 'up');
+			group.lead(next);
+			await group.pass(20_000);
+			group.stop();
+			assert.equal(group.mostDown(), 1);
+			assert.ok(group.arrivals.length > 2);
+		});
+	}
 });
