--- a/tests/utils/soak-core.spec.ts
+++ b/tests/utils/soak-core.spec.ts
@@ -87,6 +87,11 @@
 		]);
 	});
 
+	it('should be read from a file with one day as well', () => {
+		const {faults} = readDay(readFileSync(path.join(root, 'deploy/days/short-cuts-beside-replacements.toml'), 'utf8'));
+		assert.deepEqual(faults.map(({type, atMs}) => [type, atMs]), [['cut', 2000], ['replace', 2050], ['cut', 9000], ['replace', 9050], ['cut', 16_000], ['replace', 16_050]]);
+	});
+
 	it('should be the same for the same seed, and end in two losses', () => {
 		assert.deepEqual(drawCoreFaults(createRandom(7), 2), drawCoreFaults(createRandom(7), 2));
 		const losses = new Set(['replace', 'wipe', 'power-loss']);
--- a/utils/soak/core/faults.ts
+++ b/utils/soak/core/faults.ts
@@ -120,6 +120,8 @@
 
 const DEFAULT_FOR_S = 5;
 
+type Day = {plan?: DayEntry[]; faults?: DayEntry[]};
+
 const targetOf = (how: string): Target => (/leader|renewed|giver/u.test(how) ? 'leader' : (how.includes('follower') ? 'follower' : 'any'));
 
 const fromEntry = ({kind, at, for_s: forS = DEFAULT_FOR_S, x = 1, how = ''}: DayEntry): CoreFault | undefined => {
@@ -154,9 +156,10 @@
 	}
 };
 
-/** Reads the entries of a day file that concern the core; `skipped` names the kinds of the others. */
+/** Reads the entries of a day that concern the core; a file holds one day, or a list of days of which the first counts. `skipped` names the kinds of the other entries. */
 export const readDay = (text: string): {faults: CoreFault[]; skipped: string[]} => {
-	const day = (parse(text).day as unknown as Array<{plan?: DayEntry[]; faults?: DayEntry[]}>)[0]!;
+	const file = parse(text) as Day & {day?: Day[]};
+	const day = file.day?.[0] ?? file;
 	const entries = [...(day.plan ?? []), ...(day.faults ?? [])].toSorted((one, other) => one.at - other.at);
 	return {
 		faults: entries.flatMap(entry => Array.from({length: entry.count ?? 1}, () => fromEntry(entry)).filter(fault => fault !== undefined)),
