--- a/utils/soak-core.ts
+++ b/utils/soak-core.ts
@@ -19,12 +19,12 @@
 import {root} from './process-cluster.js';
 import {createCallers} from './soak/callers.js';
 import {
-	CONTACT_MS, checkReadBack, findCoreBreaks, type CoreBreak, type CoreSeen,
+	checkReadBack, findCoreBreaks, type CoreBreak, type CoreSeen,
 } from './soak/core/checks.js';
 import {
-	describeCoreFault, drawCoreFaults, readDay, type CoreFault,
+	describeCoreFault, drawClosing, drawCoreFaults, readDay, type Closing, type CoreFault,
 } from './soak/core/faults.js';
-import {createCoreGroup} from './soak/core/group.js';
+import {CONTACT_MS, createCoreGroup} from './soak/core/group.js';
 import {createOperator} from './soak/core/operator.js';
 import {findStrayVoters} from './soak/core/voters.js';
 import {findViolations} from './soak/ledger.js';
@@ -40,7 +40,7 @@
 const FINISH_PAUSE_MS = 500;
 const MAX_PRINTED = 8;
 
-type Options = {seed: number; faults: CoreFault[]; programs: string; folder: string; size: SiteSize; jobsPerS: number};
+type Options = {seed: number; faults: CoreFault[]; closing: Closing | undefined; programs: string; folder: string; size: SiteSize; jobsPerS: number};
 type Result = {breaks: CoreBreak[]; changes: number; acknowledged: number; jobs: number; faults: string[]; longestWaitMs: number};
 
 const print = (text: string): void => {
@@ -70,7 +70,7 @@
 	return breaks;
 };
 
-const soak = async ({seed, faults, programs, folder, size, jobsPerS}: Options): Promise<Result> => {
+const soak = async ({seed, faults, closing, programs, folder, size, jobsPerS}: Options): Promise<Result> => {
 	const site = await startSite({
 		size, folder, programs, random: createRandom(seed + 1), isRelayed: true,
 	});
@@ -93,7 +93,11 @@
 			await pause(fault.atMs);
 			await group.inject(fault);
 		}));
-		await pause(CALM_MS);
+		if (closing) {
+			await group.close(closing, async () => operator.acknowledged(CONTACT_MS));
+		}
+
+		await pause(closing ? CONTACT_MS + CALM_MS : CALM_MS);
 		isOver = true;
 		const endMs = Date.now();
 		isClosed = true;
@@ -182,11 +186,12 @@
 	const folder = path.join(values.logs, `soak-core-${seed}-${process.pid}`);
 	mkdirSync(folder, {recursive: true});
 	const faults = day?.faults ?? drawCoreFaults(createRandom(seed), size.entries);
+	const closing = day ? undefined : drawClosing(createRandom(seed + 5), TOLERATED);
 	const stalls = monitorEventLoopDelay({resolution: 10});
 	stalls.enable();
 	try {
 		const result = await soak({
-			seed, faults, programs: path.resolve(values.programs), folder, size, jobsPerS: number(values['jobs-per-s'], 'jobs-per-s'),
+			seed, faults, closing, programs: path.resolve(values.programs), folder, size, jobsPerS: number(values['jobs-per-s'], 'jobs-per-s'),
 		});
 		broken += result.breaks.length;
 		print(`| ${seed} | ${faults.length} | ${result.changes} | ${result.acknowledged} | ${result.jobs} | ${result.longestWaitMs} | ${result.breaks.length} | ${Math.round(stalls.max / 1e6)} |`);
--- a/utils/soak/core/checks.ts
+++ b/utils/soak/core/checks.ts
@@ -1,12 +1,10 @@
 /** What the operator of a soak must not see; each check names the case. */
 import type {Violation} from '../ledger.js';
-import type {Disturbance} from './group.js';
+import {CONTACT_MS, type Disturbance} from './group.js';
 import {
 	isSame, type Change, type Probe, type Reading,
 } from './operator.js';
 
-/** Time after a disturbance until the core counts as calm, in milliseconds. */
-export const CONTACT_MS = 3000;
 /** Time of calm in which a change must be answered, in milliseconds. */
 const ACK_MS = 4000;
 /** Time after its acknowledgement until a change is in force, in milliseconds. */
--- a/utils/soak/core/faults.ts
+++ b/utils/soak/core/faults.ts
@@ -116,6 +116,19 @@
 	}).flat();
 };
 
+/** What happens to all keepers at once at the end: they are killed, right after a change was acknowledged, and some come back with empty disks. */
+export type Closing = {lostDisks: number; delayMs: number; forMs: number};
+
+const CLOSING_SHARE = 0.6;
+const CLOSING_DELAY_MS = {min: 0, max: 400} as const;
+const CLOSING_FOR_MS = {min: 300, max: 3000} as const;
+
+/** Draws the end of a soak; undefined if nothing more happens. */
+export const drawClosing = (random: Random, tolerated: number): Closing | undefined => {
+	const closing = {lostDisks: random() < 0.5 ? tolerated : 0, delayMs: between(random, CLOSING_DELAY_MS), forMs: between(random, CLOSING_FOR_MS)};
+	return random() < CLOSING_SHARE ? closing : undefined;
+};
+
 type DayEntry = {kind: string; at: number; for_s?: number; x?: number; how?: string; count?: number};
 
 const DEFAULT_FOR_S = 5;
--- a/utils/soak/core/group.ts
+++ b/utils/soak/core/group.ts
@@ -1,9 +1,11 @@
 /** The core machines of a soak, and what happens to them: no more of them are lost at once than the deployment tolerates. */
 import type {Random} from '@bronzebend/core';
 import {SEEDS, type Addresses, type Processes} from '../processes.js';
-import type {CoreFault, Target} from './faults.js';
+import type {Closing, CoreFault, Target} from './faults.js';
 import type {Links} from './links.js';
 
+/** Time after a disturbance until the core counts as calm, in milliseconds. */
+export const CONTACT_MS = 3000;
 /** Time for which a machine still counts as lost after it is back or new, in milliseconds. */
 const CATCH_UP_MS = 4000;
 /** Time by which operators and workers learn of a changed list of keepers late, in milliseconds. */
@@ -245,8 +247,36 @@
 		}
 	};
 
+	/** Kills all keepers at once, as soon as none counts as lost and `acknowledged` resolves, and starts them again. */
+	const close = async ({lostDisks, delayMs, forMs}: Closing, acknowledged: () => Promise<void>): Promise<void> => {
+		while (places.some(place => isLost(place))) {
+			await pause(TURN_MS);
+		}
+
+		await acknowledged();
+		await pause(delayMs);
+
+		const disturbance = {what: `all killed, ${lostDisks} disks lost`, startMs: Date.now(), endMs: Infinity};
+		disturbances.push(disturbance);
+		record('soak', 'closing', {lostDisks, forMs});
+		const hosts = places.map(place => place.host).toSorted(() => random() - 0.5);
+		await Promise.all(hosts.map(async host => processes.end(host, 'SIGKILL')));
+		for (const host of hosts.slice(0, lostDisks)) {
+			processes.wipe(host);
+		}
+
+		await pause(forMs);
+		for (const host of hosts) {
+			processes.start(host, false);
+		}
+
+		// After a fault of most of the core the contact time counts twice.
+		disturbance.endMs = Date.now() + CONTACT_MS;
+	};
+
 	return {
 		inject,
+		close,
 		disturbances,
 		/** Hosts of the keepers, without those that were removed. */
 		hosts: (): string[] => places.map(place => place.host),
--- a/utils/soak/core/operator.ts
+++ b/utils/soak/core/operator.ts
@@ -11,6 +11,7 @@
 /** Time limit of one call, and of the pauses between the attempts of a change, in milliseconds. */
 const CALL_TIMEOUT_MS = 1000;
 const RETRY_MS = {min: 100, max: 800} as const;
+const ACK_POLL_MS = 2;
 const MAX_OPEN_CHANGES = 8;
 const INVALID_SHARE = 0.15;
 const RACE_SHARE = 0.1;
@@ -197,6 +198,14 @@
 
 			await Promise.all([changing, repeat(READ_MS, read), repeat(PROBE_MS, probe)]);
 		},
+		/** Waits until the next change is acknowledged, or a time is over. */
+		async acknowledged(limitMs: number): Promise<void> {
+			const untilMs = Date.now() + limitMs;
+			const count = (): number => changes.filter(each => each.status === 200).length;
+			for (const before = count(); count() === before && Date.now() < untilMs;) {
+				await pause(ACK_POLL_MS);
+			}
+		},
 		/** Reads the manifest back until a keeper returns it or the time is over. */
 		async readBack(forMs: number): Promise<Reading | undefined> {
 			const untilMs = Date.now() + forMs;
