--- a/utils/experiment.ts
+++ b/utils/experiment.ts
@@ -5,7 +5,8 @@
 import path from 'node:path';
 import process from 'node:process';
 import {groupBy, type JobRank} from '@bronzebend/core';
-import {drawJobs, loads, type Load} from './experiment/load.js';
+import {drawJobs} from './experiment/draw-jobs.js';
+import {loads, type Load} from './experiment/load.js';
 import {
 	simulate, type SimulationResult, type Strategy,
 } from './experiment/model.js';
@@ -31,7 +32,7 @@
 	},
 ];
 
-type Row = {load: string; way: string; net: number; earned: number; inObjective: number; late: number; refused: number; unfinished: number; worstTeam: number; waitP95Ms: number; machineSeconds: number; moves: number};
+type Row = {load: string; way: string; net: number; earned: number; inObjective: number; late: number; pastUse: number; refused: number; unfinished: number; worstTeam: number; waitP95Ms: number; machineSeconds: number; moves: number};
 
 const outcomeShare = (result: SimulationResult, outcome: string): number => {
 	const completable = result.played.filter(played => !played.job.isPoison && played.job.queue.worth > 0);
@@ -55,6 +56,7 @@
 		earned: earnedOf(result.played),
 		inObjective: outcomeShare(result, 'in-objective'),
 		late: outcomeShare(result, 'late'),
+		pastUse: outcomeShare(result, 'past-use'),
 		refused: outcomeShare(result, 'refused'),
 		unfinished: outcomeShare(result, 'unfinished'),
 		worstTeam: Math.min(...teams.map(team => earnedOf(team))),
@@ -69,12 +71,12 @@
 const render = (rows: readonly Row[], earlier: readonly Row[]): string => {
 	const lines = rows.map(row => {
 		const before = earlier.find(other => other.load === row.load && other.way === row.way);
-		const parts = [row.net, row.earned, row.inObjective, row.late, row.refused, row.unfinished, row.worstTeam].map(value => formatFraction(value));
+		const parts = [row.net, row.earned, row.inObjective, row.late, row.pastUse ?? 0, row.refused, row.unfinished, row.worstTeam].map(value => formatFraction(value));
 		return `| ${row.load} | ${row.way} | ${parts.join(' | ')} | ${row.waitP95Ms.toFixed(0)} | ${row.machineSeconds.toFixed(0)} | ${row.moves} | ${before?.net === undefined ? '–' : formatFraction(before.net)} |`;
 	});
 	return [
-		'| load | way | net of prices | worth earned | in objective | late | refused | unfinished | worst team | wait p95 ms | machine-seconds in pools | moves | net, last record |',
-		'| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
+		'| load | way | net of prices | worth earned | in objective | late | past use | refused | unfinished | worst team | wait p95 ms | machine-seconds in pools | moves | net, last record |',
+		'| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
 		...lines,
 	].join('\n');
 };
--- a/utils/experiment/load.ts
+++ b/utils/experiment/load.ts
@@ -1,7 +1,5 @@
 /** Loads of the experiment: queues whose demand rises in turn, bursts, and jobs that can never be completed. */
-import {
-	createRandom, unitName, type JobOrder, type JobStep, type Random,
-} from '@bronzebend/core';
+import type {JobOrder} from '@bronzebend/core';
 
 /** One queue of a load. */
 export type QueueLoad = {
@@ -39,10 +37,34 @@
 	/** Number of machines that crash halfway through the load and do not come back. */
 	crashedMachines: number;
 	workspaces: number;
+	/** Deviations from the regular load; absent in the loads that have none. */
+	irregular?: IrregularLoad;
+};
+
+/** A time span with more calls than usual, of one queue or of one workspace. */
+export type Surge = {fromMs: number; forMs: number; factor: number} & ({queue: string} | {workspace: number});
+
+/** What makes a load irregular. */
+export type IrregularLoad = {
+	/** Largest relative error of an estimated duration. */
+	estimateError: number;
+	/** Share of the runs that take longer by a factor. */
+	longRuns: {share: number; factor: number};
+	surges: Surge[];
+	/** Time spans without a leader: nothing is accepted, started or moved, and callers repeat their calls. */
+	outages: Array<{fromMs: number; forMs: number}>;
 };
 
 /** A job with the data that only the simulation knows, such as its actual run times. */
-export type SimulatedJob = {atMs: number; order: JobOrder; queue: QueueLoad; runMs: Map<string, number>; isPoison: boolean};
+export type SimulatedJob = {
+	atMs: number;
+	order: JobOrder;
+	queue: QueueLoad;
+	runMs: Map<string, number>;
+	isPoison: boolean;
+	/** Objective by the actual durations, in milliseconds; by the estimated ones if undefined. */
+	objectiveMs?: number;
+};
 
 const schaumwerkQueues: QueueLoad[] = [
 	{
@@ -104,6 +126,90 @@
 	};
 };
 
+const andamanQueues: QueueLoad[] = [
+	{
+		name: 'swell-brief', perSecond: 12.6, steps: 1.6, width: 8, runMs: 800, cpu: 6200, memoryMb: 13_000, worth: 0.4,
+	},
+	{
+		name: 'storm-surge', perSecond: 2.53, steps: 2, width: 8, runMs: 1700, cpu: 13_000, memoryMb: 38_000, worth: 2.23,
+	},
+	{
+		name: 'wave-snap', perSecond: 15.7, steps: 1.6, width: 8, runMs: 800, cpu: 6200, memoryMb: 13_000, worth: 0.4,
+	},
+	{
+		name: 'squall-check', perSecond: 3.1, steps: 2, width: 8, runMs: 1700, cpu: 13_000, memoryMb: 38_000, worth: 2.23,
+	},
+];
+
+const yushanQueues: QueueLoad[] = [
+	{
+		name: 'bed-check', perSecond: 15.7, steps: 1.6, width: 8, runMs: 540, cpu: 6200, memoryMb: 6500, worth: 0.396,
+	},
+	{
+		name: 'route-quote', perSecond: 3.32, steps: 2, width: 8, runMs: 1100, cpu: 13_000, memoryMb: 14_000, worth: 2.11,
+	},
+	{
+		name: 'permit-check', perSecond: 19.6, steps: 1.6, width: 8, runMs: 540, cpu: 6200, memoryMb: 6500, worth: 0.396,
+	},
+	{
+		name: 'club-quote', perSecond: 4.05, steps: 2, width: 8, runMs: 1100, cpu: 13_000, memoryMb: 14_000, worth: 2.11,
+	},
+];
+
+const grownFields = {
+	...commonFields, turnMs: 4500, rampMs: 400, lowFactor: 0.05, highFactor: 3.85, workspaces: 20, prices: {machineSecond: 0.000_016, move: 0.000_017}, lasting: 3,
+};
+/** Callers compete: one workspace sends a multiple of its usual, two queues surge, and the leader is lost once. */
+const andaman: Load = {
+	...grownFields,
+	name: 'andaman',
+	queues: andamanQueues,
+	machines: {
+		inPool: 50, spare: 30, cpu: 64_000, memoryMb: 262_144,
+	},
+	irregular: {
+		estimateError: 0.9,
+		longRuns: {share: 0, factor: 1},
+		surges: [
+			{
+				queue: 'squall-check', fromMs: 2900, forMs: 6200, factor: 2.2,
+			},
+			{
+				queue: 'swell-brief', fromMs: 13_000, forMs: 3100, factor: 1.8,
+			},
+			{
+				workspace: 0, fromMs: 7800, forMs: 6600, factor: 6.6,
+			},
+		],
+		outages: [{fromMs: 2500, forMs: 800}],
+	},
+};
+/** Durations are uneven: 3 % of the runs take seven times as long as the others. */
+const yushan: Load = {
+	...grownFields,
+	name: 'yushan',
+	queues: yushanQueues,
+	machines: {
+		inPool: 50, spare: 30, cpu: 64_000, memoryMb: 131_072,
+	},
+	irregular: {
+		estimateError: 0.9,
+		longRuns: {share: 0.03, factor: 7},
+		surges: [
+			{
+				queue: 'club-quote', fromMs: 2900, forMs: 6200, factor: 2.2,
+			},
+			{
+				queue: 'permit-check', fromMs: 13_000, forMs: 3100, factor: 1.8,
+			},
+		],
+		outages: [],
+	},
+};
+
+/** A load whose leader is lost in the first turn, for the time that all keepers take to come back. */
+const withLongOutage = (load: Load): Load => ({...load, name: `${load.name}-outage`, irregular: {...load.irregular!, outages: [{fromMs: 1500, forMs: 4500}]}});
+
 /** All loads by name. */
 export const loads: Load[] = [
 	schaumwerk,
@@ -114,101 +220,8 @@
 	{...schaumwerk, name: 'schaumwerk-crashes', crashedMachines: 6},
 	scaled(schaumwerk, 250),
 	scaled(schaumwerk, 400),
+	andaman,
+	withLongOutage(andaman),
+	yushan,
+	withLongOutage(yushan),
 ];
-
-/** Number of work units of a lasting job. */
-const LASTING_UNITS = 5;
-
-/** Draws uniformly from 0.25 to 1.75 times a mean, the spread of declared sizes that the users state. */
-const drawAround = (random: Random, mean: number): number => mean * (0.25 + (1.5 * random()));
-
-const drawInterval = (random: Random, perMs: number): number => -Math.log(1 - random()) / perMs;
-
-const drawJob = (load: Load, queue: QueueLoad, atMs: number, number: number, random: Random): SimulatedJob => {
-	const id = number.toString(16).padStart(16, '0');
-	const count = Math.max(1, Math.round(drawAround(random, queue.steps)));
-	const steps = Array.from({length: count}, (_, index): JobStep => ({
-		count: Math.max(1, Math.round(drawAround(random, queue.width))),
-		resources: {cpu: Math.round(drawAround(random, queue.cpu)), memoryMb: Math.round(drawAround(random, queue.memoryMb)), gpu: 0},
-		estimateMs: Math.round(drawAround(random, queue.runMs)),
-		dependsOn: index === 0 ? [] : [index - 1],
-		checkpointing: false,
-		gang: false,
-		rackLocal: false,
-		speculative: false,
-		lasting: false,
-		fillsSpare: false,
-	}));
-	const runMs = new Map(steps.flatMap((step, index) => {
-		// Estimates are off by up to about half: by up to 40 % for a whole step, and by up to 15 % more for each of its units.
-		const actual = step.estimateMs * (0.6 + (0.8 * random()));
-		return Array.from({length: step.count}, (_, unit) => [unitName(id, 0, index, unit), actual * (0.85 + (0.3 * random()))] as const);
-	}));
-	return {
-		atMs,
-		queue,
-		runMs,
-		isPoison: random() < load.poisonShare,
-		order: {
-			id, queue: queue.name, workspace: `team-${Math.floor(load.workspaces * (random() ** 2))}`, spec: '', steps, times: 1, startAtMs: 0, intervalMs: 0,
-		},
-	};
-};
-
-/** A job of lasting work units, at most two on a worker, as the users submit them before a day begins. */
-const drawLastingJob = (load: Load, queue: QueueLoad, number: number, random: Random): SimulatedJob => {
-	const id = number.toString(16).padStart(16, '0');
-	const step: JobStep = {
-		count: LASTING_UNITS,
-		resources: {cpu: Math.round(drawAround(random, load.machines.cpu / 11)), memoryMb: Math.round(drawAround(random, load.machines.memoryMb / 8)), gpu: 0},
-		estimateMs: 0,
-		dependsOn: [],
-		checkpointing: false,
-		gang: false,
-		rackLocal: false,
-		perWorker: 2,
-		speculative: false,
-		lasting: true,
-		fillsSpare: false,
-		mayMiss: 1,
-	};
-	return {
-		atMs: 0,
-		queue: {...queue, worth: 0},
-		runMs: new Map(Array.from({length: step.count}, (_, unit) => [unitName(id, 0, 0, unit), Infinity] as const)),
-		isPoison: false,
-		order: {
-			id, queue: queue.name, workspace: 'team-0', spec: '', steps: [step], times: 1, startAtMs: 0, intervalMs: 0,
-		},
-	};
-};
-
-/** Factor of a queue's mean rate at a given time, with linear ramps at both ends of its turn. */
-const rateFactorAt = (load: Load, position: number, atMs: number): number => {
-	const cycleMs = load.turnMs * load.queues.length;
-	const middleMs = ((position + 0.5) * load.turnMs);
-	const distanceMs = Math.abs(((((atMs - middleMs) % cycleMs) + (1.5 * cycleMs)) % cycleMs) - (cycleMs / 2));
-	const insideMs = (load.turnMs / 2) + (load.rampMs / 2) - distanceMs;
-	const fraction = Math.min(1, Math.max(0, insideMs / load.rampMs));
-	return load.lowFactor + ((load.highFactor - load.lowFactor) * fraction);
-};
-
-/** Draws all jobs of a load, sorted by arrival; the same seed gives the same jobs. */
-export const drawJobs = (load: Load, seed: number): SimulatedJob[] => {
-	const random = createRandom(seed);
-	const jobs: SimulatedJob[] = [];
-	for (const [position, queue] of load.queues.entries()) {
-		for (let count = 0; count < load.lasting; count += 1) {
-			jobs.push(drawLastingJob(load, queue, jobs.length + 1, random));
-		}
-
-		// Thinning: draws arrivals at the peak rate and keeps each with a probability in proportion to the rate at its time.
-		for (let atMs = drawInterval(random, queue.perSecond * load.highFactor / 1000); atMs < load.lengthMs; atMs += drawInterval(random, queue.perSecond * load.highFactor / 1000)) {
-			if (random() * load.highFactor < rateFactorAt(load, position, atMs)) {
-				jobs.push(drawJob(load, queue, atMs, jobs.length + 1, random));
-			}
-		}
-	}
-
-	return jobs.sort((left, right) => left.atMs - right.atMs);
-};
--- a/utils/experiment/model.ts
+++ b/utils/experiment/model.ts
@@ -1,6 +1,6 @@
 /** Simulated fleet on a virtual clock that runs the work placed by the real scheduling code. */
 import {
-	createArrivalMeter, createFleetBalancer, createJobStore, createRunEstimates, groupBy, isOpen, lifeOf, measureBacklogs, measureDemand, objectiveOf, planStarts, retryAfterMs, RunEnds,
+	createArrivalMeter, createFleetBalancer, createJobStore, createRunEstimates, groupBy, isOpen, LATE_FACTOR, lifeOf, measureBacklogs, measureDemand, objectiveOf, planStarts, retryAfterMs, RunEnds,
 	type Job, type JobStore, type JobQueue, type JobRank, type MovableMachine, type WorkerLife,
 } from '@bronzebend/core';
 import type {Load, SimulatedJob} from './load.js';
@@ -33,8 +33,8 @@
 	refuses: boolean;
 };
 
-/** Outcome of one job. */
-export type JobResult = {job: SimulatedJob; outcome: 'in-objective' | 'late' | 'refused' | 'failed' | 'unfinished'; waitMs: number};
+/** Outcome of one job; `past-use` is beyond three times its objective. */
+export type JobResult = {job: SimulatedJob; outcome: 'in-objective' | 'late' | 'past-use' | 'refused' | 'failed' | 'unfinished'; waitMs: number};
 
 /** Result of a simulation. */
 export type SimulationResult = {played: JobResult[]; machineSeconds: number; moves: number; lostCoreSeconds: number};
@@ -213,6 +213,8 @@
 		}
 	};
 
+	const isOutage = (nowMs: number): boolean => load.irregular?.outages.some(({fromMs, forMs}) => nowMs >= fromMs && nowMs < fromMs + forMs) === true;
+
 	for (let nowMs = 0; nowMs < load.lengthMs + GRACE_PERIOD_MS; nowMs += STEP_MS) {
 		if (load.crashedMachines > 0 && nowMs === load.lengthMs / 2) {
 			for (const machine of machines.filter(each => each.life).slice(0, load.crashedMachines)) {
@@ -225,6 +227,10 @@
 			startLife(machine, nowMs);
 		}
 
+		if (isOutage(nowMs)) {
+			continue;
+		}
+
 		while (nextJob < jobs.length && jobs[nextJob]!.atMs <= nowMs) {
 			admit(jobs[nextJob]!, nowMs);
 			nextJob += 1;
@@ -265,7 +271,8 @@
 			return {job: played, outcome: 'in-objective', waitMs};
 		}
 
-		return {job: played, outcome: job.endedAtMs - played.atMs <= objectiveOf(job) ? 'in-objective' : 'late', waitMs};
+		const ratio = (job.endedAtMs - played.atMs) / (played.objectiveMs ?? objectiveOf(job));
+		return {job: played, outcome: ratio <= 1 ? 'in-objective' : (ratio <= LATE_FACTOR || !load.irregular ? 'late' : 'past-use'), waitMs};
 	};
 
 	return {
