Order machines at once after all keepers were restarted, and refuse calls soon in a long outage

The next leader, at 6.3 s, gave no order to a machine before 10.0 s: entries that were applied again from disk counted as orders given at that moment. Calls wait 0.2 s once there has been no leader for 1.5 s, and the retry delay grows with the outage up to 4 s.

--- a/packages/daemon/src/jobs/foreign-orders.ts
+++ b/packages/daemon/src/jobs/foreign-orders.ts
@@ -25,7 +25,7 @@
 	holder: string;
 	/** Time after another holder's last order to a machine in which this holder must not give it any, in milliseconds. */
 	holderLeaseMs: number;
-	/** When this process applied the last order to a machine, on its steady clock in milliseconds; undefined if it did not apply it. */
+	/** When this process applied the last order to a machine, on its steady clock in milliseconds; undefined if it did not, or only again after a restart. */
 	orderAppliedMs(machine: string): number | undefined;
 	clock: Clock;
 };
--- a/packages/daemon/src/jobs/group-client.ts
+++ b/packages/daemon/src/jobs/group-client.ts
@@ -15,6 +15,12 @@
 const LEADER_DOUBT_MS = 350;
 /** Silence after which the leader counts as lost, in milliseconds. */
 const LEADER_TIMEOUT_MS = 1000;
+/** Time without any leader after which calls no longer wait for one, in milliseconds; an election takes less. */
+const LEADERLESS_MS = 1500;
+/** Time for which a call then waits nevertheless, in milliseconds. */
+const LEADERLESS_WAIT_MS = 200;
+/** Longest retry delay given to callers while there is no leader, in milliseconds. */
+const MAX_RETRY_MS = 4000;
 /** Interval at which a call checks for a leader, in milliseconds. */
 const LEADER_POLL_MS = 25;
 
@@ -42,6 +48,8 @@
 	let members: string[] = [];
 	let leader: string | undefined;
 	let lastContactMs = -Infinity;
+	/** Since when there has been no leader; counts from the start of this client until the first one is found. */
+	let leaderlessSinceMs = clock.monotonicMs();
 	let view: GroupView | undefined;
 	// A late answer to the process before this one on the same address must not match a call of this one.
 	let lastId = randomInt(MAX_FIRST_ID);
@@ -54,6 +62,7 @@
 		log.info(next === undefined ? 'Lost the leader.' : 'Found the leader.', {leader: next, before: leader});
 		leader = next;
 		lastContactMs = clock.monotonicMs();
+		leaderlessSinceMs = lastContactMs;
 		if (next !== undefined) {
 			// Calls are idempotent, so calls pending at an earlier leader are retried at the new one at once.
 			for (const {to, resolve} of [...pendingCalls.values()].filter(entry => entry.to !== next)) {
@@ -96,6 +105,9 @@
 		send(to, {type: 'job-call', id, call});
 	});
 
+	/** Grows with the time without a leader, so that callers do not use up their retries in a long outage. */
+	const retryAfterMs = (): number => Math.min(MAX_RETRY_MS, Math.max(LEADER_TIMEOUT_MS, leader === undefined ? clock.monotonicMs() - leaderlessSinceMs : 0));
+
 	return {
 		leader: () => leader,
 		/** Milliseconds since the last message from the leader; Infinity if there is no leader. */
@@ -105,12 +117,18 @@
 
 		/** Calls the leader until it answers or `waitMs` has passed; a duration, because the caller may use another clock. */
 		async call(call: JobCall, waitMs: number): Promise<JobAnswer> {
-			const untilMs = clock.monotonicMs() + waitMs;
+			const startedMs = clock.monotonicMs();
+			const untilMs = startedMs + waitMs;
 			let inDoubt = false;
 			// Each attempt depends on the outcome of the previous one.
 			/* eslint-disable no-await-in-loop */
 			while (clock.monotonicMs() < untilMs) {
 				if (leader === undefined) {
+					const nowMs = clock.monotonicMs();
+					if (nowMs - leaderlessSinceMs > LEADERLESS_MS && nowMs - startedMs >= LEADERLESS_WAIT_MS) {
+						break;
+					}
+
 					await pause();
 					continue;
 				}
@@ -133,7 +151,7 @@
 
 			/* eslint-enable no-await-in-loop */
 			return {
-				type: 'unavailable', reason: inDoubt ? 'outcome-unknown' : 'no-leader', mayHaveRun: inDoubt, retryAfterMs: LEADER_TIMEOUT_MS,
+				type: 'unavailable', reason: inDoubt ? 'outcome-unknown' : 'no-leader', mayHaveRun: inDoubt, retryAfterMs: retryAfterMs(),
 			};
 		},
 
--- a/packages/daemon/src/jobs/job-keeper-options.ts
+++ b/packages/daemon/src/jobs/job-keeper-options.ts
@@ -26,7 +26,7 @@
 	isLeading(): boolean;
 	/** Nodes of the other keepers that answered recently. */
 	liveKeepers(): string[];
-	/** When this process applied the last order to a machine, on its own steady clock in milliseconds; undefined if the order came with a snapshot. */
+	/** When this process applied the last order to a machine, on its own steady clock in milliseconds; undefined if the order came with a snapshot or was on disk at the start. */
 	orderAppliedMs(machine: string): number | undefined;
 };
 
--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -13,6 +13,7 @@
 import {createGroupRequests, type ResignationResult} from './group-requests.js';
 import {createGroupWatch} from './group-watch.js';
 import type {JobKeeperOptions, JobReplica, LeaderWork} from './job-keeper-options.js';
+import {createMachineOrderTimes} from './machine-order-times.js';
 import {createMembershipController} from './membership-controller.js';
 
 /** Interval of the replica's ticks, in milliseconds. */
@@ -43,7 +44,7 @@
 	let stopped = false;
 	let forming = false;
 	const group = createGroupMessages({self: storage.replica, replica: () => replica, send: options.send});
-	const ordersAppliedMs = new Map<string, number>();
+	let orderTimes = createMachineOrderTimes(options.steadyClock, 0);
 
 	const isLeading = (): boolean => replica?.hasLease() === true;
 	const leaderNode = (): string | undefined => replica?.raft.members().find(member => member.replica === replica?.raft.leader())?.node;
@@ -73,11 +74,13 @@
 		workTerm = current.raft.term();
 		log.info('Leading.', {term: workTerm, version: store.manifest()?.manifest.version, openJobs: store.openCount()});
 		work = options.lead({
-			term: workTerm, store, isLeading, liveKeepers, propose: async command => current.propose(command), orderAppliedMs: machine => ordersAppliedMs.get(machine),
+			term: workTerm, store, isLeading, liveKeepers, propose: async command => current.propose(command), orderAppliedMs: machine => orderTimes.of(machine),
 		});
 	};
 
 	const startReplica = (): void => {
+		const {base, entries} = storage.restored();
+		orderTimes = createMachineOrderTimes(options.steadyClock, base.index + entries.length);
 		replica = createReplica<JobOutcome, JobCommand>({
 			storage,
 			clock,
@@ -85,9 +88,9 @@
 			random: options.random,
 			snapshotInterval: SNAPSHOT_ENTRIES,
 			stateMachine: {
-				apply(command) {
+				apply(command, index) {
 					if (command.type === 'machine-order') {
-						ordersAppliedMs.set(command.machine, options.steadyClock.monotonicMs());
+						orderTimes.applied(command.machine, index);
 					}
 
 					return store.apply(command);
@@ -95,7 +98,7 @@
 				snapshot: () => encodeBytes(store.snapshot()),
 				restore(data) {
 					store = createJobStore(decodeBytes(data) as JobStoreSnapshot);
-					ordersAppliedMs.clear();
+					orderTimes.clear();
 				},
 			},
 			send(to: Member, message) {
--- a/tests/daemon/jobs/group-client.spec.ts
+++ b/tests/daemon/jobs/group-client.spec.ts
@@ -82,6 +82,18 @@
 		client.close();
 	});
 
+	// Guards against calls that are held for most of their time limit while all keepers are down, and callers that use up their retries meanwhile.
+	it('should refuse calls soon once there has been no leader for longer than an election, with a retry delay that grows', async () => {
+		const {client} = clientWith({a: () => manifest}, () => undefined);
+		await client.call(call, 1600);
+		const startedMs = systemClock.monotonicMs();
+		const answer = await client.call(call, LONG_MS);
+		assert.ok(systemClock.monotonicMs() - startedMs < LONG_MS / 10);
+		assert.ok(answer.type === 'unavailable' && answer.reason === 'no-leader' && !answer.mayHaveRun);
+		assert.ok(answer.retryAfterMs >= 1600, String(answer.retryAfterMs));
+		client.close();
+	});
+
 	it('should report an unknown outcome instead of a refusal after an unanswered attempt', async () => {
 		let tries = 0;
 		const {client} = clientWith({
