Hold evacuated data centres in the job store

Cause: operators need a request that nothing more starts in a data centre, which outlives the leader that accepted it. The usage tables move to a module of their own.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from './dispatch/weighted-share.js';
 export * from './jobs/admission.js';
 export * from './jobs/avoided-lives.js';
+export * from './jobs/evacuations.js';
 export * from './jobs/fleet-balancer.js';
 export * from './jobs/fleet-manifest.js';
 export * from './jobs/pace-controller.js';
--- a/packages/core/src/jobs/job-commands.ts
+++ b/packages/core/src/jobs/job-commands.ts
@@ -1,4 +1,5 @@
 /** Commands of the job store, their outcomes, and the store's snapshot. */
+import type {EvacuationsSnapshot} from './evacuations.js';
 import type {FleetManifest, Resources} from './fleet-manifest.js';
 import type {Job, JobOrder, RunEnd} from './job.js';
 
@@ -45,7 +46,10 @@
 	| {type: 'wave-completed'; number: number}
 	/** Records an order to a machine before it is sent, so that a later holder does not send its own too soon after it and places no work on the life that it ends. */
 	| {type: 'machine-order'; machine: string; holder: string; atMs: number; life?: string; kind?: MachineOrderKind}
-	| {type: 'group-whole'};
+	| {type: 'group-whole'}
+	/** Starts nothing more in a data centre; refused if it is the last of the `known` ones that is not evacuated. */
+	| {type: 'evacuate'; dataCentre: string; atMs: number; known?: string[]}
+	| {type: 'end-evacuation'; dataCentre: string; atMs: number};
 
 /** Outcome of applying a command. */
 export type JobOutcome =
@@ -55,6 +59,8 @@
 	| {type: 'cancelled'}
 	| {type: 'no-job'}
 	| {type: 'runs-started'; accepted: RunStart[]}
+	| {type: 'evacuation'; changed: boolean}
+	| {type: 'last-data-centre'}
 	| {type: 'applied'};
 
 /** Kinds of order to a machine. */
@@ -63,5 +69,5 @@
 /** The last order to a machine, and the life that it ends if it is carried out. Records of earlier versions name no kind. */
 export type MachineOrder = {holder: string; atMs: number; life?: string; kind?: MachineOrderKind};
 
-/** Serializable state of the job store. */
-export type JobStoreSnapshot = {manifest?: FleetManifest; jobs: Job[]; lives: WorkerLife[]; waves: UpkeepWave[]; groupWhole: boolean; accepted: number; machineOrders: Array<[string, MachineOrder]>};
+/** Serializable state of the job store; snapshots of earlier versions have no evacuations. */
+export type JobStoreSnapshot = {manifest?: FleetManifest; jobs: Job[]; lives: WorkerLife[]; waves: UpkeepWave[]; groupWhole: boolean; accepted: number; machineOrders: Array<[string, MachineOrder]>; evacuations?: EvacuationsSnapshot};
--- a/packages/core/src/jobs/job-store.ts
+++ b/packages/core/src/jobs/job-store.ts
@@ -6,9 +6,8 @@
 may be running work.
 */
 import {UnreachableError} from '../utils/errors.js';
-import {
-	createManifestIndex, type ManifestIndex, NO_RESOURCES, type Resources,
-} from './fleet-manifest.js';
+import {createEvacuations} from './evacuations.js';
+import {createManifestIndex, type ManifestIndex, type Resources} from './fleet-manifest.js';
 import {repairGangs} from './gang.js';
 import type {
 	JobStoreSnapshot, JobCommand, JobOutcome, MachineOrder, EndedRun, RunStart, UpkeepWave, WorkerLife,
@@ -16,6 +15,7 @@
 import {
 	createJob, hasProgress, isDone, isOpen, isStepReady, type Job, JobStates, parseUnitName, RunEnds, type WorkUnit,
 } from './job.js';
+import {createResourceUsage} from './resource-usage.js';
 import {recordRunEnd} from './run-ends.js';
 
 /** Time for which the state of an ended job can be queried, in milliseconds; twice what callers are promised. */
@@ -28,12 +28,6 @@
 /** Replicated state of the fleet's work. */
 export type JobStore = ReturnType<typeof createJobStore>;
 
-const addResources = (target: Resources, amount: Resources, factor: number): void => {
-	target.cpu += amount.cpu * factor;
-	target.memoryMb += amount.memoryMb * factor;
-	target.gpu += amount.gpu * factor;
-};
-
 /** Creates the store, empty or from a snapshot. */
 export const createJobStore = (snapshot?: JobStoreSnapshot) => {
 	let manifestIndex: ManifestIndex | undefined = snapshot?.manifest && createManifestIndex(snapshot.manifest);
@@ -48,12 +42,13 @@
 	const lives = new Map(snapshot?.lives.map(life => [life.life, life]));
 	const waves = new Map(snapshot?.waves.map(wave => [wave.number, wave]));
 	const machineOrders = new Map(snapshot?.machineOrders);
+	const evacuations = createEvacuations(snapshot?.evacuations);
 	let groupWhole = snapshot?.groupWhole ?? false;
 	let accepted = snapshot?.accepted ?? 0;
 	/** Running work units by name, for each life. */
 	const runsOf = new Map<string, Map<string, {unit: WorkUnit; job: Job; step: number}>>();
-	const usageOfLife = new Map<string, Resources>();
-	const usageOfWorkspace = new Map<string, Resources>();
+	const usageOfLife = createResourceUsage();
+	const usageOfWorkspace = createResourceUsage();
 
 	const find = (name: string): {unit: WorkUnit; job: Job; step: number; occurrence: number} | undefined => {
 		const position = parseUnitName(name);
@@ -64,12 +59,6 @@
 		};
 	};
 
-	const addUsage = (table: Map<string, Resources>, key: string, amount: Resources, factor: number): void => {
-		const entry = table.get(key) ?? {...NO_RESOURCES};
-		addResources(entry, amount, factor);
-		table.set(key, entry);
-	};
-
 	/** Resources that a run reserves on its worker. */
 	const reserved = (job: Job, step: number): Resources => {
 		const {resources, fillsSpare} = job.order.steps[step]!;
@@ -77,9 +66,9 @@
 	};
 
 	const addRunUsage = (job: Job, step: number, life: string, factor: number): void => {
-		addUsage(usageOfLife, life, reserved(job, step), factor);
+		usageOfLife.add(life, reserved(job, step), factor);
 		if (job.order.workspace !== undefined) {
-			addUsage(usageOfWorkspace, job.order.workspace, job.order.steps[step]!.resources, factor);
+			usageOfWorkspace.add(job.order.workspace, job.order.steps[step]!.resources, factor);
 		}
 	};
 
@@ -243,7 +232,7 @@
 					}
 				}
 
-				return {type: 'runs-started', accepted: command.runs.filter(run => startRun(run))};
+				return {type: 'runs-started', accepted: evacuations.withoutEvacuated(command.runs, find, life => lives.get(life)?.zone).filter(run => startRun(run))};
 			}
 
 			case 'runs-over': {
@@ -288,6 +277,11 @@
 				return {type: 'applied'};
 			}
 
+			case 'evacuate':
+			case 'end-evacuation': {
+				return evacuations.apply(command);
+			}
+
 			case 'group-whole': {
 				groupWhole = true;
 				return {type: 'applied'};
@@ -329,18 +323,25 @@
 
 			return undefined;
 		},
-		usageOfLife: (life: string): Resources => usageOfLife.get(life) ?? NO_RESOURCES,
-		usageOfWorkspace: (workspace: string): Resources => usageOfWorkspace.get(workspace) ?? NO_RESOURCES,
+		usageOfLife: (life: string): Resources => usageOfLife.of(life),
+		usageOfWorkspace: (workspace: string): Resources => usageOfWorkspace.of(workspace),
 		waves: (): UpkeepWave[] => [...waves.values()],
 		machineOrder: (machine: string): MachineOrder | undefined => machineOrders.get(machine),
 		machineOrders: (): Iterable<[string, MachineOrder]> => machineOrders,
+		isEvacuated: evacuations.isEvacuated,
+		/** True if a known life is in an evacuated data centre. */
+		isLifeEvacuated: (life: string): boolean => lives.has(life) && evacuations.isEvacuated(lives.get(life)!.zone),
+		evacuations: evacuations.list,
+		evacuationWithdrawnMs: evacuations.withdrawnMs,
+		/** Data centres of known lives, and those that are or were evacuated. */
+		dataCentres: (): Set<string> => new Set([...evacuations.known(), ...[...lives.values()].map(life => life.zone)]),
 		/** True once the group of keepers has reached its full size. */
 		isGroupWhole: () => groupWhole,
 		/** Accepted jobs of a queue that have not begun, as far as it is recorded. */
 		pending: (queue: string): Job[] => [...openJobs.values()].filter(job => job.order.queue === queue && isOpen(job) && !job.hasBegun),
 
 		snapshot: (): JobStoreSnapshot => ({
-			manifest: manifestIndex?.manifest, jobs: [...jobs.values()], lives: [...lives.values()], waves: [...waves.values()], groupWhole, accepted, machineOrders: [...machineOrders],
+			manifest: manifestIndex?.manifest, jobs: [...jobs.values()], lives: [...lives.values()], waves: [...waves.values()], groupWhole, accepted, machineOrders: [...machineOrders], evacuations: evacuations.snapshot(),
 		}),
 	};
 };
