Send idle machines of evacuated data centres to standby only

Cause: a pool must not count machines on which nothing may start, nor get such machines from standby. Change: the balancer moves idle machines there to standby and uses the others for the pools; the fleet's size and the capacity for admission leave machines there out. Measured: refused-moves.spec.ts passes; its new test fails when the balancer ignores the evacuation, and when the reachable capacity does.

--- a/packages/core/src/jobs/fleet-balancer.ts
+++ b/packages/core/src/jobs/fleet-balancer.ts
@@ -7,6 +7,7 @@
 */
 import type {JobPool, Resources} from './fleet-manifest.js';
 import type {MachineDemand} from './machine-demand.js';
+import {moveToStandby, outsideEvacuation} from './evacuated-machines.js';
 import {createMoveRefusals} from './move-refusals.js';
 
 /** Workers that a pool keeps after its latest busy period, as a share of the fleet. */
@@ -22,7 +23,11 @@
 /** Time after which a move that has not brought a worker is dropped, in milliseconds; several times the duration of a move. */
 const MOVE_TIMEOUT_MS = 6000;
 /** A machine that can be moved. */
-export type MovableMachine = {name: string; pool: string; capacity: Resources; kind: string; isIdle: boolean};
+export type MovableMachine = {
+	name: string; pool: string; capacity: Resources; kind: string; isIdle: boolean;
+	/** In an evacuated data centre, so that it may only go to standby. */
+	isEvacuated?: boolean;
+};
 
 /** Input of one balancing step. */
 export type BalanceInput = {
@@ -32,7 +37,7 @@
 	workers: ReadonlyMap<string, number>;
 	/** Machines that are up and have no other order pending. */
 	machines: readonly MovableMachine[];
-	/** Number of all machines, whatever their state. */
+	/** Number of all machines outside evacuated data centres, whatever their state. */
 	fleetSize: number;
 	/** Upper limit on moves decided in this step. */
 	maxMoves: number;
@@ -140,7 +145,8 @@
 
 				return {name, shortage: need - available, urgent: demanded - available};
 			});
-			const free = input.machines.filter(machine => machine.isIdle && !pendingMoves.has(machine.name));
+			const settled = input.machines.filter(machine => !pendingMoves.has(machine.name));
+			const free = outsideEvacuation(settled).filter(machine => machine.isIdle);
 			const surplus = new Map(balances.map(({name, shortage}) => [name, Math.max(0, -shortage)]));
 			const standbyMachines = free.filter(machine => standby.has(machine.pool));
 			const moves: MachineMove[] = [];
@@ -174,8 +180,9 @@
 				}
 			}
 
+			const withEvacuated = (): MachineMove[] => [...moves, ...moveToStandby(settled, standby, input.maxMoves - moves.length, mayMove)].slice(0, input.maxMoves);
 			if (shortPools.length > 0) {
-				return moves;
+				return withEvacuated();
 			}
 
 			const [standbyPool] = standby;
@@ -185,7 +192,7 @@
 				moves.push(...idle.slice(0, surplus.get(name)).map(machine => ({machine: machine.name, from: name, to: standbyPool!})));
 			}
 
-			return moves.slice(0, input.maxMoves);
+			return withEvacuated();
 		},
 	};
 };
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -240,9 +240,12 @@
 	};
 
 	const movable = (): MovableMachine[] => [...machines.values()].filter(machine => machine.state === MachineStates.up && !pendingOrders.has(machine.name) && foreignOrders.isClear(machine.name)).map(machine => ({
-		name: machine.name, pool: machine.pool, capacity: machine.capacity, kind: machine.labels[0] ?? '', isIdle: isIdle(lifeOf(machine)),
+		name: machine.name, pool: machine.pool, capacity: machine.capacity, kind: machine.labels[0] ?? '', isIdle: isIdle(lifeOf(machine)), isEvacuated: store.isEvacuated(machine.zone),
 	}));
 
+	/** False if a machine's data centre was evacuated after a move to an active pool was decided. */
+	const mayMoveTo = (pool: string, {zone}: Machine): boolean => !store.isEvacuated(zone) || standbyPools().has(pool);
+
 	const move = async (chosen: MachineMove): Promise<void> => {
 		const machine = machines.get(chosen.machine)!;
 		const life = lifeOf(machine);
@@ -252,7 +255,7 @@
 
 		const kind = machine.labels[0] ?? '';
 		balancer.ordered(chosen, clock.monotonicMs());
-		const result = await giveOrder(machine.name, life, () => isIdle(life), async holder => port.move(machine.name, chosen.to, holder), {order: 'move', from: chosen.from, to: chosen.to}).catch((error: unknown) => {
+		const result = await giveOrder(machine.name, life, () => isIdle(life) && mayMoveTo(chosen.to, machine), async holder => port.move(machine.name, chosen.to, holder), {order: 'move', from: chosen.from, to: chosen.to}).catch((error: unknown) => {
 			balancer.failed(chosen);
 			throw error;
 		});
@@ -277,7 +280,7 @@
 			workers: new Map([...groupBy(usable, entry => entry.pool)].map(([pool, entries]) => [pool, entries.length])),
 			machines: movable(),
 			poolOfMachine: new Map(directory.list().flatMap(entry => (entry.left || entry.machine === undefined ? [] : [[entry.machine, entry.pool] as const]))),
-			fleetSize: machines.size,
+			fleetSize: [...machines.values()].filter(({zone}) => !store.isEvacuated(zone)).length,
 			maxMoves: Math.max(1, Math.floor(options.ordersPerS * MOVES_SHARE * STEP_INTERVAL_MS / 1000)),
 			nowMs: clock.monotonicMs(),
 		});
@@ -330,7 +333,7 @@
 			}
 
 			const standby = standbyPools();
-			const within = [...machines.values()].filter(machine => machine.state !== MachineStates.down && (machine.pool === pool || standby.has(machine.pool)));
+			const within = [...machines.values()].filter(machine => machine.state !== MachineStates.down && !store.isEvacuated(machine.zone) && (machine.pool === pool || standby.has(machine.pool)));
 			return within.reduce((sum, machine) => sum + machine.capacity.cpu, 0);
 		},
 		stop(): void {
--- a/tests/daemon/jobs/refused-moves.spec.ts
+++ b/tests/daemon/jobs/refused-moves.spec.ts
@@ -46,6 +46,36 @@
 		assert.ok(refused <= 12, `${refused} refused moves`);
 	});
 
+	// Guards against machines that are switched on where no work may start, and against a pool that counts them as its capacity.
+	it('should be sent machines of other data centres while its own is evacuated', async () => {
+		const inZone = (zone: string, pool: string, count: number): StartMachine[] => Array.from({length: count}, (_, index) => ({
+			name: `${pool}-${zone}${index}`, pool, kind: 'a', zone,
+		}));
+		const group = createMovableMachines({
+			needed: 5, machines: [...inZone('a', 'bench', 6), ...inZone('a', 'spare', 6), ...inZone('a', 'desk', 3), ...inZone('b', 'spare', 6), ...inZone('b', 'desk', 3)],
+		});
+		try {
+			await group.pass(1000);
+			const before = group.moves.length;
+			group.store.apply({type: 'evacuate', dataCentre: 'a', atMs: 1});
+			const reachable = group.reachableCpu('bench');
+			await group.pass(8000);
+			const moves = group.moves.slice(before);
+			const ofZone = (zone: string) => moves.filter(({machine}) => machine.includes(`-${zone}`));
+			assert.equal(reachable, 6 * 4000, 'capacity in the evacuated data centre does not count');
+			assert.deepEqual([...new Set(ofZone('a').map(({to}) => to))], ['spare']);
+			assert.equal(new Set(ofZone('a').map(({machine}) => machine)).size, 9, 'idle machines there are switched off');
+			assert.ok(ofZone('b').filter(({to}) => to === 'bench').length >= 5, JSON.stringify(moves));
+			group.store.apply({type: 'end-evacuation', dataCentre: 'a', atMs: 2});
+			const withdrawn = group.moves.length;
+			group.store.apply({type: 'evacuate', dataCentre: 'b', atMs: 3});
+			await group.pass(8000);
+			assert.ok(group.moves.slice(withdrawn).some(({machine, to}) => machine.includes('-a') && to === 'bench'), 'used again after the withdrawal');
+		} finally {
+			group.stop();
+		}
+	});
+
 	/** Share of the fleet that another pool may keep. */
 	const KEPT_SHARE = 0.15;
 
