Answer the calls that evacuate a data centre, and start nothing there

Cause: the replicated request has no calls and no effect on the passes yet. Change: the calls evacuate and end-evacuation with their HTTP paths and answers; workers there are out of use (evacuated), starts that are not written to a connection yet are withheld on the leader and on the keepers that relay, waits give the reason evacuated, workers that are still cold go last after the withdrawal; the setting zones, log lines and metrics. A leader without zones answers 503 in place of 422 and 409 until workers had time to announce themselves.

--- a/packages/core/src/jobs/job-calls.ts
+++ b/packages/core/src/jobs/job-calls.ts
@@ -18,11 +18,13 @@
 	| {type: 'read-manifest'}
 	| {type: 'start-wave'; number: number; machines: string[]; forMs: number; cap: number}
 	| {type: 'wave-state'; number: number}
+	| {type: 'evacuate'; dataCentre: string}
+	| {type: 'end-evacuation'; dataCentre: string}
 	| {type: 'announce'; announcement: WorkerAnnouncement}
 	| {type: 'leave'; id: string; bornMs?: number};
 
 /** Reason why a call could not be answered. */
-export type Unavailability = 'no-manifest' | 'no-leader' | 'group-forming' | 'disk-full' | 'outcome-unknown';
+export type Unavailability = 'no-manifest' | 'no-leader' | 'group-forming' | 'disk-full' | 'workers-unknown' | 'outcome-unknown';
 
 /** The answer to a call. */
 export type JobAnswer =
@@ -39,6 +41,11 @@
 	| {type: 'manifest'; document: string}
 	| {type: 'wave'; completed: boolean}
 	| {type: 'no-wave'}
+	/** `changed` is false if the evacuation, or its end, was already in force. */
+	| {type: 'evacuation'; changed: boolean}
+	| {type: 'unknown-data-centre'}
+	/** All other known data centres are evacuated. */
+	| {type: 'last-data-centre'}
 	| {type: 'noted'}
 	/** `mayHaveRun` is false if the call certainly had no effect and never will. */
 	| {type: 'unavailable'; reason: Unavailability; mayHaveRun: boolean; retryAfterMs: number};
--- a/packages/core/src/jobs/wait-reason.ts
+++ b/packages/core/src/jobs/wait-reason.ts
@@ -12,6 +12,8 @@
 export type WaitReason =
 	/** The pool has no worker that accepts work. */
 	| 'no-worker'
+	/** Only workers in evacuated data centres could take it. */
+	| 'evacuated'
 	/** No worker of the pool has the required label. */
 	| 'no-label'
 	/** The work unit requires more than the total capacity of any worker. */
@@ -43,7 +45,11 @@
 export type WaitingStep = {job: Job; occurrence: number; number: number; step: JobStep; units: readonly WorkUnit[]; unit: WorkUnit};
 
 /** What the scheduling passes know. */
-export type WaitContext = Pick<SchedulingInput, 'avoided' | 'approved'> & Pick<SchedulingPass, 'cutSteps'> & {store: JobStore};
+export type WaitContext = Pick<SchedulingInput, 'avoided' | 'approved'> & Pick<SchedulingPass, 'cutSteps'> & {
+	store: JobStore;
+	/** Workers of all pools that would take work if their data centres were not evacuated. */
+	evacuated?: readonly SchedulableWorker[];
+};
 
 type FreeWorker = SchedulableWorker & {free: Resources};
 
@@ -118,22 +124,25 @@
 /** Finds the reason, given the workers of the step's pool that accept work. */
 export const reasonOfWait = (waiting: WaitingStep, pool: readonly FreeWorker[], context: WaitContext): WaitReason => {
 	const {job, step, units} = waiting;
+	const manifest = context.store.manifest();
+	const poolName = (manifest?.queue(job.order.queue) ?? job.queue).pool;
+	const hasLabel = ({labels}: SchedulableWorker): boolean => step.label === undefined || labels.includes(step.label);
+	const wouldFit = context.evacuated?.some(worker => worker.pool === poolName && hasLabel(worker) && holds(step, worker.capacity)) === true;
 	if (pool.length === 0) {
-		return 'no-worker';
+		return wouldFit ? 'evacuated' : 'no-worker';
 	}
 
-	const labelled = pool.filter(worker => step.label === undefined || worker.labels.includes(step.label));
+	const labelled = pool.filter(worker => hasLabel(worker));
 	if (labelled.length === 0) {
-		return 'no-label';
+		return wouldFit ? 'evacuated' : 'no-label';
 	}
 
-	const manifest = context.store.manifest();
 	if (createQuotaLedger(context.store, manifest).maxWithinLimit(job.order.workspace, step.resources, step.gang ? units.length : 1) < (step.gang ? units.length : 1)) {
 		return 'workspace-limit';
 	}
 
 	if (!labelled.some(worker => holds(step, worker.capacity))) {
-		return 'too-large';
+		return wouldFit ? 'evacuated' : 'too-large';
 	}
 
 	if (step.gang && units.some(unit => unit.state !== 'idle')) {
--- a/packages/core/src/jobs/worker-directory.ts
+++ b/packages/core/src/jobs/worker-directory.ts
@@ -32,6 +32,8 @@
 	seq: number;
 	draining: boolean;
 	receivedMs: number;
+	/** Time after `receivedMs` for which the worker is slow, in milliseconds. */
+	coldLeftMs: number;
 	clockMs?: number;
 	/** The worker has announced that it leaves, its life is over, or another life has replaced it. */
 	left: boolean;
@@ -126,6 +128,7 @@
 				// A draining worker stays draining for the rest of its life.
 				draining: announcement.draining || (isSameLife && known.draining),
 				receivedMs: nowMs,
+				coldLeftMs: announcement.coldLeftMs,
 				clockMs: announcement.clockMs,
 				left: isSameLife && known.left,
 			};
--- a/packages/daemon/src/jobs/call-relay.ts
+++ b/packages/daemon/src/jobs/call-relay.ts
@@ -20,20 +20,22 @@
 	clock: Clock;
 	log: Log;
 	connect: WorkerConnector;
+	/** False for a life on which no run may start any more, as far as this process knows. */
+	mayStart?(life: string): boolean;
 	/** Latest term of the group known to this process. */
 	term(): number;
 	send(to: string, message: PeerMessage): void;
 };
 
-/** Makes one call through a port. */
-export const makeCall = async (port: WorkerPort, call: WorkerCall): Promise<HoldResult | OrderResult> => {
+/** Makes one call through a port; a start only if `mayStart` does not return false when it is about to be sent. */
+export const makeCall = async (port: WorkerPort, call: WorkerCall, mayStart?: () => boolean): Promise<HoldResult | OrderResult> => {
 	switch (call.type) {
 		case 'hold': {
 			return port.hold(call.request);
 		}
 
 		case 'start': {
-			return port.start(call.order);
+			return port.start(call.order, mayStart);
 		}
 
 		case 'stop': {
@@ -50,7 +52,7 @@
 type Caller = {leader: string; term: number};
 
 /** Creates the call relay of one process. */
-export const createCallRelay = ({clock, log, connect, term, send}: CallRelayOptions) => {
+export const createCallRelay = ({clock, log, connect, mayStart, term, send}: CallRelayOptions) => {
 	const ports = new Map<string, {port: WorkerPort; usedMs: number}>();
 	let results: RelayedResult[] = [];
 	let caller: Caller | undefined;
@@ -100,7 +102,7 @@
 
 		let result: HoldResult | OrderResult;
 		try {
-			result = await makeCall(portOf(worker), call);
+			result = await makeCall(portOf(worker), call, () => mayStart?.(worker.life) !== false);
 		} catch (error) {
 			result = {type: 'unknown', cause: String(error)};
 		}
--- a/packages/daemon/src/jobs/job-call-handler.ts
+++ b/packages/daemon/src/jobs/job-call-handler.ts
@@ -6,7 +6,9 @@
 } from '@bronzebend/core';
 import {DiskFullError, NotLeaderError} from '@bronzebend/replica';
 import type {Log} from '../utils/log.js';
+import {createEvacuationCalls} from './evacuation-calls.js';
 import type {JobMetrics} from './job-metrics.js';
+import type {KnownDataCentres} from './known-data-centres.js';
 
 /** Default retry delay given to callers, in milliseconds. */
 const DEFAULT_RETRY_MS = 500;
@@ -29,6 +31,7 @@
 	isLeading(): boolean;
 	/** Capacity of a pool in thousandths of a core; undefined while it is unknown. */
 	capacityOf(pool: string): number | undefined;
+	dataCentres: Pick<KnownDataCentres, 'list' | 'isComplete'>;
 	announce(call: JobCall & {type: 'announce'}): void;
 	leave(call: JobCall & {type: 'leave'}): void;
 	/** Called after a new job has been committed. */
@@ -66,7 +69,7 @@
 		return {coreMs: backlogs.get(pool) ?? 0, capacityCpu: capacities.get(pool)};
 	};
 
-	const refused = (reason: 'no-manifest' | 'group-forming' | 'disk-full'): JobAnswer => ({
+	const refused = (reason: 'no-manifest' | 'group-forming' | 'disk-full' | 'workers-unknown'): JobAnswer => ({
 		type: 'unavailable', reason, mayHaveRun: false, retryAfterMs: DEFAULT_RETRY_MS,
 	});
 
@@ -266,6 +269,8 @@
 		return {type: 'published'};
 	};
 
+	const answerEvacuation = createEvacuationCalls({...options, commit, refused});
+
 	const handle = async (call: JobCall): Promise<JobAnswer> => {
 		switch (call.type) {
 			case 'submit': {
@@ -298,6 +303,11 @@
 				return wave ? {type: 'wave', completed: wave.completed} : {type: 'no-wave'};
 			}
 
+			case 'evacuate':
+			case 'end-evacuation': {
+				return answerEvacuation(call);
+			}
+
 			case 'announce': {
 				options.announce(call);
 				return {type: 'noted'};
@@ -318,7 +328,7 @@
 		/** Answers one call; an answer read from local state counts only if this process still leads afterwards. */
 		async answer(call: JobCall): Promise<JobAnswer> {
 			const result = await handle(call);
-			const isCommitted = result.type === 'accepted' || result.type === 'cancelled' || result.type === 'published';
+			const isCommitted = result.type === 'accepted' || result.type === 'cancelled' || result.type === 'published' || (result.type === 'evacuation' && result.changed);
 			return isCommitted || options.isLeading() ? result : outcomeUnknown;
 		},
 	};
--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -49,7 +49,7 @@
 	const leaderNode = (): string | undefined => replica?.raft.members().find(member => member.replica === replica?.raft.leader())?.node;
 
 	const callRelay = createCallRelay({
-		clock, log, connect: options.connect, term: () => replica?.raft.term() ?? 0, send: options.send,
+		clock, log, connect: options.connect, mayStart: life => !store.isLifeEvacuated(life), term: () => replica?.raft.term() ?? 0, send: options.send,
 	});
 
 	const liveKeepers = (): string[] => {
--- a/packages/daemon/src/jobs/job-leader-options.ts
+++ b/packages/daemon/src/jobs/job-leader-options.ts
@@ -28,6 +28,8 @@
 	holderLeaseMs: number;
 	/** Interval of a worker's announcements, in milliseconds. */
 	reportMs: number;
+	/** Data centres in the settings; none if the settings do not name them. */
+	dataCentres?(): string[];
 	/** Sends what the directory learned of workers to the other keepers. */
 	shareWorkers(changes: DirectoryChanges): void;
 	/** Sends a message to another keeper, such as a batch of calls to relay. */
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -6,6 +6,7 @@
 import {createAdviceCache} from './advice-cache.js';
 import {createRelayedCalls} from './relayed-calls.js';
 import {createJobCallHandler} from './job-call-handler.js';
+import {createKnownDataCentres} from './known-data-centres.js';
 import type {LeaderContext, LeaderWork} from './job-keeper-options.js';
 import type {JobLeaderOptions} from './job-leader-options.js';
 import {createLeaderReports} from './leader-reports.js';
@@ -109,7 +110,7 @@
 	});
 
 	const workers = createUsableWorkers({
-		clock, directory, reportMs: options.reportMs, fleet, monitor, machines: () => machines,
+		clock, store, directory, reportMs: options.reportMs, fleet, monitor, machines: () => machines,
 	});
 
 	const approved: SchedulingInput['approved'] = (job, occurrence, step) => (store.manifest()?.queue(job.order.queue)?.recommendation ? advice.approved(job, occurrence, step) : undefined);
@@ -265,11 +266,15 @@
 		propose,
 		isLeading: leads,
 		capacityOf(pool) {
-			const announced = directory.list().filter(entry => entry.pool === pool && !entry.left && !entry.draining).reduce((sum, entry) => sum + entry.capacity.cpu, 0);
+			const counted = directory.list().filter(entry => entry.pool === pool && !entry.left && !entry.draining && !store.isEvacuated(entry.zone));
+			const announced = counted.reduce((sum, entry) => sum + entry.capacity.cpu, 0);
 			// A new leader learns of the workers only from their next announcements, so the capacity is unknown until the machines are listed.
 			const reachable = machines ? machines.reachableCpu(pool) : 0;
 			return reachable === undefined ? undefined : Math.max(announced, reachable);
 		},
+		dataCentres: createKnownDataCentres({
+			clock, store, directory, configured: options.dataCentres ?? (() => []), reportMs: options.reportMs,
+		}),
 		announce: onAnnounce,
 		leave(call) {
 			const entry = directory.leave(call.id, call.bornMs);
--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -52,6 +52,10 @@
 		workers: new Gauge({
 			name: 'bronzebend_workers', help: 'Workers by state, at the leader', labelNames: ['state'], registers,
 		}),
+		evacuatedDataCentres: new Gauge({name: 'bronzebend_evacuated_data_centres', help: 'Data centres whose evacuation is in force, at the leader', registers}),
+		evacuatedRuns: new Gauge({
+			name: 'bronzebend_evacuated_runs', help: 'Runs left in evacuated data centres, at the leader', labelNames: ['data_centre'], registers,
+		}),
 		manifestVersion: new Gauge({name: 'bronzebend_manifest_version', help: 'Version of the manifest in force, at the leader', registers}),
 		term: new Gauge({name: 'bronzebend_term', help: 'Term of the leader, at the leader', registers}),
 	};
--- a/packages/daemon/src/jobs/leader-reports.ts
+++ b/packages/daemon/src/jobs/leader-reports.ts
@@ -3,6 +3,7 @@
 	findLongWaits, groupBy, type Clock, type DirectoryChanges, type JobStore, type LongWaitInput, type SchedulingPass, type WorkerDirectory,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
+import {countEvacuationRests, reportEvacuations} from './evacuation-reports.js';
 import type {JobMetrics} from './job-metrics.js';
 import {createLoadMeter} from './process-load.js';
 import type {UsableWorkers} from './usable-workers.js';
@@ -69,7 +70,7 @@
 		}
 
 		const waits = findLongWaits({
-			store, workers: options.workers.list(), wallMs: clock.wallMs(), cutSteps, ...options.units,
+			store, workers: options.workers.list(), evacuated: options.workers.evacuated(), wallMs: clock.wallMs(), cutSteps, ...options.units,
 		});
 		metrics.longWaits.set(waits.reduce((sum, wait) => sum + wait.jobs, 0));
 		for (const wait of waits) {
@@ -92,6 +93,7 @@
 
 		usageLoggedMs = nowMs;
 		logProblems();
+		reportEvacuations(countEvacuationRests(store, directory, clock.wallMs()), log, metrics);
 		for (const [pool, entries] of groupBy(directory.list().filter(entry => !entry.left), entry => entry.pool)) {
 			const used = entries.map(entry => store.usageOfLife(entry.life));
 			const runs = entries.flatMap(entry => [...store.runsOf(entry.life).values()]);
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -7,7 +7,8 @@
 export type WorkerPort = {
 	/** Renews the lease, acknowledges ended runs and returns the worker's lists; waits for a run to end if the request says so. */
 	hold(request: HoldRequest): Promise<HoldResult>;
-	start(order: StartOrder): Promise<OrderResult>;
+	/** Starts a run, if `maySend` does not return false when the order is about to be written to a connection; otherwise it is unsent. */
+	start(order: StartOrder, maySend?: () => boolean): Promise<OrderResult>;
 	stop(order: StopOrder): Promise<OrderResult>;
 	/** Sets the share of its full speed at which a run works. */
 	pace(order: PaceCall): Promise<OrderResult>;
--- a/packages/daemon/src/jobs/process-load.ts
+++ b/packages/daemon/src/jobs/process-load.ts
@@ -48,9 +48,9 @@
 			counted('hold');
 			return port.hold(request);
 		},
-		async start(order) {
+		async start(order, maySend) {
 			counted('start');
-			return port.start(order);
+			return port.start(order, maySend);
 		},
 		async stop(order) {
 			counted('stop');
--- a/packages/daemon/src/jobs/qualified-answers.ts
+++ b/packages/daemon/src/jobs/qualified-answers.ts
@@ -11,6 +11,8 @@
 		case 'cancel':
 		case 'publish':
 		case 'start-wave':
+		case 'evacuate':
+		case 'end-evacuation':
 		case 'announce':
 		case 'leave': {
 			return true;
@@ -47,7 +49,9 @@
 
 		case 'unknown-queue':
 		case 'unknown-key':
-		case 'bad-path': {
+		case 'bad-path':
+		case 'unknown-data-centre':
+		case 'last-data-centre': {
 			return hasEffect(call) ? outcomeUnknown() : answer;
 		}
 
@@ -61,7 +65,8 @@
 		case 'state':
 		case 'pending':
 		case 'manifest':
-		case 'wave': {
+		case 'wave':
+		case 'evacuation': {
 			return answer;
 		}
 
--- a/packages/daemon/src/jobs/relayed-calls.ts
+++ b/packages/daemon/src/jobs/relayed-calls.ts
@@ -198,25 +198,29 @@
 		/** Connects to a worker's life, through a relay where there is one. */
 		connect(worker: WorkerAddress): WorkerPort {
 			const directPort = direct(worker);
-			const make = async (call: WorkerCall): Promise<HoldResult | OrderResult> => {
+			const make = async (call: WorkerCall, mayStart?: () => boolean): Promise<HoldResult | OrderResult> => {
 				const madeMs = clock.monotonicMs();
 				await mayBegin;
 				if (clock.monotonicMs() - madeMs > RESULT_TIMEOUT_MS) {
 					return {type: 'unsent', cause: 'waited too long for the clocks of the other keepers', isCarrierLost: true};
 				}
 
+				if (mayStart?.() === false) {
+					return {type: 'unsent', cause: 'withheld while it waited for the clocks of the other keepers', isCarrierLost: true};
+				}
+
 				if (usable.length === 0) {
 					// Contact may be back since the last check, as after a pause of this process.
 					usable = usableOf(liveKeepers());
 				}
 
 				const keeper = chooseKeeper(worker.life);
-				return keeper === undefined ? makeCall(directPort, call) : relay(keeper, worker, call);
+				return keeper === undefined ? makeCall(directPort, call, mayStart) : relay(keeper, worker, call);
 			};
 
 			return {
 				hold: async request => await make({type: 'hold', request}) as HoldResult,
-				start: async order => await make({type: 'start', order}) as OrderResult,
+				start: async (order, maySend) => await make({type: 'start', order}, maySend) as OrderResult,
 				stop: async order => await make({type: 'stop', order}) as OrderResult,
 				pace: async order => await make({type: 'pace', order}) as OrderResult,
 				close(): void {
--- a/packages/daemon/src/jobs/usable-workers.ts
+++ b/packages/daemon/src/jobs/usable-workers.ts
@@ -1,6 +1,6 @@
 /** Tells which workers may take new work, and why the others may not. */
 import {
-	groupBy, type Clock, type SchedulableWorker, type WorkerDirectory, type WorkerEntry,
+	groupBy, type Clock, type JobStore, type SchedulableWorker, type WorkerDirectory, type WorkerEntry,
 } from '@bronzebend/core';
 import type {MachineController} from './machine-controller.js';
 import type {RunMonitor} from './run-monitor.js';
@@ -9,12 +9,18 @@
 /** Announcement intervals of silence after which a worker gets no new work. */
 const MAX_MISSED_REPORTS = 3;
 
-/** Why a worker takes no new work: `unreachable` by its session, `suspect` or `paused` after failures, `machine` while its machine is ordered, emptied or in doubt. */
-type OutOfUse = 'left' | 'draining' | 'unreachable' | 'silent' | 'suspect' | 'paused' | 'machine';
+/** Time after the withdrawal of an evacuation in which workers there that are still slow after their start are taken last, in milliseconds. Longer than machines take to return from standby. */
+const COLD_PERIOD_MS = 60_000;
+/** Slowness of such a worker; above the one from which a worker gets work only if no other has room. */
+const COLD_SLOWNESS = 4;
+
+/** Why a worker takes no new work: `unreachable` by its session, `suspect` or `paused` after failures, `machine` while its machine is ordered, emptied or in doubt, `evacuated` with its data centre. */
+type OutOfUse = 'left' | 'draining' | 'unreachable' | 'silent' | 'suspect' | 'paused' | 'machine' | 'evacuated';
 
 /** Creates the view of one term. */
-export const createUsableWorkers = ({clock, directory, reportMs, fleet, monitor, machines}: {
+export const createUsableWorkers = ({clock, store, directory, reportMs, fleet, monitor, machines}: {
 	clock: Clock;
+	store: Pick<JobStore, 'isEvacuated' | 'evacuationWithdrawnMs'>;
 	directory: WorkerDirectory;
 	/** Interval of a worker's announcements, in milliseconds. */
 	reportMs: number;
@@ -40,13 +46,25 @@
 			return 'silent';
 		}
 
-		return machines()?.mayTakeWork(entry) === false ? 'machine' : monitor.heldBack(entry.life, nowMs);
+		if (machines()?.mayTakeWork(entry) === false) {
+			return 'machine';
+		}
+
+		return store.isEvacuated(entry.zone) ? 'evacuated' : monitor.heldBack(entry.life, nowMs);
 	};
 
+	/** True if a worker of a data centre whose evacuation was withdrawn a short time ago is still slow after its start. */
+	const isCold = ({zone, receivedMs, coldLeftMs}: WorkerEntry, nowMs: number): boolean => {
+		const withdrawnMs = store.evacuationWithdrawnMs(zone);
+		return withdrawnMs !== undefined && clock.wallMs() - withdrawnMs < COLD_PERIOD_MS && nowMs < receivedMs + coldLeftMs;
+	};
+
+	const slownessOf = (entry: WorkerEntry, nowMs: number): number => Math.max(monitor.slowness(entry.life), isCold(entry, nowMs) ? COLD_SLOWNESS : 0);
+
 	const listWhere = (isListed: (cause: OutOfUse | undefined) => boolean): SchedulableWorker[] => {
 		const nowMs = clock.monotonicMs();
 		return directory.list().filter(entry => isListed(whyNot(entry, nowMs))).map(entry => ({
-			life: entry.life, id: entry.id, pool: entry.pool, capacity: entry.capacity, labels: entry.labels, slowness: monitor.slowness(entry.life),
+			life: entry.life, id: entry.id, pool: entry.pool, capacity: entry.capacity, labels: entry.labels, slowness: slownessOf(entry, nowMs),
 		}));
 	};
 
@@ -57,6 +75,9 @@
 		/** Workers that take no work for suspicion alone. */
 		suspects: () => listWhere(cause => cause === 'suspect'),
 
+		/** Workers that take no work because their data centre is evacuated. */
+		evacuated: () => listWhere(cause => cause === 'evacuated'),
+
 		/** Numbers of a pool's known workers that take no work, by cause, as text; undefined if there are none. */
 		outOfUse(pool: string): string | undefined {
 			const nowMs = clock.monotonicMs();
--- a/packages/daemon/src/jobs/worker-starts.ts
+++ b/packages/daemon/src/jobs/worker-starts.ts
@@ -99,6 +99,12 @@
 				return;
 			}
 
+			const isEvacuated = (): boolean => store.isEvacuated(life.zone);
+			if (isEvacuated()) {
+				await giveUp(start, {type: 'start-unsent', cause: 'the data centre is evacuated'});
+				return;
+			}
+
 			const expiresMs = track.leaseExpiry(sentMs);
 			if (expiresMs === undefined) {
 				onStartFailed(start, 'clock-unknown');
@@ -109,7 +115,7 @@
 			log.debug('Start ordered.', {unit: start.unit, attempt: start.attempt, worker: life.id});
 			const result = await timed('start', port.start({
 				unit: start.unit, attempt: start.attempt, spec: found.job.order.spec, expiresMs, fence, checkpoint: found.unit.checkpoint, ticket,
-			}));
+			}, () => !isEvacuated()));
 			track.leaseCallEnded(expiresMs, result.type !== 'unsent');
 			onResult(start, result, sentMs);
 		},
--- a/tests/daemon/jobs/job-call-handler.spec.ts
+++ b/tests/daemon/jobs/job-call-handler.spec.ts
@@ -30,6 +30,7 @@
 		}),
 		isLeading: () => true,
 		capacityOf: () => capacity,
+		dataCentres: {list: () => ['a'], isComplete: () => true},
 		announce: () => undefined,
 		leave: () => undefined,
 		onAccepted: () => undefined,
--- a/tests/daemon/jobs/relayed-calls.spec.ts
+++ b/tests/daemon/jobs/relayed-calls.spec.ts
@@ -293,13 +293,14 @@
 });
 
 describe('a keeper that relays calls for the leader', () => {
-	const setUpRelay = (connect: () => WorkerPort) => {
+	const setUpRelay = (connect: () => WorkerPort, mayStart?: (life: string) => boolean) => {
 		const sent: Array<{to: string; message: PeerMessage}> = [];
 		const state = {term: 1, nowMs: 0};
 		const relay = createCallRelay({
 			clock: {wallMs: () => 0, monotonicMs: () => state.nowMs},
 			log: silentLogs('test'),
 			connect,
+			mayStart,
 			term: () => state.term,
 			send(to, message) {
 				sent.push({to, message});
@@ -374,6 +375,29 @@
 		relay.close();
 	});
 
+	// Guards against starts that were ordered before an evacuation and reach the data centre after it.
+	it('should send no start to a life on which none may start any more', async () => {
+		const conditions: unknown[] = [];
+		const {sent, relay, batch} = setUpRelay(() => ({
+			...portOf([]), async start(_order, maySend) {
+				const isSent = maySend?.();
+				conditions.push(isSent);
+				return isSent === false ? {type: 'unsent', cause: 'withheld', isCarrierLost: true} : done;
+			},
+		}), life => life !== lifeNamed('w0').life);
+		const {sendBy} = batch(3, 0);
+		const start = {
+			unit: 'a', attempt: 1, spec: 0, expiresMs: 1, fence: 3, checkpoint: '',
+		};
+		relay.receive('leader', {
+			type: 'worker-calls', term: 3, sendBy, batch: {specs: [''], calls: ['w0', 'w1'].map((worker, id) => ({id, worker: lifeNamed(worker), call: {type: 'start', order: start}}))},
+		});
+		await pause(30);
+		assert.deepEqual(conditions, [false, true]);
+		assert.deepEqual(sent.flatMap(({message}) => resultsIn(message)).map(({result}) => result.type), ['unsent', 'done']);
+		relay.close();
+	});
+
 	it('should return calls without making them once it is draining', async () => {
 		const calls: string[] = [];
 		const {sent, relay, batch} = setUpRelay(() => portOf(calls));
--- a/tests/daemon/jobs/usable-workers.spec.ts
+++ b/tests/daemon/jobs/usable-workers.spec.ts
@@ -13,6 +13,7 @@
 	it('should count the workers of a pool that take no work by cause', () => {
 		const directory = createWorkerDirectory();
 		directory.announce(announcementOf('silent'), 0);
+		directory.announce(announcementOf('emptied', {zone: 'b'}), 5000);
 		for (const id of ['free', 'left', 'mute', 'ill', 'late', 'moved', 'moved-too']) {
 			directory.announce(announcementOf(id), 5000);
 		}
@@ -22,6 +23,7 @@
 		directory.leave('left', 1);
 		const workers = createUsableWorkers({
 			clock: {monotonicMs: () => 5000, wallMs: () => 5000},
+			store: {isEvacuated: dataCentre => dataCentre === 'b', evacuationWithdrawnMs: () => undefined},
 			directory,
 			reportMs: REPORT_MS,
 			fleet: {isReachable: life => life !== lifeOf('mute', 1)},
@@ -29,8 +31,31 @@
 			machines: () => ({mayTakeWork: ({id}) => !id.startsWith('moved')}),
 		});
 		assert.deepEqual(workers.list().map(({id}) => id), ['free']);
-		assert.deepEqual(workers.outOfUse('bench')?.split(' ').toSorted(), ['draining:1', 'left:1', 'machine:2', 'paused:1', 'silent:1', 'suspect:1', 'unreachable:1']);
+		assert.deepEqual(workers.outOfUse('bench')?.split(' ').toSorted(), ['draining:1', 'evacuated:1', 'left:1', 'machine:2', 'paused:1', 'silent:1', 'suspect:1', 'unreachable:1']);
 		assert.equal(workers.outOfUse('spare'), 'draining:1');
 		assert.equal(workers.outOfUse('other'), undefined);
+		assert.deepEqual(workers.evacuated().map(({id}) => id), ['emptied']);
+	});
+
+	// Guards against work that goes first to workers which are still slow after their start.
+	it('should count a cold worker as slow after the withdrawal of an evacuation only, until its time has passed', () => {
+		const directory = createWorkerDirectory();
+		directory.announce(announcementOf('cold', {coldLeftMs: 3000}), 1000);
+		directory.announce(announcementOf('warm'), 1000);
+		const slownessAt = (nowMs: number, withdrawnMs: number | undefined): number[] => createUsableWorkers({
+			clock: {monotonicMs: () => nowMs, wallMs: () => 900_000 + nowMs},
+			store: {isEvacuated: () => false, evacuationWithdrawnMs: () => withdrawnMs},
+			directory,
+			reportMs: 10_000,
+			fleet: {isReachable: () => true},
+			monitor: {heldBack: () => undefined, slowness: () => 1},
+			machines: () => undefined,
+		}).list().map(({slowness}) => slowness);
+		assert.deepEqual(slownessAt(2000, undefined), [1, 1]);
+		const [cold, warm] = slownessAt(2000, 901_500);
+		assert.ok(cold! > 2, 'slow enough that others are taken first');
+		assert.equal(warm, 1);
+		assert.deepEqual(slownessAt(4000, 901_500), [1, 1], 'warm by then');
+		assert.deepEqual(slownessAt(2000, 800_000), [1, 1], 'withdrawn long ago');
 	});
 });
--- a/tests/platform/control-server.spec.ts
+++ b/tests/platform/control-server.spec.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createSuspendAwareClock, createWorkerDirectory, systemClock} from '@bronzebend/core';
+import {
+	createSuspendAwareClock, createWorkerDirectory, systemClock, type JobAnswer, type JobCall,
+} from '@bronzebend/core';
 import {createGroupClient, silentLogs} from '@bronzebend/daemon';
 import {listenControl} from '@bronzebend/platform/control-server';
 import type {PeerMessage} from '@bronzebend/wire';
@@ -47,6 +49,45 @@
 		assert.deepEqual(after, [200, 200]);
 	});
 
+	it('should answer the calls of operators who evacuate a data centre', async context => {
+		const calls: JobCall[] = [];
+		const answers: JobAnswer[] = [{type: 'evacuation', changed: true}, {type: 'evacuation', changed: false}, {type: 'unknown-data-centre'}, {type: 'last-data-centre'}, {
+			type: 'unavailable', reason: 'group-forming', mayHaveRun: false, retryAfterMs: 500,
+		}, {
+			type: 'unavailable', reason: 'outcome-unknown', mayHaveRun: true, retryAfterMs: 500,
+		}];
+		const group = createGroupClient({
+			node: 'me',
+			seeds: () => ['a'],
+			clock: systemClock,
+			log: silentLogs('test'),
+			send(to: string, message: PeerMessage) {
+				setImmediate(() => {
+					if (message.type === 'view-query') {
+						group.receive(to, {type: 'view', view: {leader: 'a', members: ['a'], leading: true}});
+					} else if (message.type === 'job-call') {
+						group.receive(to, {type: 'job-answer', id: message.id, answer: answers[calls.push(message.call) - 1]!});
+					}
+				});
+			},
+		});
+		context.after(group.close);
+		const control = await listenControl(`${HOST}:${PORT + 2}`, {
+			group, directory: createWorkerDirectory(), clock: systemClock, log: silentLogs('test'), controlAddressOf: node => node,
+		});
+		context.after(control.close);
+		const results: unknown[] = [];
+		for (const path of ['Begin/zone-1', 'Terminate/zone-1', 'Begin/no%20zone', 'Begin/zone-2', 'Begin/zone-3', 'Terminate/zone-3', 'Begin/%E0%A4%A']) {
+			const {status, body} = await request('POST', HOST, PORT + 2, {path: `/Evacuations.${path}`});
+			results.push(status === 200 ? body : status);
+		}
+
+		assert.deepEqual(results, [{changed: true}, {changed: false}, 422, 409, 503, 504, 400]);
+		assert.deepEqual(calls, [
+			{type: 'evacuate', dataCentre: 'zone-1'}, {type: 'end-evacuation', dataCentre: 'zone-1'}, {type: 'evacuate', dataCentre: 'no zone'}, {type: 'evacuate', dataCentre: 'zone-2'}, {type: 'evacuate', dataCentre: 'zone-3'}, {type: 'end-evacuation', dataCentre: 'zone-3'},
+		]);
+	});
+
 	it('should report a new life of a worker to a leader on the same node as new', async context => {
 		const directory = createWorkerDirectory();
 		const effects: string[] = [];
--- a/tests/platform/worker-client.spec.ts
+++ b/tests/platform/worker-client.spec.ts
@@ -75,6 +75,28 @@
 		assert.deepEqual([arrived, new Set(results.map(result => result.type))], [length, new Set(['done'])]);
 	});
 
+	// Guards against starts that wait for a connection while their data centre is evacuated.
+	it('should not write a start that is withheld while it waits for a connection', async context => {
+		let arrived = 0;
+		const server = http.createServer((_req, res) => {
+			arrived += 1;
+			setTimeout(() => {
+				res.writeHead(200).end('{}');
+			}, 100);
+		});
+		context.after(() => {
+			server.closeAllConnections();
+			server.close();
+		});
+		const worker = connectWorker(lifeNamed('w1', {address: await listen(server)}));
+		const results = await Promise.all(Array.from({length: 20}, async (_, index) => worker.start({
+			...order, unit: `a.0.0.${index}`, spec: '', expiresMs: 1, checkpoint: '',
+		}, () => arrived === 0)));
+		worker.close();
+		assert.ok(arrived > 0 && arrived < 20, `${arrived} starts arrived`);
+		assert.deepEqual(results.map(result => result.type), results.map((_, index) => (index < arrived ? 'done' : 'unsent')));
+	});
+
 	it('should take the rejection of another worker at the address for the end of the life', async context => {
 		const server = http.createServer((_req, res) => {
 			res.writeHead(421).end('{"clock-ms":1}');
