Draw evacuations of data centres in the soak

Cause: the soak shows no evacuation among its faults. Change: machines lie in three data centres; an operator evacuates them at drawn times, up to two at once, and withdraws that, with calls repeated to any keeper; a start there later than 5,000 ms after the acknowledgement, a refused call and one without an acknowledgement in 30 s are breaks.

--- a/tests/utils/soak.spec.ts
+++ b/tests/utils/soak.spec.ts
@@ -3,6 +3,9 @@
 import {createRandom} from '@bronzebend/core';
 import type {WorkerRun} from '@bronzebend/utils/platform-stand-ins';
 import {findCause, faultsNear, type LogLine} from '@bronzebend/utils/soak/breaks';
+import {
+	drawEvacuations, EVACUATE_MS, findEvacuationBreaks, type SeenEvacuation,
+} from '@bronzebend/utils/soak/evacuations';
 import {endOf, findViolations, type JobRecord} from '@bronzebend/utils/soak/ledger';
 import {drawFaults, type Fault, workerKinds} from '@bronzebend/utils/soak/schedule';
 import {createLife, type SoakRun} from '@bronzebend/utils/soak/worker-life';
@@ -74,6 +77,32 @@
 	});
 });
 
+describe('the evacuations of a soak', () => {
+	it('should be the same for a seed, and some should last for longer than the bound', () => {
+		const draw = () => drawEvacuations(createRandom(7), {zones: ['a', 'b', 'c'], lengthMs: 60_000});
+		assert.deepEqual(draw(), draw());
+		assert.ok(draw().some(({forMs}) => forMs > EVACUATE_MS));
+		assert.deepEqual(drawEvacuations(createRandom(7), {zones: ['a'], lengthMs: 1000}), []);
+	});
+
+	// Guards against a check that passes whatever starts in the data centre.
+	it('should find starts after the bound, and calls that were refused or not answered', () => {
+		const seen = (changes: Partial<SeenEvacuation['calls'][number]> = {}): SeenEvacuation => ({
+			zone: 'a', calls: [{
+				call: 'Begin', zone: 'a', sentMs: 500, ackMs: 1000, attempts: 1, ...changes,
+			}, {
+				call: 'Terminate', zone: 'a', sentMs: 9000, ackMs: 9100, attempts: 1,
+			}],
+		});
+		const rulesAt = (startMs: number, evacuation = seen(), worker = 'w-a'): string[] => findEvacuationBreaks([evacuation], [runOf({worker, startMs})], id => id.at(-1)).map(({rule}) => rule);
+		assert.deepEqual([900, 6000, 9000].map(startMs => rulesAt(startMs)), [[], [], []]);
+		assert.deepEqual(rulesAt(6001), ['start-in-evacuated']);
+		assert.deepEqual(rulesAt(6001, seen(), 'w-b'), []);
+		assert.deepEqual(rulesAt(6001, seen({ackMs: undefined, refusal: 409})), ['evacuation-refused']);
+		assert.deepEqual(rulesAt(6001, seen({ackMs: undefined})), ['evacuation-unanswered']);
+	});
+});
+
 describe('the report of a break', () => {
 	const lineOf = (changes: Partial<LogLine>): LogLine => ({
 		timestamp: new Date(3000).toISOString(), node: 'k-1', message: 'Worker life ended; recording its runs as lost.', worker: 'w-1@5', cause: 'gone', ...changes,
--- a/utils/soak.ts
+++ b/utils/soak.ts
@@ -1,10 +1,10 @@
 /**
 Soak of the job programs: real keepers and entries as separate processes, with stand-in workers, callers
-and an operator, under faults that are drawn from a seed. Ends with code 1 if a promise was broken, and
+and an operator, under faults and evacuations of data centres that are drawn from a seed. Ends with code 1 if a promise was broken, and
 with code 2 if a soak could not begin; the logs of both are kept.
 
 	npm run soak -- SEED... [--seconds N] [--kinds KIND,...] [--programs FOLDER] [--logs FOLDER]
-		[--keepers N] [--entries N] [--pools N] [--workers-per-pool N] [--jobs-per-s N] [--keep]
+		[--keepers N] [--entries N] [--pools N] [--workers-per-pool N] [--jobs-per-s N] [--no-evacuations] [--keep]
 */
 import {mkdirSync, rmSync, writeFileSync} from 'node:fs';
 import os from 'node:os';
@@ -16,6 +16,9 @@
 import {root} from './process-cluster.js';
 import {describeBreak, readLogs} from './soak/breaks.js';
 import {createCallers} from './soak/callers.js';
+import {
+	createEvacuator, drawEvacuations, findEvacuationBreaks, longestEffectMs,
+} from './soak/evacuations.js';
 import {createInjector} from './soak/inject.js';
 import {findViolations, type JobRecord, type Violation} from './soak/ledger.js';
 import {
@@ -24,6 +27,7 @@
 import {
 	type Site, SiteError, type SiteSize, startSite,
 } from './soak/site.js';
+import {ZONES} from './soak/processes.js';
 import type {SoakRun} from './soak/worker-life.js';
 
 /** Pause between two manifests, and between two waves, in milliseconds. */
@@ -44,9 +48,9 @@
 	setTimeout(resolve, milliseconds);
 });
 
-type SoakOptions = {seed: number; lengthMs: number; kinds: readonly FaultKind[]; programs: string; folder: string; size: SiteSize; jobsPerS: number};
+type SoakOptions = {seed: number; lengthMs: number; kinds: readonly FaultKind[]; programs: string; folder: string; size: SiteSize; jobsPerS: number; hasEvacuations: boolean};
 
-type Seen = {violations: Array<Violation<SoakRun>>; jobs: JobRecord[]; faults: Fault[]; runs: SoakRun[]; startMs: number; ended: string[]; indexOf: Site['indexOf']};
+type Seen = {violations: Array<Violation<SoakRun>>; jobs: JobRecord[]; faults: Fault[]; runs: SoakRun[]; startMs: number; ended: string[]; indexOf: Site['indexOf']; evacuations: number; effectMs: number};
 
 /** Publishes manifests and requests waves until the soak is over; returns the newest version that was acknowledged. */
 const operate = async (site: Site, random: () => number, isOver: () => boolean): Promise<number> => {
@@ -68,7 +72,7 @@
 	return acknowledged;
 };
 
-const soak = async ({seed, lengthMs, kinds, programs, folder, size, jobsPerS}: SoakOptions): Promise<Seen> => {
+const soak = async ({seed, lengthMs, kinds, programs, folder, size, jobsPerS, hasEvacuations}: SoakOptions): Promise<Seen> => {
 	const random = createRandom(seed);
 	const faults = drawFaults(random, {
 		keepers: size.keepers, entries: size.entries, workers: (size.pools - 1) * size.workersPerPool, lengthMs, kinds,
@@ -88,7 +92,16 @@
 			site.record('soak', 'fault', fault);
 			await inject(fault);
 		});
-		const [acknowledgedVersion] = await Promise.all([operate(site, createRandom(seed + 3), isOver), callers.run(), ...injected]);
+		// Drawn from numbers of their own, so that the faults of a seed stay the same.
+		const evacuationRandom = createRandom(seed + 4);
+		const evacuator = createEvacuator({
+			random: evacuationRandom, controls: site.controls, zones: ZONES, record: site.record,
+		});
+		const evacuated = (hasEvacuations ? drawEvacuations(evacuationRandom, {zones: ZONES, lengthMs}) : []).map(async drawn => {
+			await pause(drawn.atMs);
+			await evacuator.carryOut(drawn, isOver);
+		});
+		const [acknowledgedVersion] = await Promise.all([operate(site, createRandom(seed + 3), isOver), callers.run(), ...injected, ...evacuated]);
 		let readVersion = 0;
 		const finishMs = Date.now() + FINISH_MS;
 		for (let open = 1; (open > 0 || readVersion < acknowledgedVersion) && Date.now() < finishMs;) {
@@ -98,9 +111,9 @@
 		}
 
 		return {
-			violations: findViolations({
+			violations: [...findViolations({
 				jobs: callers.jobs, runs: site.runs, acknowledgedVersion, readVersion,
-			}), jobs: callers.jobs, faults, runs: site.runs, startMs, ended: site.processes.ended(), indexOf: site.indexOf,
+			}), ...findEvacuationBreaks(evacuator.seen, site.runs, site.zoneOf)], evacuations: evacuator.seen.length, effectMs: longestEffectMs(evacuator.seen, site.runs, site.zoneOf), jobs: callers.jobs, faults, runs: site.runs, startMs, ended: site.processes.ended(), indexOf: site.indexOf,
 		};
 	} finally {
 		await site.stop();
@@ -128,6 +141,7 @@
 		pools: {type: 'string', default: '5'},
 		'workers-per-pool': {type: 'string', default: '8'},
 		'jobs-per-s': {type: 'string', default: '10'},
+		'no-evacuations': {type: 'boolean', default: false},
 		keep: {type: 'boolean', default: false},
 	},
 });
@@ -173,7 +187,7 @@
 
 let broken = 0;
 let failed = 0;
-print('| seed | faults | jobs | accepted | runs | broken | longest stall of the stand-ins, ms |\n| --- | --- | --- | --- | --- | --- | --- |');
+print('| seed | faults | evacuations | jobs | accepted | runs | broken | latest start after an evacuation, ms | longest stall of the stand-ins, ms |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |');
 for (const seed of seeds) {
 	const folder = path.join(values.logs, `soak-${seed}-${process.pid}`);
 	mkdirSync(folder, {recursive: true});
@@ -181,10 +195,10 @@
 	stalls.enable();
 	try {
 		const seen = await soak({
-			seed, lengthMs: number(values.seconds, 'seconds') * 1000, kinds, programs: path.resolve(values.programs), folder, size, jobsPerS: number(values['jobs-per-s'], 'jobs-per-s'),
+			seed, lengthMs: number(values.seconds, 'seconds') * 1000, kinds, programs: path.resolve(values.programs), folder, size, jobsPerS: number(values['jobs-per-s'], 'jobs-per-s'), hasEvacuations: !values['no-evacuations'],
 		});
 		const {violations, jobs, faults, runs} = seen;
-		print(`| ${seed} | ${faults.length} | ${jobs.length} | ${jobs.filter(job => job.statuses.includes(200)).length} | ${runs.length} | ${violations.length} | ${Math.round(stalls.max / 1e6)} |`);
+		print(`| ${seed} | ${faults.length} | ${seen.evacuations} | ${jobs.length} | ${jobs.filter(job => job.statuses.includes(200)).length} | ${runs.length} | ${violations.length} | ${Math.round(seen.effectMs)} | ${Math.round(stalls.max / 1e6)} |`);
 		broken += violations.length;
 		if (violations.length > 0) {
 			reportBreaks(folder, seen);
--- a/utils/soak/ledger.ts
+++ b/utils/soak/ledger.ts
@@ -7,7 +7,7 @@
 };
 
 /** A promise that was broken, with the case; the two runs if it is about runs, the earlier one first. */
-export type Violation<Run extends WorkerRun = WorkerRun> = {rule: 'accepted-job-lost' | 'refused-job-ran' | 'two-runs-at-once' | 'run-again-after-its-end' | 'manifest-older'; detail: string; runs?: [Run, Run]};
+export type Violation<Run extends WorkerRun = WorkerRun> = {rule: 'accepted-job-lost' | 'refused-job-ran' | 'two-runs-at-once' | 'run-again-after-its-end' | 'manifest-older' | 'start-in-evacuated' | 'evacuation-refused' | 'evacuation-unanswered'; detail: string; runs?: [Run, Run]};
 
 const isAccepted = (job: JobRecord): boolean => job.statuses.some(status => status >= 200 && status < 300);
 
--- a/utils/soak/processes.ts
+++ b/utils/soak/processes.ts
@@ -15,6 +15,8 @@
 export const SEEDS = 3;
 export const HEARTBEAT_MS = 1500;
 export const MAX_LEASE_MS = 10_000;
+/** Data centres of a soak. */
+export const ZONES = ['a', 'b', 'c'] as const;
 const WRAPPER = fileURLToPath(new URL('core/program.js', import.meta.url));
 
 /** Addresses of a soak; those of two processes never meet. The keepers' list may change. */
@@ -46,6 +48,7 @@
 	const settingsOf = (host: string, isFirst: boolean): string => {
 		const isKeeper = !entries.includes(host);
 		return JSON.stringify({
+			zones: Object.fromEntries(ZONES.map(zone => [zone, 'region-1'])),
 			'node-name': `${isKeeper ? 'keeper' : 'entry'}-${host}`,
 			ip: host,
 			zone: 'a',
--- a/utils/soak/site.ts
+++ b/utils/soak/site.ts
@@ -6,7 +6,7 @@
 import {HOST, KEYS, workOf} from './callers.js';
 import {startMachines} from './machines.js';
 import {
-	addressesOf, createProcesses, HEARTBEAT_MS, MAX_LEASE_MS,
+	addressesOf, createProcesses, HEARTBEAT_MS, MAX_LEASE_MS, ZONES,
 } from './processes.js';
 import {startLinks} from './core/links.js';
 import {send, type SendResult} from './send.js';
@@ -43,6 +43,9 @@
 
 export type Site = Awaited<ReturnType<typeof startSite>>;
 
+/** Data centre of a machine; each pool has machines in all of them. */
+const zoneOfIndex = (index: number): string => ZONES[index % ZONES.length]!;
+
 /** Path prefix of a pool's queue. */
 const prefixOf = (pool: string): string => `/${pool}/`;
 
@@ -84,12 +87,12 @@
 		folder, programs, addresses, record, isRelayed,
 	});
 	const workers = await Promise.all(addresses.workers.map(async (host, index) => createSoakWorker({
-		machine: `m-${index + 1}`, id: nextId(index), pool: pools[Math.floor(index / size.workersPerPool)]!, zone: 'a', host, port: addresses.worker, controls, clock: systemClock, clockRate: SLOWEST_CLOCK + (random() * (1 - SLOWEST_CLOCK)), capacity: CAPACITY, labels: ['a', `r1-${1 + (index % 4)}`], heartbeatMs: HEARTBEAT_MS, maxLeaseMs: MAX_LEASE_MS, random, workOf, runs, record,
+		machine: `m-${index + 1}`, id: nextId(index), pool: pools[Math.floor(index / size.workersPerPool)]!, zone: zoneOfIndex(index), host, port: addresses.worker, controls, clock: systemClock, clockRate: SLOWEST_CLOCK + (random() * (1 - SLOWEST_CLOCK)), capacity: CAPACITY, labels: ['a', `r1-${1 + (index % 4)}`], heartbeatMs: HEARTBEAT_MS, maxLeaseMs: MAX_LEASE_MS, random, workOf, runs, record,
 	})));
 	const newIdOf = (worker: {machine: string}): string => nextId(Number(worker.machine.slice(2)) - 1);
 	const machines = await startMachines({
 		host: addresses.machinesHost, port: addresses.machines, workers, standby: STANDBY, nextId: newIdOf, waves, record,
-		describe: () => ({zone: 'a', labels: ['a', 'r1-1'], capacity: CAPACITY}),
+		describe: ({machine}) => ({zone: zoneOfIndex(Number(machine.slice(2)) - 1), labels: ['a', 'r1-1'], capacity: CAPACITY}),
 	});
 
 	const manifestOf = (version: number) => ({
@@ -155,6 +158,7 @@
 		newIdOf,
 		queues: working.map(pool => prefixOf(pool)),
 		indexOf: (worker: string): number | undefined => indexById.get(worker),
+		zoneOf: (worker: string): string | undefined => (indexById.has(worker) ? zoneOfIndex(indexById.get(worker)!) : undefined),
 		/** Publishes a manifest; returns whether it was acknowledged. */
 		async publish(version: number): Promise<boolean> {
 			const {status, address} = await control('POST', '/Config.Replace', manifestOf(version));
