--- a/tests/daemon/jobs/evacuation-leaders.spec.ts
+++ b/tests/daemon/jobs/evacuation-leaders.spec.ts
@@ -111,6 +111,34 @@
 		assert.deepEqual(store.apply({type: 'runs-start', lives: [here], runs: [{unit: unitOf(11), attempt: 1, life: here.life}]}), {type: 'runs-started', accepted: []});
 	});
 
+	// Guards against jobs that are accepted for capacity which they cannot get.
+	it('should not count capacity there when it admits jobs', async context => {
+		const store = createStore(0);
+		// Work for 7.5 s of both workers, or 15 s of one; admission allows 12 s.
+		store.apply({type: 'submit', order: orderOf('b', [stepOf({count: 60, estimateMs: 1000})]), atMs: 0});
+		const harness = createLeaderHarness(store, {lives});
+		context.after(harness.work.stop);
+		const {steps, spec, times, startAtMs, intervalMs} = orderOf('c');
+		const submit = async (id: string) => {
+			const {type} = await harness.work.answer({
+				type: 'submit', target: {host: 'desk.example', path: `/quotes/${id.repeat(16)}`, key: 'key-north'}, job: {
+					steps, spec, times, startAtMs, intervalMs,
+				},
+			});
+			return type;
+		};
+
+		const types = [await submit('1')];
+		await harness.work.answer({type: 'evacuate', dataCentre: 'a'});
+		// Backlogs are measured at most every 100 ms.
+		await pause(150);
+		types.push(await submit('2'));
+		await harness.work.answer({type: 'end-evacuation', dataCentre: 'a'});
+		await pause(150);
+		types.push(await submit('3'));
+		assert.deepEqual(types, ['accepted', 'rejected', 'accepted']);
+	});
+
 	// Guards against a pass that was planned before the evacuation.
 	it('should place work of a pass that was committed after the evacuation elsewhere', async context => {
 		const store = createStore(4);
--- a/tests/platform/formats.spec.ts
+++ b/tests/platform/formats.spec.ts
@@ -142,6 +142,12 @@
 		assert.equal(parseSettings(text, 'f').peerPort, 7000);
 	});
 
+	// Guards against an evacuation that is refused because the settings' data centres are not known.
+	it('should name the data centres of the deployment, none if they are left out', () => {
+		assert.deepEqual(parseSettings(`${text}zones: {a: north, b: south}\n`, 'f').dataCentres, ['a', 'b']);
+		assert.deepEqual([text, `${text}zones:\n`].map(each => parseSettings(each, 'f').dataCentres), [[], []]);
+	});
+
 	it('should reject invalid settings with a PlatformSettingsError', () => {
 		assert.throws(() => parseSettings(text.replace('seeds', 'sods'), 'f'), PlatformSettingsError);
 		assert.throws(() => parseSettings('a: [', 'f'), PlatformSettingsError);
