Let workers drain for a move, and lend reserves to pools that are short

While a pool had hundreds of waiting work units, pools whose turn had not come kept idle reserves, and a pool whose turn was over kept its machines because its runs were spread over all of them and only idle machines move.

The demand now has an urgent part (lasting work, jobs that can be in time, late jobs that are useless within 500 ms) and a late part. While a pool lacks workers for its urgent part, other pools keep workers for their own urgent part, a quarter of their late part, and 5 % of the fleet in place of their reserve. What they have beyond that moves if it is idle; other workers without lasting work drain for a move, those whose runs end soonest first, at most as many as can move within three steps. No run is stopped.

The model gets maintenance (17 % of the machines out, 4 s each) and limited passes, as the loads andaman-upkeep and yushan-upkeep.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,6 +31,7 @@
 export * from './jobs/placement.js';
 export * from './jobs/quota-ledger.js';
 export * from './jobs/machine-demand.js';
+export * from './jobs/move-drains.js';
 export * from './jobs/run-estimates.js';
 export * from './jobs/scheduler.js';
 export * from './jobs/start-pauses.js';
--- a/packages/core/src/jobs/fleet-balancer.ts
+++ b/packages/core/src/jobs/fleet-balancer.ts
@@ -2,11 +2,13 @@
 Decides which machines move between pools.
 
 Handles load that alternates between queues: a pool with more demand than workers gets machines from
-standby and from pools with a surplus, and surplus machines return to standby. Only idle machines
-are moved, so a move never costs work or availability.
+standby and from pools with a surplus, and surplus machines return to standby. While a pool lacks
+workers for urgent work, other pools give up what they use for late work, and lend their reserves.
+Only idle machines are moved, so a move never costs work or availability.
 */
 import type {JobPool, Resources} from './fleet-manifest.js';
 import type {MachineDemand} from './machine-demand.js';
+import {planDrains, spareWorkers, type PoolPosition} from './move-drains.js';
 import {createMoveRefusals} from './move-refusals.js';
 
 /** Workers that a pool keeps after its latest busy period, as a share of the fleet. */
@@ -15,6 +17,12 @@
 const INITIAL_RESERVE_SHARE = 0.12;
 /** Workers kept by the pool whose latest busy period is the oldest, once every pool has had one, as a share of the fleet. */
 const LONGEST_IDLE_RESERVE_SHARE = 0.15;
+/** Workers that a pool without demand keeps when its reserve is lent, as a share of the fleet; the first jobs of its next turn start on them. 0.03 made these jobs wait longer. */
+const LENT_RESERVE_SHARE = 0.05;
+/** Part of its late work for which a pool keeps workers while another pool lacks workers for urgent work. */
+const KEPT_LATE_SHARE = 0.25;
+/** Steps of the balancer in whose moves a draining worker must have a place; workers that drain for longer than a run takes would only idle. */
+const DRAIN_STEPS = 3;
 /** Factor by which a pool gets more capacity than its demand; work units do not fill machines exactly. */
 const HEADROOM_FACTOR = 1.05;
 /** Time for which a pool must have had a surplus of workers before any return to standby, in milliseconds. */
@@ -44,20 +52,38 @@
 /** A move of one machine between pools. */
 export type MachineMove = {machine: string; from: string; to: string};
 
-/** Number of workers needed for a demand. */
-export const workersFor = (demand: MachineDemand, capacity: Resources): number => {
-	const cpu = Math.max(demand.wanted.cpu, demand.lasting.cpu + demand.arrivingCpu);
-	const memoryMb = Math.max(demand.wanted.memoryMb, demand.lasting.memoryMb + demand.arrivingMemoryMb);
+/** Which decisions a balancer makes beyond moving idle surplus. */
+export type BalancerFeatures = {
+	/** Whether workers of late work drain for pools that lack workers for urgent work. */
+	drains: boolean;
+	/** Whether reserves are lent to pools that lack workers for urgent work. */
+	lends: boolean;
+};
+
+const ALL_FEATURES: BalancerFeatures = {drains: true, lends: true};
+
+/** Number of workers needed for a demand, or for a part of its running and waiting work. */
+export const workersFor = (demand: MachineDemand, capacity: Resources, wanted: Resources = demand.wanted): number => {
+	const cpu = Math.max(wanted.cpu, demand.lasting.cpu + demand.arrivingCpu);
+	const memoryMb = Math.max(wanted.memoryMb, demand.lasting.memoryMb + demand.arrivingMemoryMb);
 	const machines = Math.max(cpu / Math.max(1, capacity.cpu), memoryMb / Math.max(1, capacity.memoryMb));
 	return Math.max(demand.spread, Math.ceil(machines * HEADROOM_FACTOR));
 };
 
+const withLate = ({urgent, late}: MachineDemand): Resources => ({
+	cpu: urgent.cpu + (KEPT_LATE_SHARE * late.cpu),
+	memoryMb: urgent.memoryMb + (KEPT_LATE_SHARE * late.memoryMb),
+	gpu: urgent.gpu + (KEPT_LATE_SHARE * late.gpu),
+});
+
 /** Creates the balancer. It tracks moves in progress and how long each pool has had a surplus of workers. */
-export const createFleetBalancer = () => {
+export const createFleetBalancer = (features: BalancerFeatures = ALL_FEATURES) => {
 	const pendingMoves = new Map<string, {to: string; atMs: number}>();
 	const surplusSince = new Map<string, number>();
 	const refusals = createMoveRefusals();
 	const lastBusyMs = new Map<string, number>();
+	let drains: ReadonlyMap<string, number> = new Map();
+	let lent = 0;
 
 	/** Drops completed and expired moves: a move to standby completes when the list of machines shows it, any other with the first report of the machine's worker. */
 	const dropEndedMoves = ({machines, pools, poolOfMachine, nowMs}: BalanceInput): void => {
@@ -78,6 +104,15 @@
 		return Math.max(1, Math.round(fleetSize * (last === undefined ? INITIAL_RESERVE_SHARE : (isOldest ? LONGEST_IDLE_RESERVE_SHARE : MIN_RESERVE_SHARE))));
 	};
 
+	/** What a pool has, what it needs, and what it keeps while another pool lacks workers for urgent work. */
+	const positionOf = (pool: string, demand: MachineDemand, counts: {available: number; demanded: number; reserve: number; remainder: number}, capacity: Resources): PoolPosition => {
+		const needed = workersFor(demand, capacity, demand.urgent);
+		const forWork = features.drains ? workersFor(demand, capacity, withLate(demand)) : counts.demanded;
+		return {
+			pool, available: counts.available, needed, kept: Math.max(needed, forWork, features.lends ? Math.min(counts.reserve, counts.remainder) : counts.reserve),
+		};
+	};
+
 	const countArriving = (pool: string): number => [...pendingMoves.values()].filter(move => move.to === pool).length;
 
 	return {
@@ -113,9 +148,16 @@
 			refusals.accepted({machine, kind, to});
 		},
 
+		/** Number of workers of each pool that should drain for a move, as of the latest step. */
+		drains: (): ReadonlyMap<string, number> => drains,
+
+		/** Number of workers that pools lack of their reserves while another pool lacks workers for urgent work, as of the latest step. */
+		lent: (): number => lent,
+
 		/** Decides the next moves. */
 		step(input: BalanceInput): MachineMove[] {
 			dropEndedMoves(input);
+			drains = new Map();
 			const standby = new Set(input.pools.filter(pool => pool.standby).map(pool => pool.name));
 			const typicalCapacity = input.machines[0]?.capacity;
 			if (standby.size === 0 || !typicalCapacity) {
@@ -124,7 +166,8 @@
 
 			const activePools = input.pools.filter(pool => !pool.standby).map(pool => pool.name);
 			const balances = activePools.map(name => {
-				const demanded = workersFor(input.demands.get(name)!, typicalCapacity);
+				const demand = input.demands.get(name)!;
+				const demanded = workersFor(demand, typicalCapacity);
 				if (demanded > input.fleetSize * LONGEST_IDLE_RESERVE_SHARE) {
 					lastBusyMs.set(name, input.nowMs);
 				}
@@ -138,39 +181,62 @@
 					surplusSince.set(name, surplusSince.get(name) ?? input.nowMs);
 				}
 
-				return {name, shortage: need - available, urgent: demanded - available};
+				const counts = {
+					available, demanded, reserve, remainder: Math.max(1, Math.round(input.fleetSize * LENT_RESERVE_SHARE)),
+				};
+				return {
+					name,
+					shortage: need - available,
+					demanded: demanded - available,
+					unfilled: Math.max(0, reserve - Math.max(demanded, available)),
+					position: positionOf(name, demand, counts, typicalCapacity),
+				};
 			});
+			const positions = balances.map(({position}) => position);
 			const free = input.machines.filter(machine => machine.isIdle && !pendingMoves.has(machine.name));
 			const surplus = new Map(balances.map(({name, shortage}) => [name, Math.max(0, -shortage)]));
 			const standbyMachines = free.filter(machine => standby.has(machine.pool));
+			/** What pools give only to others that lack workers for urgent work. */
+			const spare = spareWorkers(positions);
+			drains = features.drains ? planDrains(positions, standbyMachines.length, input.maxMoves * DRAIN_STEPS) : new Map();
 			const moves: MachineMove[] = [];
 			const mayMove = ({name, kind}: MovableMachine, to: string): boolean => refusals.mayMove({machine: name, kind, to}, input.nowMs);
 
-			/** Picks a machine for a pool: first from standby, then from the pool with the largest surplus. */
-			const pickMachine = (to: string): MovableMachine | undefined => {
+			/** Picks a machine for a pool: first from standby, then from the pool with the largest surplus, then, for urgent work, from the pool that can spare most. */
+			const pickMachine = (to: string, isUrgent: boolean): MovableMachine | undefined => {
 				const fitting = (machine: MovableMachine): boolean => machine.pool !== to && mayMove(machine, to) && moves.every(move => move.machine !== machine.name);
 				const standbyMachine = standbyMachines.find(machine => fitting(machine));
 				if (standbyMachine) {
 					return standbyMachine;
 				}
 
-				const donors = free.filter(machine => (surplus.get(machine.pool) ?? 0) > 0 && fitting(machine));
-				donors.sort((left, right) => surplus.get(right.pool)! - surplus.get(left.pool)!);
-				return donors[0];
+				for (const amounts of isUrgent ? [surplus, spare] : [surplus]) {
+					const donors = free.filter(machine => (amounts.get(machine.pool) ?? 0) > 0 && fitting(machine));
+					donors.sort((left, right) => amounts.get(right.pool)! - amounts.get(left.pool)!);
+					if (donors[0]) {
+						return donors[0];
+					}
+				}
+
+				return undefined;
 			};
 
-			const shortPools = balances.filter(({shortage}) => shortage > 0);
+			const lacking = ({position}: {position: PoolPosition}): number => (features.drains || features.lends ? Math.max(0, position.needed - position.available) : 0);
+			lent = balances.some(balance => lacking(balance) > 0) ? balances.reduce((sum, {unfilled}) => sum + unfilled, 0) : 0;
+			const shortPools = balances.filter(balance => balance.shortage > 0 || lacking(balance) > 0);
 			// Demand of present work goes before reserves for future work.
-			shortPools.sort((left, right) => Math.max(0, right.urgent) - Math.max(0, left.urgent) || right.shortage - left.shortage);
-			for (const {name, shortage} of shortPools) {
-				for (let missing = shortage; missing > 0 && moves.length < input.maxMoves; missing -= 1) {
-					const machine = pickMachine(name);
+			shortPools.sort((left, right) => lacking(right) - lacking(left) || Math.max(0, right.demanded) - Math.max(0, left.demanded) || right.shortage - left.shortage);
+			for (const balance of shortPools) {
+				const most = Math.max(balance.shortage, lacking(balance));
+				for (let count = 0; count < most && moves.length < input.maxMoves; count += 1) {
+					const machine = pickMachine(balance.name, count < lacking(balance));
 					if (!machine) {
 						break;
 					}
 
 					surplus.set(machine.pool, (surplus.get(machine.pool) ?? 0) - 1);
-					moves.push({machine: machine.name, from: machine.pool, to: name});
+					spare.set(machine.pool, (spare.get(machine.pool) ?? 0) - 1);
+					moves.push({machine: machine.name, from: machine.pool, to: balance.name});
 				}
 			}
 
--- a/packages/core/src/jobs/machine-demand.ts
+++ b/packages/core/src/jobs/machine-demand.ts
@@ -1,10 +1,12 @@
 /** Measures the demand on each pool: running, waiting and arriving work. */
-import {type Resources} from './fleet-manifest.js';
+import {NO_RESOURCES, type Resources} from './fleet-manifest.js';
 import type {JobStore} from './job-store.js';
 import {
 	isOpen, isStepReady, type Job, type WorkUnit,
 } from './job.js';
-import {remainingMs, tierOf, Tiers} from './job-ranking.js';
+import {
+	LATE_FACTOR, objectiveOf, remainingMs, type Tier, tierOf, Tiers,
+} from './job-ranking.js';
 import type {RunEstimates} from './run-estimates.js';
 import {createQuotaLedger, type QuotaLedger} from './quota-ledger.js';
 
@@ -16,11 +18,17 @@
 const RISE_EXTRAPOLATION_MS = 1000;
 /** Weight of late jobs' waiting work in the demand; finishing it sooner brings little benefit. */
 const LATE_WEIGHT = 0.25;
+/** Spare time before it becomes useless with which a late job counts as urgent, in milliseconds; less than a move takes, so that another machine would come too late. */
+const USELESS_SOON_MS = 500;
 
 /** Demand on one pool. */
 export type MachineDemand = {
 	/** Resources of the running work, and of the waiting work that could run now if there were room. */
 	wanted: Resources;
+	/** Running and waiting work of lasting steps, of jobs that can still be in time, and of late jobs that are about to become useless. */
+	urgent: Resources;
+	/** Running and waiting work of the other late jobs that still benefit from finishing sooner. */
+	late: Resources;
 	/** Part of `wanted` that belongs to lasting steps. */
 	lasting: Resources;
 	/** Cores needed to keep up with arriving work, in thousandths. */
@@ -70,11 +78,35 @@
 };
 
 const emptyDemand = (): MachineDemand => ({
-	wanted: {cpu: 0, memoryMb: 0, gpu: 0}, lasting: {cpu: 0, memoryMb: 0, gpu: 0}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0,
+	wanted: {...NO_RESOURCES}, urgent: {...NO_RESOURCES}, late: {...NO_RESOURCES}, lasting: {...NO_RESOURCES}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0,
 });
 
-/** Adds a job to its pool's demand: its running work, and the waiting work that can start within its workspace's limit, multiplied by a weight. */
-const addJobDemand = (demand: MachineDemand, job: Job, weight: number, quota: QuotaLedger, {store, wallMs}: {store: JobStore; wallMs: number}): void => {
+const addUnits = (target: Resources, amount: Resources, units: number): void => {
+	target.cpu += amount.cpu * units;
+	target.memoryMb += amount.memoryMb * units;
+	target.gpu += amount.gpu * units;
+};
+
+/** Tells whether a job's work belongs to the urgent part of the demand, to the late part, or to neither because it is past use. */
+const partOf = (job: Job, tier: Tier, remaining: number, wallMs: number): 'urgent' | 'late' | undefined => {
+	if (tier <= Tiers.inTime) {
+		return 'urgent';
+	}
+
+	if (tier === Tiers.deferrable) {
+		return undefined;
+	}
+
+	const uselessInMs = (LATE_FACTOR * objectiveOf(job)) - (wallMs - job.acceptedAtMs) - remaining;
+	return uselessInMs < USELESS_SOON_MS ? 'urgent' : 'late';
+};
+
+/** Adds a job to its pool's demand: its running work, and the waiting work that can start within its workspace's limit. */
+const addJobDemand = (demand: MachineDemand, job: Job, quota: QuotaLedger, {store, estimates, wallMs}: {store: JobStore; estimates: RunEstimates; wallMs: number}): void => {
+	const remaining = remainingMs(job, estimates);
+	const tier = tierOf(job, wallMs, remaining);
+	const weight = tier > Tiers.inTime ? LATE_WEIGHT : 1;
+	const part = partOf(job, tier, remaining, wallMs);
 	for (const occurrence of job.occurrences.filter(each => each.dueMs <= wallMs)) {
 		for (const [number, step] of job.order.steps.entries()) {
 			if (!isStepReady(job, occurrence, number)) {
@@ -84,12 +116,15 @@
 			const countOf = (state: WorkUnit['state']): number => occurrence.steps[number]!.filter(unit => unit.state === state).length;
 			const startable = quota.maxWithinLimit(job.order.workspace, step.resources, countOf('idle'));
 			quota.reserve(job.order.workspace, step.resources, startable);
-			const units = countOf('running') + (startable * weight);
+			const running = countOf('running');
 			const amount = store.reserved(job, number);
-			for (const target of step.lasting ? [demand.wanted, demand.lasting] : [demand.wanted]) {
-				target.cpu += amount.cpu * units;
-				target.memoryMb += amount.memoryMb * units;
-				target.gpu += amount.gpu * units;
+			addUnits(demand.wanted, amount, running + (startable * weight));
+			if (part) {
+				addUnits(demand[part], amount, running + startable);
+			}
+
+			if (step.lasting) {
+				addUnits(demand.lasting, amount, running + (startable * weight));
 			}
 
 			if (step.lasting && step.perWorker !== undefined) {
@@ -107,8 +142,7 @@
 	for (const job of store.openJobs()) {
 		const demand = demands.get((manifest?.queue(job.order.queue) ?? job.queue).pool);
 		if (demand && isOpen(job)) {
-			const isLate = tierOf(job, wallMs, remainingMs(job, estimates)) > Tiers.inTime;
-			addJobDemand(demand, job, isLate ? LATE_WEIGHT : 1, quota, {store, wallMs});
+			addJobDemand(demand, job, quota, {store, estimates, wallMs});
 		}
 	}
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -13,6 +13,7 @@
 export * from './utils/log.js';
 export * from './jobs/advice-cache.js';
 export * from './jobs/call-relay.js';
+export * from './jobs/draining-workers.js';
 export * from './jobs/relayed-calls.js';
 export * from './jobs/group-client.js';
 export * from './jobs/group-watch.js';
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -98,7 +98,7 @@
 		propose,
 		trackOf: fleet.trackOf,
 		isBeingUsed: life => proposedLives.has(life),
-		usable: () => new Set(workers.list().map(worker => worker.life)),
+		usable: () => workers.lives(),
 		shortPools: () => new Set([...waitingUnits].filter(([, count]) => count > 0).map(([pool]) => pool)),
 		evacuate: fleet.evacuate,
 		onEnded(life, proof) {
@@ -309,6 +309,8 @@
 		metrics.manifestVersion.set(store.manifest()?.manifest.version ?? 0);
 		metrics.workers.set({state: 'known'}, directory.list().length);
 		metrics.workers.set({state: 'busy'}, fleet.size());
+		metrics.workers.set({state: 'draining-for-move'}, machines?.drainingCount() ?? 0);
+		metrics.lentReserves.set(machines?.lentReserves() ?? 0);
 		requestPass();
 	}, PASS_INTERVAL_MS)];
 
--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -52,6 +52,7 @@
 		workers: new Gauge({
 			name: 'bronzebend_workers', help: 'Workers by state, at the leader', labelNames: ['state'], registers,
 		}),
+		lentReserves: new Gauge({name: 'bronzebend_lent_reserves', help: 'Workers that pools lack of their reserves while another pool lacks workers for urgent work, at the leader', registers}),
 		manifestVersion: new Gauge({name: 'bronzebend_manifest_version', help: 'Version of the manifest in force, at the leader', registers}),
 		term: new Gauge({name: 'bronzebend_term', help: 'Term of the leader, at the leader', registers}),
 	};
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -5,6 +5,7 @@
 	type RunEstimates, type UpkeepInput, type UpkeepWave, type WorkerDirectory, type WorkerEntry, type WorkerTrack,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
+import {createDrainingWorkers} from './draining-workers.js';
 import {createForeignOrders, SEND_TIMEOUT_MS} from './foreign-orders.js';
 import type {MachineHolder, MachinePort, MachineResult} from './ports.js';
 
@@ -40,7 +41,7 @@
 	trackOf(life: string): WorkerTrack | undefined;
 	/** True if starts on this life have been proposed and may not be committed yet. */
 	isBeingUsed(life: string): boolean;
-	/** Lives that may take new work. */
+	/** Lives that may take new work, or would if they did not drain for a move. */
 	usable(): ReadonlySet<string>;
 	/** Pools with work that waits for room. */
 	shortPools(): ReadonlySet<string>;
@@ -64,6 +65,7 @@
 	const ordered = new Set<string>();
 	const startedMs = clock.monotonicMs();
 	const foreignOrders = createForeignOrders(options);
+	const draining = createDrainingWorkers(options);
 	/** Waves whose completion is being committed. */
 	const completing = new Set<number>();
 	let machines = new Map<string, Machine>();
@@ -281,6 +283,7 @@
 			maxMoves: Math.max(1, Math.floor(options.ordersPerS * MOVES_SHARE * STEP_INTERVAL_MS / 1000)),
 			nowMs: clock.monotonicMs(),
 		});
+		draining.choose(balancer.drains(), lives);
 		await Promise.all(moves.map(async chosen => move(chosen)));
 	};
 
@@ -323,6 +326,9 @@
 				orderSettledMs: foreignOrders.settledMs(machine),
 			}));
 		},
+		isDraining: draining.has,
+		drainingCount: draining.count,
+		lentReserves: balancer.lent,
 		/** Capacity that a pool has or can get within seconds, in thousandths of a core: its own machines and those in standby pools, even if their workers have not announced themselves yet; undefined before the first list. */
 		reachableCpu(pool: string): number | undefined {
 			if (machines.size === 0) {
--- a/packages/daemon/src/jobs/usable-workers.ts
+++ b/packages/daemon/src/jobs/usable-workers.ts
@@ -9,8 +9,8 @@
 /** Announcement intervals of silence after which a worker gets no new work. */
 const MAX_MISSED_REPORTS = 3;
 
-/** Why a worker takes no new work: `unreachable` by its session, `suspect` or `paused` after failures, `machine` while its machine is ordered, emptied or in doubt. */
-type OutOfUse = 'left' | 'draining' | 'unreachable' | 'silent' | 'suspect' | 'paused' | 'machine';
+/** Why a worker takes no new work: `unreachable` by its session, `suspect` or `paused` after failures, `machine` while its machine is ordered, emptied or in doubt, `draining-for-move` while its machine is to move to another pool. */
+type OutOfUse = 'left' | 'draining' | 'unreachable' | 'silent' | 'suspect' | 'paused' | 'machine' | 'draining-for-move';
 
 /** Creates the view of one term. */
 export const createUsableWorkers = ({clock, directory, reportMs, fleet, monitor, machines}: {
@@ -21,7 +21,7 @@
 	fleet: Pick<WorkerFleet, 'isReachable'>;
 	monitor: Pick<RunMonitor, 'heldBack' | 'slowness'>;
 	/** Returns the control of machines, if there is one. */
-	machines(): Pick<MachineController, 'mayTakeWork'> | undefined;
+	machines(): (Pick<MachineController, 'mayTakeWork'> & Partial<Pick<MachineController, 'isDraining'>>) | undefined;
 }) => {
 	const whyNot = (entry: WorkerEntry, nowMs: number): OutOfUse | undefined => {
 		if (entry.left) {
@@ -40,7 +40,11 @@
 			return 'silent';
 		}
 
-		return machines()?.mayTakeWork(entry) === false ? 'machine' : monitor.heldBack(entry.life, nowMs);
+		if (machines()?.mayTakeWork(entry) === false) {
+			return 'machine';
+		}
+
+		return monitor.heldBack(entry.life, nowMs) ?? (machines()?.isDraining?.(entry.life) ? 'draining-for-move' : undefined);
 	};
 
 	const listWhere = (isListed: (cause: OutOfUse | undefined) => boolean): SchedulableWorker[] => {
@@ -54,6 +58,9 @@
 		/** Workers that may take work. */
 		list: () => listWhere(cause => cause === undefined),
 
+		/** Lives of the workers that may take work or drain for a move. */
+		lives: () => new Set(listWhere(cause => cause === undefined || cause === 'draining-for-move').map(({life}) => life)),
+
 		/** Workers that take no work for suspicion alone. */
 		suspects: () => listWhere(cause => cause === 'suspect'),
 
--- a/tests/daemon/jobs/usable-workers.spec.ts
+++ b/tests/daemon/jobs/usable-workers.spec.ts
@@ -13,7 +13,7 @@
 	it('should count the workers of a pool that take no work by cause', () => {
 		const directory = createWorkerDirectory();
 		directory.announce(announcementOf('silent'), 0);
-		for (const id of ['free', 'left', 'mute', 'ill', 'late', 'moved', 'moved-too']) {
+		for (const id of ['free', 'left', 'mute', 'ill', 'late', 'moved', 'moved-too', 'moves-soon']) {
 			directory.announce(announcementOf(id), 5000);
 		}
 
@@ -26,10 +26,11 @@
 			reportMs: REPORT_MS,
 			fleet: {isReachable: life => life !== lifeOf('mute', 1)},
 			monitor: {heldBack: life => (life === lifeOf('ill', 1) ? 'suspect' : (life === lifeOf('late', 1) ? 'paused' : undefined)), slowness: () => 1},
-			machines: () => ({mayTakeWork: ({id}) => !id.startsWith('moved')}),
+			machines: () => ({mayTakeWork: ({id}) => !id.startsWith('moved'), isDraining: life => life === lifeOf('moves-soon', 1)}),
 		});
 		assert.deepEqual(workers.list().map(({id}) => id), ['free']);
-		assert.deepEqual(workers.outOfUse('bench')?.split(' ').toSorted(), ['draining:1', 'left:1', 'machine:2', 'paused:1', 'silent:1', 'suspect:1', 'unreachable:1']);
+		assert.deepEqual([...workers.lives()], [lifeOf('free', 1), lifeOf('moves-soon', 1)]);
+		assert.deepEqual(workers.outOfUse('bench')?.split(' ').toSorted(), ['draining-for-move:1', 'draining:1', 'left:1', 'machine:2', 'paused:1', 'silent:1', 'suspect:1', 'unreachable:1']);
 		assert.equal(workers.outOfUse('spare'), 'draining:1');
 		assert.equal(workers.outOfUse('other'), undefined);
 	});
--- a/utils/experiment/load.ts
+++ b/utils/experiment/load.ts
@@ -37,6 +37,10 @@
 	/** Number of machines that crash halfway through the load and do not come back. */
 	crashedMachines: number;
 	workspaces: number;
+	/** Interval of the scheduling passes, in milliseconds; one in each step of the clock if undefined. */
+	passMs?: number;
+	/** A wave of maintenance: when it begins, how many of the machines may be out at once, and how long each is out, in milliseconds. */
+	upkeep?: {fromMs: number; share: number; downMs: number};
 	/** Deviations from the regular load; absent in the loads that have none. */
 	irregular?: IrregularLoad;
 };
@@ -210,6 +214,11 @@
 /** A load whose leader is lost in the first turn, for the time that all keepers take to come back. */
 const withLongOutage = (load: Load): Load => ({...load, name: `${load.name}-outage`, irregular: {...load.irregular!, outages: [{fromMs: 1500, forMs: 4500}]}});
 
+/** A load as on an observed day: planning limits the passes, and maintenance takes up to 17 % of the machines, each for 4 s. */
+const withUpkeep = (load: Load): Load => ({
+	...load, name: `${load.name}-upkeep`, passMs: 40, upkeep: {fromMs: 4000, share: 0.17, downMs: 4000},
+});
+
 /** All loads by name. */
 export const loads: Load[] = [
 	schaumwerk,
@@ -224,4 +233,6 @@
 	withLongOutage(andaman),
 	yushan,
 	withLongOutage(yushan),
+	withUpkeep(andaman),
+	withUpkeep(yushan),
 ];
--- a/utils/experiment/model.ts
+++ b/utils/experiment/model.ts
@@ -1,10 +1,11 @@
 /** Simulated fleet on a virtual clock that runs the work placed by the real scheduling code. */
 import {
-	createArrivalMeter, createFleetBalancer, createJobStore, createRunEstimates, groupBy, isOpen, LATE_FACTOR, lifeOf, measureBacklogs, measureDemand, objectiveOf, planStarts, retryAfterMs, RunEnds,
-	type Job, type JobStore, type JobQueue, type JobRank, type MovableMachine, type WorkerLife,
+	chooseDraining, createArrivalMeter, createFleetBalancer, createJobStore, createRunEstimates, groupBy, isOpen, LATE_FACTOR, lifeOf, measureBacklogs, measureDemand, objectiveOf, planStarts, retryAfterMs, RunEnds,
+	type BalancerFeatures, type DrainCandidate, type Job, type JobStore, type JobQueue, type JobRank, type MovableMachine, type WorkerLife,
 } from '@bronzebend/core';
 import type {Load, SimulatedJob} from './load.js';
 import {followDemand} from './oracle.js';
+import {createUpkeep} from './upkeep.js';
 
 /** Step of the virtual clock, in milliseconds; about the duration of one commit. */
 const STEP_MS = 10;
@@ -31,6 +32,8 @@
 	capacity: Capacity;
 	/** Whether jobs are rejected while the backlog of their queue is too large. */
 	refuses: boolean;
+	/** Decisions of the balancer that are switched off. */
+	without?: ReadonlyArray<keyof BalancerFeatures>;
 };
 
 /** Outcome of one job; `past-use` is beyond three times its objective. */
@@ -68,7 +71,7 @@
 	const manifest = store.manifest()!;
 	const estimates = createRunEstimates();
 	const arrivals = createArrivalMeter();
-	const balancer = createFleetBalancer();
+	const balancer = createFleetBalancer({drains: !strategy.without?.includes('drains'), lends: !strategy.without?.includes('lends')});
 	const byId = new Map(jobs.map(job => [job.order.id, job]));
 	const capacity = {cpu: load.machines.cpu, memoryMb: load.machines.memoryMb, gpu: 0};
 	const firstStart = new Map<string, number>();
@@ -78,6 +81,8 @@
 	let moves = 0;
 	let lostCoreSeconds = 0;
 	let nextJob = 0;
+	/** Lives that drain for a move, as at the leader. */
+	let draining: ReadonlySet<string> = new Set();
 
 	const initialPools = (): string[] => {
 		const pools = load.queues.map(queue => queue.name);
@@ -117,6 +122,17 @@
 		}
 	};
 
+	const upkeep = createUpkeep({
+		load,
+		machines,
+		sparePool: SPARE_POOL,
+		hasWork: ({life}) => runs.some(run => run.life === life?.life && run.endMs < Infinity),
+		takeOut(machine, nowMs, downMs) {
+			endLife(machine, nowMs);
+			machine.upAtMs = nowMs + downMs;
+		},
+	});
+
 	const admit = (played: SimulatedJob, nowMs: number): void => {
 		const workers = machines.filter(machine => machine.life?.pool === played.order.queue).length;
 		const backlog = {coreMs: measureBacklogs(store, estimates).get(played.order.queue) ?? 0, capacityCpu: workers * capacity.cpu};
@@ -152,7 +168,7 @@
 
 	/** Starts what fits; returns the number of work units that found no room, by pool. */
 	const startRuns = (nowMs: number): ReadonlyMap<string, number> => {
-		const workers = machines.flatMap(({life}) => (life ? [{...life, slowness: 1}] : []));
+		const workers = machines.flatMap(({name, life}) => (life && !draining.has(life.life) && !upkeep.isEmptying(name) ? [{...life, slowness: 1}] : []));
 		const {starts, waiting} = planStarts({
 			store, manifest, workers, estimates, wallMs: nowMs, avoided: () => undefined, approved: () => undefined, maxStarts: 200, compare: strategy.compare,
 		});
@@ -173,6 +189,17 @@
 		return waiting;
 	};
 
+	const drainCandidate = ({life, pool}: WorkerLife, nowMs: number): DrainCandidate => {
+		const own = [...store.runsOf(life).values()];
+		const endsInMs = runs.filter(run => run.life === life && run.endMs < Infinity).map(run => {
+			const {job, step} = store.find(run.unit)!;
+			return Math.max(0, run.startMs + estimates.expectedMs(job.order.queue, job.order.steps[step]!.estimateMs) - nowMs);
+		});
+		return {
+			life, pool, runsLasting: own.some(({job, step}) => job.order.steps[step]!.lasting), endsInMs: Math.max(0, ...endsInMs),
+		};
+	};
+
 	const isIdle = (machine: ModelMachine): boolean => machine.life === undefined || store.runsOf(machine.life.life).size === 0;
 
 	const followOracle = (nowMs: number): void => {
@@ -203,6 +230,7 @@
 			maxMoves: MAX_MOVES_PER_STEP,
 			nowMs,
 		});
+		draining = chooseDraining(up.flatMap(({life}) => (life ? [drainCandidate(life, nowMs)] : [])), balancer.drains(), draining);
 		for (const chosen of decided) {
 			const machine = machines.find(each => each.name === chosen.machine)!;
 			balancer.ordered(chosen, nowMs);
@@ -239,10 +267,14 @@
 		endRuns(nowMs);
 		if (strategy.capacity === 'oracle') {
 			followOracle(nowMs);
-		} else {
+		} else if (nowMs % (load.passMs ?? STEP_MS) === 0) {
 			startRuns(nowMs);
 		}
 
+		if (load.upkeep && nowMs % BALANCE_INTERVAL_MS === 0) {
+			upkeep.step(nowMs);
+		}
+
 		if (strategy.capacity === 'balancer' && nowMs % BALANCE_INTERVAL_MS === 0) {
 			move(nowMs);
 		}
