--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -56,6 +56,7 @@
 		evacuatedRuns: new Gauge({
 			name: 'bronzebend_evacuated_runs', help: 'Runs left in evacuated data centres, at the leader', labelNames: ['data_centre'], registers,
 		}),
+		lentReserves: new Gauge({name: 'bronzebend_lent_reserves', help: 'Workers that pools lack of their reserves while another pool lacks workers for urgent work, at the leader', registers}),
 		manifestVersion: new Gauge({name: 'bronzebend_manifest_version', help: 'Version of the manifest in force, at the leader', registers}),
 		term: new Gauge({name: 'bronzebend_term', help: 'Term of the leader, at the leader', registers}),
 	};
--- a/packages/daemon/src/jobs/usable-workers.ts
+++ b/packages/daemon/src/jobs/usable-workers.ts
@@ -14,8 +14,8 @@
 /** Slowness of such a worker; above the one from which a worker gets work only if no other has room. */
 const COLD_SLOWNESS = 4;
 
-/** Why a worker takes no new work: `unreachable` by its session, `suspect` or `paused` after failures, `machine` while its machine is ordered, emptied or in doubt, `evacuated` with its data centre. */
-type OutOfUse = 'left' | 'draining' | 'unreachable' | 'silent' | 'suspect' | 'paused' | 'machine' | 'evacuated';
+/** Why a worker takes no new work: `unreachable` by its session, `suspect` or `paused` after failures, `machine` while its machine is ordered, emptied or in doubt, `evacuated` with its data centre, `draining-for-move` while its machine is to move to another pool. */
+type OutOfUse = 'left' | 'draining' | 'unreachable' | 'silent' | 'suspect' | 'paused' | 'machine' | 'evacuated' | 'draining-for-move';
 
 /** Creates the view of one term. */
 export const createUsableWorkers = ({clock, store, directory, reportMs, fleet, monitor, machines}: {
@@ -27,7 +27,7 @@
 	fleet: Pick<WorkerFleet, 'isReachable'>;
 	monitor: Pick<RunMonitor, 'heldBack' | 'slowness'>;
 	/** Returns the control of machines, if there is one. */
-	machines(): Pick<MachineController, 'mayTakeWork'> | undefined;
+	machines(): (Pick<MachineController, 'mayTakeWork'> & Partial<Pick<MachineController, 'isDraining'>>) | undefined;
 }) => {
 	const whyNot = (entry: WorkerEntry, nowMs: number): OutOfUse | undefined => {
 		if (entry.left) {
@@ -50,7 +50,7 @@
 			return 'machine';
 		}
 
-		return store.isEvacuated(entry.zone) ? 'evacuated' : monitor.heldBack(entry.life, nowMs);
+		return store.isEvacuated(entry.zone) ? 'evacuated' : monitor.heldBack(entry.life, nowMs) ?? (machines()?.isDraining?.(entry.life) ? 'draining-for-move' : undefined);
 	};
 
 	/** True if a worker of a data centre whose evacuation was withdrawn a short time ago is still slow after its start. */
@@ -72,6 +72,9 @@
 		/** Workers that may take work. */
 		list: () => listWhere(cause => cause === undefined),
 
+		/** Lives of the workers that may take work or drain for a move. */
+		lives: () => new Set(listWhere(cause => cause === undefined || cause === 'draining-for-move').map(({life}) => life)),
+
 		/** Workers that take no work for suspicion alone. */
 		suspects: () => listWhere(cause => cause === 'suspect'),
 
