Keep evacuated data centres in the control state

Cause: an operator cannot take the backend servers of a data centre out of use for ordinary requests.

--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -3,6 +3,9 @@
 import {
 	createClaims, type ClaimCommand, type ClaimOutcome, type ClaimsSnapshot, type SettleCommand,
 } from './claims.js';
+import {
+	createDataCentreEvacuations, type DataCentreEvacuation, type DataCentreEvacuationCommand, type DataCentreEvacuationOutcome,
+} from './data-centre-evacuations.js';
 import {createGrants, type Grant, type GrantsCommand} from './grants.js';
 import {createPlacements, type Placement, type PlacementCommand} from './placements.js';
 import {
@@ -20,12 +23,14 @@
 	| SettleCommand
 	| AssignCommand
 	| GrantsCommand
-	| PlacementCommand;
+	| PlacementCommand
+	| DataCentreEvacuationCommand;
 
 /** Result of applying a command. */
 export type ControlOutcome =
 	| {type: 'published'; outcome: PublishOutcome}
 	| {type: 'claimed'; outcome: ClaimOutcome}
+	| {type: 'evacuation'; outcome: DataCentreEvacuationOutcome}
 	| {type: 'applied'; changed: boolean};
 
 /** Serializable content of the whole state machine. */
@@ -35,6 +40,8 @@
 	assignments: Assignment[];
 	grants: Grant[];
 	placements: Placement[];
+	/** Absent in snapshots of earlier versions, and while no data centre is evacuated. */
+	evacuations?: DataCentreEvacuation[];
 };
 
 /** The replicated state machine. */
@@ -47,6 +54,7 @@
 	const assignments = createAssignments(snapshot?.assignments);
 	const grants = createGrants(snapshot?.grants);
 	const placements = createPlacements(snapshot?.placements);
+	const evacuations = createDataCentreEvacuations(snapshot?.evacuations);
 	let limits = new Map<string, number>();
 
 	const updateLimits = (): void => {
@@ -71,12 +79,17 @@
 		}
 	};
 
+	/** Data centres in which instances are declared. */
+	const dataCentres = (): ReadonlySet<string> => new Set(publications.catalogue().list('instance').map(instance => instance.dataCentre));
+
 	return {
 		publications,
 		claims,
 		assignments,
 		grants,
 		placements,
+		evacuations,
+		dataCentres,
 		limitOf,
 
 		/** Applies one committed command. Deterministic: the same commands in the same order give the same state on every node. */
@@ -122,6 +135,11 @@
 				case 'cancel-work': {
 					return {type: 'applied', changed: placements.apply(command)};
 				}
+
+				case 'evacuate':
+				case 'end-evacuation': {
+					return {type: 'evacuation', outcome: evacuations.apply(command, dataCentres())};
+				}
 			}
 		},
 
@@ -131,6 +149,7 @@
 			assignments: assignments.snapshot(),
 			grants: grants.snapshot(),
 			placements: placements.snapshot(),
+			...(evacuations.names().size > 0 && {evacuations: evacuations.snapshot()}),
 		}),
 	};
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from './control/assignments.js';
 export * from './control/claims.js';
 export * from './control/control-state.js';
+export * from './control/data-centre-evacuations.js';
 export * from './control/grants.js';
 export * from './control/placements.js';
 export * from './control/publications.js';
--- a/packages/daemon/src/leader/cluster-coordinator.ts
+++ b/packages/daemon/src/leader/cluster-coordinator.ts
@@ -319,7 +319,9 @@
 				case 'remove':
 				case 'start-work':
 				case 'advance-work':
-				case 'cancel-work': {
+				case 'cancel-work':
+				case 'evacuate':
+				case 'end-evacuation': {
 					invalidateClusterState();
 				}
 			}
