Give no tickets to backend servers of an evacuated data centre

Cause: the dispatcher knows only instances under planned work as out of use. Change: its configuration may list evacuated data centres with the instances declared there; such servers have no usable slots, whether they are announced or declared there. They stay "in order" for health, so they are not reported as failed, and they do not use up the ejections of the servers that still serve. Open tickets run to their end and are counted. Without the list every decision is the same as before.

--- a/packages/core/src/dispatch/backend-table.ts
+++ b/packages/core/src/dispatch/backend-table.ts
@@ -1,4 +1,5 @@
 /** Table of one pool's backend servers: slots, connections, health. Used by the pool's dispatcher. */
+import {createEvacuatedBackends, type EvacuatedBackends} from './evacuated-backends.js';
 import {type Announcement, type TicketOutcome, ticketOutcomes} from './requests.js';
 
 /** How long an announcement is valid, in milliseconds. */
@@ -39,6 +40,9 @@
 	confirmed: boolean;
 };
 
+/** Number of requests that still run on a pool's backend servers in an evacuated data centre. */
+export type EvacuatedUsage = {dataCentre: string; running: number};
+
 /** Settings of a table. */
 export type BackendTableOptions = {
 	/** Number of backend servers that may be ejected at once. */
@@ -52,13 +56,15 @@
 export const createBackendTable = (options: BackendTableOptions) => {
 	const backends = new Map<string, Backend>();
 	let {maxEjected} = options;
+	let evacuated: EvacuatedBackends = createEvacuatedBackends();
 
 	const isLive = (backend: Backend, nowMs: number): boolean => backend.expiresAtMs > nowMs && backend.announced.healthy && !backend.announced.leaving && !backend.excluded;
 	const isEjected = (backend: Backend, nowMs: number): boolean => backend.ejectedUntilMs > nowMs;
+	const isEvacuated = (backend: Backend): boolean => evacuated.dataCentreOf(backend.announced) !== undefined;
 	const usedSlots = (backend: Backend): number => backend.running.size + backend.orphans.size;
 
 	const usableSlots = (backend: Backend, nowMs: number): number => {
-		if (!isLive(backend, nowMs) || isEjected(backend, nowMs) || !backend.confirmed) {
+		if (!isLive(backend, nowMs) || isEjected(backend, nowMs) || !backend.confirmed || isEvacuated(backend)) {
 			return 0;
 		}
 
@@ -87,7 +93,8 @@
 	};
 
 	const eject = (backend: Backend, nowMs: number): void => {
-		const ejected = [...backends.values()].filter(other => isEjected(other, nowMs) || (other.expiresAtMs > nowMs && !isLive(other, nowMs)));
+		// Servers of an evacuated data centre serve nothing, so they do not use up the ejections of those that do.
+		const ejected = [...backends.values()].filter(other => !isEvacuated(other)).filter(other => isEjected(other, nowMs) || (other.expiresAtMs > nowMs && !isLive(other, nowMs)));
 		if (ejected.length >= maxEjected) {
 			return;
 		}
@@ -127,6 +134,17 @@
 		usedSlots,
 		isLive,
 		isEjected,
+		isEvacuated,
+
+		setEvacuated(backendsOfEvacuated: EvacuatedBackends): void {
+			evacuated = backendsOfEvacuated;
+		},
+
+		/** Requests that still run in each evacuated data centre, including work that no entry reports any more. */
+		evacuatedUsage: (): EvacuatedUsage[] => evacuated.dataCentres().map(dataCentre => ({
+			dataCentre,
+			running: [...backends.values()].filter(backend => evacuated.dataCentreOf(backend.announced) === dataCentre).reduce((sum, backend) => sum + usedSlots(backend), 0),
+		})),
 
 		setMaxEjected(count: number): void {
 			maxEjected = count;
--- a/packages/core/src/dispatch/dispatch-events.ts
+++ b/packages/core/src/dispatch/dispatch-events.ts
@@ -1,4 +1,5 @@
 /** Input events and output effects of a pool's dispatcher. */
+import type {EvacuatedInstances} from './evacuated-backends.js';
 import type {
 	Announcement, DispatchEffect, TicketOutcome, WaitingRequest,
 } from './requests.js';
@@ -14,6 +15,8 @@
 	maxOut: number;
 	/** Instances that get no tickets because of planned work or because they are placed in another pool. */
 	excluded: string[];
+	/** Evacuated data centres, whose instances get no tickets; absent if there are none. */
+	evacuated?: EvacuatedInstances[];
 };
 
 /** The tickets, waiting requests and connections that an entry holds for a pool; sent a few times a second and on take-over. */
--- a/packages/core/src/dispatch/pool-dispatcher.ts
+++ b/packages/core/src/dispatch/pool-dispatcher.ts
@@ -9,6 +9,7 @@
 import type {
 	DispatchQueue, DispatchConfiguration, HeldReport, DispatchEvent, PoolDispatchEffect,
 } from './dispatch-events.js';
+import {createEvacuatedBackends} from './evacuated-backends.js';
 import {createRunTimes} from './run-times.js';
 import {
 	refusalReasons, ticketOutcomes,
@@ -284,6 +285,7 @@
 		}
 
 		table.setMaxEjected(configuration.maxOut);
+		table.setEvacuated(createEvacuatedBackends(configuration.evacuated));
 		excluded = new Set(configuration.excluded);
 		for (const backend of table.list()) {
 			backend.excluded = excluded.has(backend.instance);
@@ -357,6 +359,7 @@
 		isRebuilding: () => rebuilding,
 		usage: () => scheduler.usage(),
 		backends: () => table.list(),
+		evacuatedUsage: () => table.evacuatedUsage(),
 
 		/** Ends the holds of all teams but those whose portions are still being shrunk. */
 		endHolds(shrinking: ReadonlySet<string>): void {
@@ -399,7 +402,7 @@
 		health(nowMs: number) {
 			const list = table.list();
 			return {
-				live: list.filter(backend => table.isLive(backend, nowMs) && !table.isEjected(backend, nowMs)).length,
+				live: list.filter(backend => table.isLive(backend, nowMs) && !table.isEjected(backend, nowMs) && !table.isEvacuated(backend)).length,
 				ejected: list.filter(backend => table.isEjected(backend, nowMs)).length,
 				known: list.map(backend => backend.instance),
 				out: list.filter(backend => !table.isLive(backend, nowMs) || table.isEjected(backend, nowMs)).map(backend => backend.instance),
