Distribute evacuated data centres with the view, and add the calls

Cause: nodes do not learn which data centres are evacuated. Change: the state that all nodes share lists them, the view keeps them, and the dispatchers are configured from it. Orders of a reply are applied before the change of the view is announced, so a renewed lease let waiting requests start in a data centre that the same reply listed as evacuated; the dispatcher is now configured first if the evacuations changed. New fields of messages are sent only while something is evacuated.

--- a/packages/daemon/src/dispatch/dispatch-host.ts
+++ b/packages/daemon/src/dispatch/dispatch-host.ts
@@ -1,7 +1,7 @@
 /** Runs the dispatchers of the pools that are assigned to this node, each under its lease. */
 import {
 	createPoolDispatcher,
-	type Clock, type DispatchConfiguration, type DispatchEvent, type PoolDispatcher, type PoolDispatchEffect,
+	type Clock, type DataCentreEvacuation, type DispatchConfiguration, type DispatchEvent, type PoolDispatcher, type PoolDispatchEffect,
 } from '@bronzebend/core';
 import type {
 	DispatchOrder, DispatchReport, DispatchRequest, PeerMessage,
@@ -20,6 +20,8 @@
 	promises: Map<string, {amount: number; number: number}>;
 	granted: Map<string, number>;
 	nextPromise: number;
+	/** Evacuations of the view with which the dispatcher was last configured. */
+	evacuations: readonly DataCentreEvacuation[];
 };
 
 /** Receives every event of the dispatchers, for recordings. */
@@ -45,6 +47,7 @@
 /** Returns the configuration of one pool's dispatcher, from the view. */
 export const configurationOf = (view: View, pool: string): DispatchConfiguration => {
 	const catalogue = view.catalogue();
+	const evacuated = view.evacuatedOf(pool);
 	return {
 		queues: catalogue.list('queue').filter(queue => queue.pool === pool).map(({name, weight, urgent, maxWaiting, maxDeadlineMs}) => ({
 			name, weight, urgent, maxWaiting, maxDeadlineMs,
@@ -52,6 +55,7 @@
 		weights: catalogue.list('share').filter(share => share.pool === pool).map(({team, weight}) => ({team, weight})),
 		maxOut: catalogue.find('pool', pool)?.availability.maxOut ?? 0,
 		excluded: view.excludedOf(pool),
+		...(evacuated.length > 0 && {evacuated}),
 	};
 };
 
@@ -75,6 +79,11 @@
 		sendEffects(pool, epoch, host.dispatcher.handle(event, nowMs));
 	};
 
+	const configure = (host: HostedPool): void => {
+		host.evacuations = view.evacuations();
+		handleEvent(host, {type: 'configure', configuration: configurationOf(view, host.dispatcher.pool)});
+	};
+
 	const open = (order: DispatchOrder): HostedPool => {
 		const {pool, epoch, entries, rebuildMs, leaseEnds} = order;
 		const nowMs = clock.monotonicMs();
@@ -84,11 +93,11 @@
 		record?.open({...start, atMs: nowMs});
 		const dispatcher = createPoolDispatcher(start);
 		const host: HostedPool = {
-			dispatcher, grantsVersion: '', leaseUntilMs: -Infinity, released: false, promises: new Map(), granted: new Map(), nextPromise: 0,
+			dispatcher, grantsVersion: '', leaseUntilMs: -Infinity, released: false, promises: new Map(), granted: new Map(), nextPromise: 0, evacuations: view.evacuations(),
 		};
 		hosted.set(pool, host);
 		log.info('Started dispatching a pool.', {pool, epoch});
-		handleEvent(host, {type: 'configure', configuration: configurationOf(view, pool)});
+		configure(host);
 		return host;
 	};
 
@@ -148,6 +157,11 @@
 					continue;
 				}
 
+				// Orders arrive before the change of the view is announced, and a renewed lease lets waiting requests start.
+				if (host.evacuations !== view.evacuations()) {
+					configure(host);
+				}
+
 				applyGrants(host, order);
 				applyShrinks(host, order);
 				host.leaseUntilMs = Math.max(host.leaseUntilMs, sentAtMs + order.leaseMs);
@@ -166,7 +180,7 @@
 					continue;
 				}
 
-				handleEvent(host, {type: 'configure', configuration: configurationOf(view, pool)});
+				configure(host);
 			}
 		},
 
@@ -209,6 +223,7 @@
 					slots: health.slots,
 					live: health.live,
 					grantsVersion: host.grantsVersion,
+					...(view.evacuations().length > 0 && {evacuated: dispatcher.evacuatedUsage()}),
 				};
 			});
 		},
@@ -221,6 +236,9 @@
 			}
 		},
 
+		/** Returns the requests that still run in each evacuated data centre, for metrics. */
+		evacuatedUsage: () => [...hosted.values()].flatMap(({dispatcher}) => dispatcher.evacuatedUsage()),
+
 		/** Returns the usage of each pool by team, for metrics. */
 		usage: () => [...hosted.values()].map(({dispatcher}) => ({pool: dispatcher.pool, epoch: dispatcher.epoch, teams: dispatcher.usage()})),
 
--- a/packages/daemon/src/keeper/leader-calls.ts
+++ b/packages/daemon/src/keeper/leader-calls.ts
@@ -7,6 +7,7 @@
 import type {CallResult, LeaderCall} from '@bronzebend/wire';
 import type {ClusterCoordinator} from '../leader/cluster-coordinator.js';
 import {previewPlan, type WorkRunner} from '../leader/work-runner.js';
+import {runEvacuation} from './evacuation-call.js';
 import type {MemberChanges} from './member-changes.js';
 import {checkedCatalogue, createPublishCommand} from './publish-call.js';
 import {describeStatus} from './status.js';
@@ -102,6 +103,11 @@
 				return describePlan(current, call.declarations);
 			}
 
+			case 'evacuate':
+			case 'end-evacuation': {
+				return runEvacuation({...call, atMs: Math.round(clock.wallMs())}, current);
+			}
+
 			case 'members': {
 				return replica.raft.members();
 			}
--- a/packages/daemon/src/leader/cluster-coordinator.ts
+++ b/packages/daemon/src/leader/cluster-coordinator.ts
@@ -60,6 +60,7 @@
 			assignments: state.assignments.list(),
 			nodes: directory.list().map(node => node.address),
 			placements: state.placements.list().filter(placement => deviatesFromDeclaration(placement)),
+			...(state.evacuations.names().size > 0 && {evacuations: state.evacuations.list()}),
 		};
 		return cluster;
 	};
--- a/packages/daemon/src/node/view.ts
+++ b/packages/daemon/src/node/view.ts
@@ -1,10 +1,13 @@
 /** A node's copy of the cluster's configuration, with the lease until which the node may rely on it. */
 import {
 	applyDelta, createCatalogue, type keyPurposes,
-	type Assignment, type Catalogue, type Key, type Placement, type Queue,
+	type Assignment, type Catalogue, type DataCentreEvacuation, type EvacuatedInstances, type Key, type Placement, type Queue,
 } from '@bronzebend/core';
 import type {HeartbeatReply, NodeAddress} from '@bronzebend/wire';
 
+/** One list for all views without evacuations, so that these are recognized as equal. */
+const noEvacuations: readonly DataCentreEvacuation[] = [];
+
 /** A node's view of the cluster. */
 export type View = ReturnType<typeof createView>;
 
@@ -17,6 +20,7 @@
 	let assignments = new Map<string, Assignment>();
 	let nodes = new Map<string, NodeAddress>();
 	let placements = new Map<string, Placement>();
+	let evacuations = noEvacuations;
 	let leaseUntilMs = -Infinity;
 	let lastSeq = -1;
 	let queuesByPrefix: Queue[] = [];
@@ -55,6 +59,8 @@
 		rebuildIndexes();
 	};
 
+	const poolOfInstance = (instance: string): string | undefined => placements.get(instance)?.pool ?? catalogue.find('instance', instance)?.pool;
+
 	return {
 		version: () => version,
 		clusterVersion: () => clusterVersion,
@@ -77,6 +83,7 @@
 				assignments = new Map(reply.cluster.assignments.map(assignment => [assignment.pool, assignment]));
 				nodes = new Map(reply.cluster.nodes.map(address => [address.node, address]));
 				placements = new Map(reply.cluster.placements.map(placement => [placement.instance, placement]));
+				evacuations = reply.cluster.evacuations ?? noEvacuations;
 			}
 
 			// The lease covers only the version that the leader granted it for; an older view must not use it.
@@ -103,7 +110,14 @@
 		assignmentOf: (pool: string) => assignments.get(pool),
 		addressOf: (node: string) => nodes.get(node),
 		nodes: (): NodeAddress[] => [...nodes.values()],
-		poolOfInstance: (instance: string): string | undefined => placements.get(instance)?.pool ?? catalogue.find('instance', instance)?.pool,
+		poolOfInstance,
+		evacuations: () => evacuations,
+
+		/** Returns the evacuated data centres, each with the instances of this pool that are declared there. */
+		evacuatedOf: (pool: string): EvacuatedInstances[] => evacuations.map(({dataCentre}) => ({
+			dataCentre,
+			instances: catalogue.list('instance').filter(instance => instance.dataCentre === dataCentre && poolOfInstance(instance.name) === pool).map(instance => instance.name),
+		})),
 
 		/** Returns placed instances that must not take requests of this pool: they are in planned work or placed in another pool. */
 		excludedOf: (pool: string): string[] => [...placements.values()]
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -41,6 +41,8 @@
 	live: count,
 	/** Version of the grants that the dispatcher has. */
 	grantsVersion: z.string(),
+	/** Requests that still run in each data centre that the node's view lists as evacuated; absent if there is none. */
+	evacuated: z.array(z.strictObject({dataCentre: name, running: count})).optional(),
 });
 /** A dispatcher's report to the leader about one pool. */
 export type DispatchReport = z.infer<typeof dispatchReportSchema>;
@@ -71,6 +73,8 @@
 	assignments: z.array(assignment),
 	nodes: z.array(nodeAddressSchema),
 	placements: z.array(z.custom<Placement>()),
+	/** Absent if no data centre is evacuated, as in messages of earlier versions. */
+	evacuations: z.array(z.strictObject({dataCentre: name, sinceMs: z.number()})).optional(),
 });
 /** Soft state that all nodes share. */
 export type ClusterState = z.infer<typeof clusterStateSchema>;
@@ -184,6 +188,8 @@
 	z.strictObject({type: z.literal('read-set')}),
 	z.strictObject({type: z.literal('backup')}),
 	z.strictObject({type: z.literal('plan'), declarations: z.array(z.custom<Declaration>()).optional()}),
+	z.strictObject({type: z.literal('evacuate'), dataCentre: name}),
+	z.strictObject({type: z.literal('end-evacuation'), dataCentre: name}),
 	z.strictObject({type: z.literal('members')}),
 	z.strictObject({type: z.literal('add-keeper'), node: name}),
 	z.strictObject({type: z.literal('remove-keeper'), node: name}),
