Count what an evacuation leaves in planned moves and reboots

Cause: the planner takes instances of an evacuated data centre for working ones: it would reboot others beyond the budget and count slots that serve nothing. Change: these instances count as out in the budget of their pool and not towards its supply; spares are taken from other data centres and only after the usual two minutes. Their own reboots need no further budget, go first in a wave and are not called off.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,6 +51,7 @@
 export * from './utils/group-by.js';
 export * from './utils/random.js';
 export * from './plan/daily-window.js';
+export * from './plan/evacuation-preview.js';
 export * from './plan/evidence.js';
 export * from './plan/planner.js';
 export * from './plan/planner-history.js';
--- a/packages/core/src/plan/moves.ts
+++ b/packages/core/src/plan/moves.ts
@@ -1,7 +1,7 @@
 /** Moves of instances between pools: replacements, loans and returns. */
 import type {Pool} from '../declarations/kinds.js';
 import {
-	idleMembers, supplyOf, type Member, type PlanStep,
+	movableMembers, supplyOf, type Member, type PlanStep,
 } from './planner-step.js';
 
 /** Expected demand, as a fraction of a pool's slots, above which the pool may borrow an instance. */
@@ -29,7 +29,7 @@
 	}
 
 	const budget = step.budgets.get(sparePool);
-	const candidates = idleMembers(step, sparePool).filter(({instance}) => budget?.refusal(instance) === undefined);
+	const candidates = movableMembers(step, sparePool).filter(({instance}) => budget?.refusal(instance) === undefined);
 	candidates.sort((left, right) => (counts.get(left.instance.dataCentre) ?? 0) - (counts.get(right.instance.dataCentre) ?? 0) || (left.instance.name < right.instance.name ? -1 : 1));
 	return candidates[0];
 };
@@ -49,7 +49,7 @@
 	const isShort = history.hasSettled(`fill ${pool.name}`, missing > 0, input.wallMs);
 	const lendingBenefit = objective.closenessToShare * Math.max(0, expectedLoad - LEND_ABOVE_LOAD) * supply;
 	const needsLoan = history.hasSettled(`loan ${pool.name}`, missing <= 0 && lendingBenefit > objective.moves, input.wallMs);
-	const idleSpares = idleMembers(step, pool.sparePool).length;
+	const idleSpares = movableMembers(step, pool.sparePool).length;
 	const mayLend = idleSpares > step.buffer;
 	if (!isShort && !(needsLoan && mayLend)) {
 		return;
@@ -99,7 +99,7 @@
 	}
 
 	const budget = step.budgets.get(pool.name)!;
-	const returning = idleMembers(step, pool.name).filter(({instance}) => !history.isOut(instance.name)).find(({instance}) => budget.refusal(instance) === undefined);
+	const returning = movableMembers(step, pool.name).filter(({instance}) => !history.isOut(instance.name)).find(({instance}) => budget.refusal(instance) === undefined);
 	if (!returning) {
 		output.waits.push({pool: pool.name, what: 'move', reason: 'the availability budget is used up'});
 		return;
--- a/packages/core/src/plan/planner-step.ts
+++ b/packages/core/src/plan/planner-step.ts
@@ -51,21 +51,27 @@
 	return members;
 };
 
-const budgetOf = (pool: Pool, members: readonly Member[], {evidence, wallMs}: PlannerInput): PoolBudget => {
+const budgetOf = (pool: Pool, members: readonly Member[], {evidence, wallMs, evacuated}: PlannerInput): PoolBudget => {
 	const known = evidence.get(pool.name);
 	// An instance that is joining from another pool is not part of this pool's capacity yet.
 	const counted = members.filter(({placement: {work}}) => !(work?.plan.type === 'move' && work.step === workSteps.joining));
 	const out = new Set(counted.filter(({placement}) => placement.work !== undefined || known?.out.has(placement.instance)).map(({placement}) => placement.instance));
+	const evacuatedNames = counted.filter(({instance}) => evacuated?.has(instance.dataCentre)).map(({instance}) => instance.name);
 	// A spare pool serves no requests, so its instances do not announce themselves and only planned work counts.
 	const fresh = pool.spare || isFresh(known, wallMs);
 	return createPoolBudget({
-		pool, members: counted.map(member => member.instance), out, isFresh: fresh,
+		// An evacuation takes nothing away from a spare pool; its other instances must remain free to replace those of other pools.
+		pool, members: counted.map(member => member.instance), out, evacuated: new Set(pool.spare ? [] : evacuatedNames), isFresh: fresh,
 	});
 };
 
-const countIncoming = ({placements}: PlannerInput): Map<string, number> => {
+const countIncoming = ({placements, catalogue, evacuated}: PlannerInput): Map<string, number> => {
 	const incoming = new Map<string, number>();
-	for (const {pool, work} of placements) {
+	for (const {instance, pool, work} of placements) {
+		if (evacuated?.has(catalogue.find('instance', instance)?.dataCentre ?? '')) {
+			continue;
+		}
+
 		if (work?.plan.type === 'move' && work.plan.target !== pool) {
 			incoming.set(work.plan.target, (incoming.get(work.plan.target) ?? 0) + 1);
 		}
@@ -74,14 +80,20 @@
 	return incoming;
 };
 
+/** Whether an instance is in an evacuated data centre. */
+export const isEvacuated = ({input}: Pick<PlanStep, 'input'>, {dataCentre}: Instance): boolean => input.evacuated?.has(dataCentre) === true;
+
 /** Members without planned work for which this step has started none. */
 export const idleMembers = (step: PlanStep, pool: string): Member[] => (step.members.get(pool) ?? []).filter(({placement, instance}) => placement.work === undefined && !step.busy.has(instance.name));
 
-/** Number of working instances that a pool has or is about to receive. */
+/** Idle members that planned moves may use: those outside evacuated data centres. */
+export const movableMembers = (step: PlanStep, pool: string): Member[] => idleMembers(step, pool).filter(({instance}) => !isEvacuated(step, instance));
+
+/** Number of working instances outside evacuated data centres that a pool has or is about to receive. */
 export const supplyOf = (step: PlanStep, pool: string): number => {
-	const staying = (step.members.get(pool) ?? []).filter(({placement}) => {
+	const staying = (step.members.get(pool) ?? []).filter(({placement, instance}) => {
 		const leaves = placement.work?.plan.type === 'move' && placement.work.plan.target !== pool;
-		return !leaves && !step.history.isLost(placement.instance, step.input.wallMs);
+		return !leaves && !isEvacuated(step, instance) && !step.history.isLost(placement.instance, step.input.wallMs);
 	}).length;
 	return staying + (step.incoming.get(pool) ?? 0);
 };
@@ -92,7 +104,8 @@
 	const pools = input.catalogue.list('pool');
 	const policy = input.catalogue.list('policy')[0];
 	const spares = new Set(pools.filter(pool => pool.spare).map(pool => pool.name));
-	const instances = new Map([...members].map(([pool, list]) => [pool, list.map(member => member.instance)]));
+	// An evacuated rack serves nothing, so its loss costs nothing.
+	const instances = new Map([...members].map(([pool, list]) => [pool, list.map(member => member.instance).filter(instance => !isEvacuated({input}, instance))]));
 	const buffer = largestRackLoss(instances, spares);
 	return {
 		history,
--- a/packages/core/src/plan/planner-types.ts
+++ b/packages/core/src/plan/planner-types.ts
@@ -10,6 +10,8 @@
 	evidence: ReadonlyMap<string, PoolEvidence>;
 	/** State of planned work on the platform, by work ID. */
 	platform: ReadonlyMap<string, PlatformWorkState>;
+	/** Evacuated data centres; absent if there are none. */
+	evacuated?: ReadonlySet<string>;
 	wallMs: number;
 };
 
--- a/packages/core/src/plan/pool-budget.ts
+++ b/packages/core/src/plan/pool-budget.ts
@@ -1,4 +1,8 @@
-/** Availability budget of a pool: how many more instances may be taken out, given all that are out for whatever reason. */
+/**
+Availability budget of a pool: how many more instances may be taken out, given all that are out for whatever reason.
+
+Members in an evacuated data centre serve nothing, so they count as out. Planned work on one of them takes nothing more away.
+*/
 import type {Instance, Pool} from '../declarations/kinds.js';
 
 /** The budget of one pool during one planning step. */
@@ -10,6 +14,8 @@
 	members: readonly Instance[];
 	/** Names of members that are out now, planned or not. */
 	out: ReadonlySet<string>;
+	/** Names of members in evacuated data centres; they count as out. */
+	evacuated?: ReadonlySet<string>;
 	/** False if the evidence is stale; no instance may be taken out then. */
 	isFresh: boolean;
 };
@@ -18,8 +24,8 @@
 export type BudgetRefusal = 'stale-evidence' | 'out-already' | 'budget-used-up' | 'data-centre-budget-used-up';
 
 /** Creates the budget of a pool before any decision of the step. */
-export const createPoolBudget = ({pool, members, out, isFresh}: PoolBudgetOptions) => {
-	const taken = new Set(out);
+export const createPoolBudget = ({pool, members, out, evacuated = new Set(), isFresh}: PoolBudgetOptions) => {
+	const taken = new Set([...out, ...evacuated]);
 
 	/** Number of instances that the pool lacks of its declared capacity with `more` instances out; members that were replaced do not count. */
 	const outCount = (more = 0): number => {
@@ -46,6 +52,10 @@
 				return 'stale-evidence';
 			}
 
+			if (evacuated.has(instance.name) && !out.has(instance.name)) {
+				return undefined;
+			}
+
 			// The instance may be about to return; planned work would keep it out for longer.
 			if (taken.has(instance.name)) {
 				return 'out-already';
--- a/packages/core/src/plan/waves.ts
+++ b/packages/core/src/plan/waves.ts
@@ -1,12 +1,14 @@
 /** Maintenance waves: chooses the instances to reboot next. */
 import type {Wave} from '../declarations/kinds.js';
 import {isInAny} from './daily-window.js';
-import {idleMembers, type Member, type PlanStep} from './planner-step.js';
+import {
+	idleMembers, isEvacuated, type Member, type PlanStep,
+} from './planner-step.js';
 import type {WaveProgress} from './planner-types.js';
 
 const isWaveOpen = (wave: Wave, wallMs: number): boolean => !wave.paused && wallMs >= Date.parse(wave.start) && (wave.windows.length === 0 || isInAny(wave.windows, wallMs));
 
-/** Instances of a pool that a wave has not rebooted yet, ordered by how many of their failure domain are already out, most first. */
+/** Instances of a pool that a wave has not rebooted yet: those in evacuated data centres first, since they need no budget, then ordered by how many of their failure domain are already out, most first. */
 const waveQueue = (step: PlanStep, pool: string, wave: Wave): Member[] => {
 	const outByDomain = new Map<string, number>();
 	for (const {instance, placement} of step.members.get(pool) ?? []) {
@@ -19,9 +21,9 @@
 	const pending = idleMembers(step, pool).filter(({placement}) => !placement.doneWaves.includes(wave.name));
 	const ranked = pending.map(member => {
 		const domain = `${member.instance.dataCentre}/${member.instance.rack}`;
-		return {member, rank: outByDomain.get(domain) ?? 0, order: `${domain}/${member.instance.name}`};
+		return {member, rank: isEvacuated(step, member.instance) ? Infinity : outByDomain.get(domain) ?? 0, order: `${domain}/${member.instance.name}`};
 	});
-	ranked.sort((left, right) => right.rank - left.rank || (left.order < right.order ? -1 : 1));
+	ranked.sort((left, right) => (left.rank === right.rank ? 0 : right.rank - left.rank) || (left.order < right.order ? -1 : 1));
 	return ranked.map(({member}) => member);
 };
 
--- a/packages/core/src/plan/work-progress.ts
+++ b/packages/core/src/plan/work-progress.ts
@@ -1,6 +1,6 @@
 /** Advances planned work from step to step. */
 import {workSteps, type Placement, type WorkStep} from '../control/placements.js';
-import {isFresh, type PlanStep} from './planner-step.js';
+import {isEvacuated, isFresh, type PlanStep} from './planner-step.js';
 import type {PlatformOrder} from './planner-types.js';
 
 const advanceWork = (step: PlanStep, placement: Placement, from: WorkStep): void => {
@@ -18,7 +18,9 @@
 	const {input, output} = step;
 	const work = placement.work!;
 	const evidence = input.evidence.get(placement.pool);
-	const isOverspent = step.budgets.get(placement.pool)?.isOverspent() === true;
+	const instance = input.catalogue.find('instance', placement.instance);
+	// Calling off a drain in an evacuated data centre would bring nothing back.
+	const isOverspent = step.budgets.get(placement.pool)?.isOverspent() === true && !(instance && isEvacuated(step, instance));
 	if (isTargetPoolGone(step, placement) || isOverspent) {
 		output.commands.push({type: 'cancel-work', instance: placement.instance, workId: work.id});
 		output.waits.push({
--- a/packages/core/src/replay/replayer.ts
+++ b/packages/core/src/replay/replayer.ts
@@ -100,7 +100,7 @@
 
 		const evidence = evidenceOf(event);
 		lastOutput = planner.plan({
-			catalogue, placements: control.placements.list(), evidence, platform, wallMs: event.atMs,
+			catalogue, placements: control.placements.list(), evidence, platform, evacuated: control.evacuations.names(), wallMs: event.atMs,
 		});
 		for (const command of lastOutput.commands) {
 			control.apply(command);
