Show evacuated data centres in status, logs and metrics

Cause: an operator cannot see which data centres are evacuated and whether requests still run there.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,6 +5,7 @@
 export * from './keeper/status.js';
 export * from './keeper/bootstrap.js';
 export * from './leader/cluster-coordinator.js';
+export type * from './leader/evacuation-report.js';
 export * from './leader/platform-client.js';
 export * from './leader/timings.js';
 export * from './leader/work-runner.js';
--- a/packages/daemon/src/keeper/keeper-host.ts
+++ b/packages/daemon/src/keeper/keeper-host.ts
@@ -77,10 +77,22 @@
 
 	const affectsNodes = (command: ControlCommand): boolean => command.type !== 'claim' && command.type !== 'settle' && command.type !== 'grants';
 
+	const logEvacuation = (command: ControlCommand): void => {
+		if (command.type === 'evacuate') {
+			log.info('Evacuation of a data centre accepted.', {dataCentre: command.dataCentre});
+		} else if (command.type === 'end-evacuation') {
+			log.info('Evacuation of a data centre withdrawn.', {dataCentre: command.dataCentre});
+		}
+	};
+
 	const stateMachine = {
 		apply(command: ControlCommand): ControlOutcome {
 			const outcome = state.apply(command);
 			coordinator?.onApplied(command);
+			if (coordinator && outcome.type === 'evacuation' && outcome.outcome.type === 'accepted' && outcome.outcome.changed) {
+				logEvacuation(command);
+			}
+
 			if (coordinator && affectsNodes(command)) {
 				setImmediate(pokeNodes);
 			} else if (coordinator) {
--- a/packages/daemon/src/keeper/leader-calls.ts
+++ b/packages/daemon/src/keeper/leader-calls.ts
@@ -1,13 +1,13 @@
 /** Handles the calls that nodes and operators make to the leader. */
 import {
 	BronzebendError, UnreachableError,
-	type Clock, type ControlCommand, type ControlOutcome, type ControlState, type Declaration,
+	type Clock, type ControlCommand, type ControlOutcome, type ControlState, type Declaration, type EvacuationPreview,
 } from '@bronzebend/core';
 import type {Replica} from '@bronzebend/replica';
 import type {CallResult, LeaderCall} from '@bronzebend/wire';
 import type {ClusterCoordinator} from '../leader/cluster-coordinator.js';
-import {previewPlan, type WorkRunner} from '../leader/work-runner.js';
-import {runEvacuation} from './evacuation-call.js';
+import {previewEvacuationOf, previewPlan, type WorkRunner} from '../leader/work-runner.js';
+import {refusedEvacuation, runEvacuation} from './evacuation-call.js';
 import type {MemberChanges} from './member-changes.js';
 import {checkedCatalogue, createPublishCommand} from './publish-call.js';
 import {describeStatus} from './status.js';
@@ -69,6 +69,17 @@
 		}, checkedCatalogue(declarations));
 	};
 
+	const describePreview = ({state, coordinator, sinceMs}: Leadership, dataCentre: string): EvacuationPreview => {
+		const refusal = state.evacuations.refusal(dataCentre, state.dataCentres());
+		if (refusal !== undefined) {
+			throw refusedEvacuation(refusal, dataCentre, state);
+		}
+
+		return previewEvacuationOf({
+			state, directory: coordinator.directory, clock, startedAtMs: sinceMs,
+		}, dataCentre);
+	};
+
 	const answer = async (call: LeaderCall): Promise<unknown> => {
 		const current = leading();
 		const {state, replica, coordinator} = current;
@@ -108,6 +119,10 @@
 				return runEvacuation({...call, atMs: Math.round(clock.wallMs())}, current);
 			}
 
+			case 'preview-evacuation': {
+				return describePreview(current, call.dataCentre);
+			}
+
 			case 'members': {
 				return replica.raft.members();
 			}
--- a/packages/daemon/src/keeper/status.ts
+++ b/packages/daemon/src/keeper/status.ts
@@ -5,6 +5,7 @@
 import type {Replica} from '@bronzebend/replica';
 import type {DispatchReport} from '@bronzebend/wire';
 import type {ClusterCoordinator} from '../leader/cluster-coordinator.js';
+import {describeEvacuations, type EvacuationStatus} from '../leader/evacuation-report.js';
 
 /** Status of a pool. */
 export type PoolStatus = {
@@ -15,7 +16,7 @@
 	members: number;
 	live: number;
 	slots: number;
-	/** Instances that are out for any reason: planned work, failure, or no announcement. */
+	/** Instances that are out for any reason: planned work, failure, no announcement, or an evacuated data centre. */
 	out: string[];
 	isSpare: boolean;
 	maxOut: number;
@@ -38,6 +39,8 @@
 	waves: WaveProgress[];
 	/** Planned work that waits, with the reason. */
 	waits: PlannedWait[];
+	/** Evacuated data centres; absent in answers of leaders of earlier versions. */
+	evacuations?: EvacuationStatus[];
 };
 
 /** Input of `describeStatus`. */
@@ -52,6 +55,7 @@
 	const catalogue = state.publications.catalogue();
 	const version = state.publications.version();
 	const placements = state.placements.list();
+	const isEvacuated = (instance: string): boolean => state.evacuations.has(catalogue.find('instance', instance)?.dataCentre ?? '');
 	return {
 		leader: node,
 		term: replica.raft.term(),
@@ -76,7 +80,7 @@
 				members: placements.filter(placement => placement.pool === pool.name).length,
 				live: report?.live ?? 0,
 				slots: report?.slots ?? 0,
-				out: placements.filter(placement => placement.pool === pool.name && isOut(placement, pool.spare, report)).map(placement => placement.instance),
+				out: placements.filter(placement => placement.pool === pool.name && (isEvacuated(placement.instance) || isOut(placement, pool.spare, report))).map(placement => placement.instance),
 				isSpare: pool.spare,
 				maxOut: pool.availability.maxOut,
 				running: report?.demands.reduce((sum, demand) => sum + demand.running, 0) ?? 0,
@@ -93,5 +97,6 @@
 		})),
 		waves: plan?.waves ?? [],
 		waits: plan?.waits ?? [],
+		evacuations: describeEvacuations(state, coordinator.directory),
 	};
 };
--- a/packages/daemon/src/leader/work-runner.ts
+++ b/packages/daemon/src/leader/work-runner.ts
@@ -1,8 +1,10 @@
 /** Carries out the planner's decisions while this keeper leads: proposes commands and sends orders to the platform. */
 import {
-	createPlanner, type Catalogue, type Clock, type ControlCommand, type ControlState, type PlannerOutput, type PlatformOrder, type PlatformWorkState,
+	createPlanner, previewEvacuation,
+	type Catalogue, type Clock, type ControlCommand, type ControlState, type EvacuationPreview, type PlannerOutput, type PlatformOrder, type PlatformWorkState,
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
+import {describeEvacuations} from './evacuation-report.js';
 import {readEvidence} from './fleet-evidence.js';
 import type {NodeDirectory} from './node-directory.js';
 import type {Platform} from './platform-client.js';
@@ -55,6 +57,7 @@
 				state, directory, ageMs: nowMs - options.startedAtMs, nowMs, wallMs,
 			}),
 			platform: workStates,
+			evacuated: state.evacuations.names(),
 			wallMs,
 		});
 	};
@@ -68,6 +71,15 @@
 		}
 	};
 
+	/** Logs, once a step, what is left in each evacuated data centre, so that a new leader's log shows it too. */
+	const logEvacuations = (): void => {
+		for (const {dataCentre, sinceMs, running, instances, unreported} of describeEvacuations(state, directory)) {
+			log.info('Evacuated data centre.', {
+				dataCentre, forMs: Math.round(clock.wallMs()) - sinceMs, running, instances, unreportedPools: unreported.length,
+			});
+		}
+	};
+
 	return {
 		/** Plans once, proposes the resulting commands and sends the resulting orders to the platform. */
 		step(): void {
@@ -82,6 +94,7 @@
 			}
 
 			removeEnded();
+			logEvacuations();
 		},
 
 		/** Returns the output of the latest step, if there was one. */
@@ -101,6 +114,21 @@
 			state: options.state, directory: options.directory, ageMs: nowMs - options.startedAtMs, nowMs, wallMs,
 		}),
 		platform: new Map(),
+		evacuated: options.state.evacuations.names(),
 		wallMs,
 	});
 };
+
+/** Predicts what each pool would have left if a data centre were evacuated. Changes nothing. */
+export const previewEvacuationOf = ({state, directory, clock, startedAtMs}: Pick<WorkRunnerOptions, 'state' | 'directory' | 'clock' | 'startedAtMs'>, dataCentre: string): EvacuationPreview => {
+	const nowMs = clock.monotonicMs();
+	return previewEvacuation({
+		dataCentre,
+		evacuated: state.evacuations.names(),
+		catalogue: state.publications.catalogue(),
+		placements: state.placements.list(),
+		evidence: readEvidence({
+			state, directory, ageMs: nowMs - startedAtMs, nowMs, wallMs: clock.wallMs(),
+		}),
+	});
+};
--- a/packages/daemon/src/operators/page.ts
+++ b/packages/daemon/src/operators/page.ts
@@ -1,5 +1,6 @@
 /** The read-only status page, rendered as HTML on the server. */
 import type {ClusterStatus} from '../keeper/status.js';
+import type {EvacuationStatus} from '../leader/evacuation-report.js';
 
 const MS_PER_MINUTE = 60_000;
 
@@ -16,6 +17,15 @@
 	return `<table><caption>${escapeHtml(caption)}</caption><thead><tr>${head}</tr></thead><tbody>${body}${empty}</tbody></table>`;
 };
 
+const evacuationTable = (evacuations: readonly EvacuationStatus[]): string => (evacuations.length === 0
+	? ''
+	: table('Evacuated data centres', evacuations, [
+		{title: 'Data centre', read: evacuation => evacuation.dataCentre},
+		{title: 'Since', read: evacuation => new Date(evacuation.sinceMs).toISOString()},
+		{title: 'Requests still running', read: evacuation => evacuation.running},
+		{title: 'Pools without a report', read: evacuation => evacuation.unreported.join(', '), isBad: evacuation => evacuation.unreported.length > 0},
+	]));
+
 const STYLE = `body{font:15px/1.4 system-ui,sans-serif;margin:2rem;color:#222;background:#fff}
 table{border-collapse:collapse;margin:0 0 1.5rem;min-width:40rem}caption{text-align:left;font-weight:600;padding:.3rem 0}
 th,td{border-bottom:1px solid #ddd;padding:.25rem .8rem;text-align:left}.bad{background:#fde2e0}`;
@@ -34,6 +44,7 @@
 	{title: 'Running', read: pool => pool.running},
 	{title: 'Waiting', read: pool => pool.waiting},
 ])}
+${evacuationTable(status.evacuations ?? [])}
 ${table('Teams', status.teams, [
 	{title: 'Team', read: team => team.team},
 	{title: 'Running', read: team => team.running, isBad: team => team.limit !== undefined && team.running > team.limit},
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -179,6 +179,12 @@
 			}
 		}
 
+		metrics.evacuatedDataCentres.set(agent.view.evacuations().length);
+		metrics.evacuatedRequests.reset();
+		for (const {dataCentre, running} of dispatchHost?.evacuatedUsage() ?? []) {
+			metrics.evacuatedRequests.inc({data_centre: dataCentre}, running);
+		}
+
 		metrics.controlBytes.set({direction: 'sent'}, network.stats.bytesSent);
 		metrics.controlBytes.set({direction: 'received'}, network.stats.bytesReceived);
 		return {type: metrics.registry.contentType, text: await metrics.registry.metrics()};
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -34,6 +34,10 @@
 			name: 'bronzebend_team_granted', help: 'Portion of the upper limit per pool and team', labelNames: ['pool', 'team'], registers,
 		}),
 		version: new Gauge({name: 'bronzebend_version_in_force', help: 'Version of the configuration in force here', registers}),
+		evacuatedDataCentres: new Gauge({name: 'bronzebend_evacuated_data_centres', help: 'Evacuated data centres, in the view of this node', registers}),
+		evacuatedRequests: new Gauge({
+			name: 'bronzebend_evacuated_requests', help: 'Requests that still run in an evacuated data centre, at the dispatchers of this node', labelNames: ['data_centre'], registers,
+		}),
 		controlBytes: new Gauge({
 			name: 'bronzebend_control_bytes', help: 'Bytes between processes', labelNames: ['direction'], registers,
 		}),
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -73,7 +73,7 @@
 	assignments: z.array(assignment),
 	nodes: z.array(nodeAddressSchema),
 	placements: z.array(z.custom<Placement>()),
-	/** Absent if no data centre is evacuated, as in messages of earlier versions. */
+	/** Absent if no data centre is evacuated, so that nodes of earlier versions accept the message. */
 	evacuations: z.array(z.strictObject({dataCentre: name, sinceMs: z.number()})).optional(),
 });
 /** Soft state that all nodes share. */
@@ -190,6 +190,7 @@
 	z.strictObject({type: z.literal('plan'), declarations: z.array(z.custom<Declaration>()).optional()}),
 	z.strictObject({type: z.literal('evacuate'), dataCentre: name}),
 	z.strictObject({type: z.literal('end-evacuation'), dataCentre: name}),
+	z.strictObject({type: z.literal('preview-evacuation'), dataCentre: name}),
 	z.strictObject({type: z.literal('members')}),
 	z.strictObject({type: z.literal('add-keeper'), node: name}),
 	z.strictObject({type: z.literal('remove-keeper'), node: name}),
