--- a/packages/cli/src/commands/cluster.ts
+++ b/packages/cli/src/commands/cluster.ts
@@ -39,6 +39,16 @@
 		['NODE', 'DATA CENTRE', 'VERSION', 'LAST HEARD'],
 		...status.nodes.map(node => [node.node, node.dataCentre, `${node.version}${node.lags ? ' (lags)' : ''}`, `${node.silentMs} ms ago`]),
 	]));
+	if (status.evacuations !== undefined && status.evacuations.length > 0) {
+		print('');
+		print(formatTable([
+			['EVACUATED', 'SINCE', 'STILL RUNNING'],
+			...status.evacuations.map(({dataCentre, sinceMs, running, unreported}) => [
+				dataCentre, new Date(sinceMs).toISOString(), `${running}${unreported.length === 0 ? '' : ` (no report yet of ${unreported.join(', ')})`}`,
+			]),
+		]));
+	}
+
 	if (status.waves.length > 0) {
 		print('');
 		print(formatTable([
--- a/packages/cli/src/commands/plan.ts
+++ b/packages/cli/src/commands/plan.ts
@@ -1,8 +1,11 @@
-/** Command that shows planned moves and reboots, their reasons, and what is waiting. */
-import type {PlannerOutput} from '@bronzebend/core';
+/** Command that shows planned moves and reboots, their reasons, and what is waiting; or what an evacuation would leave. */
+import process from 'node:process';
+import type {EvacuationPreview, PlannerOutput} from '@bronzebend/core';
 import {defineCommand} from 'citty';
 import {clientOf, serverArguments} from '../arguments.js';
-import {formatTable, print, printJson} from '../output.js';
+import {
+	exitCodes, formatTable, print, printJson,
+} from '../output.js';
 import {runCommand} from '../run-command.js';
 import {readCheckedFolder} from './declarations.js';
 
@@ -26,13 +29,41 @@
 	print(`\n${plan.buffer ?? 0} spare instance(s) are kept to cover the loss of the largest rack.`);
 };
 
+const printPreview = ({dataCentre, inForce, pools}: EvacuationPreview): void => {
+	print(inForce ? `${dataCentre} is evacuated already. Left:\n` : `An evacuation of ${dataCentre} would leave:\n`);
+	print(formatTable([
+		['POOL', 'INSTANCES', 'LEFT', 'SLOTS', 'LEFT', 'WANTED', 'BUDGET', ''],
+		...pools.map(pool => [
+			pool.pool, ...[pool.instances, pool.instancesLeft, pool.slots, pool.slotsLeft, pool.wanted, pool.maxOut].map(String), pool.exceedsBudget ? 'beyond the budget' : '',
+		]),
+	]));
+};
+
 export const planCommand = defineCommand({
-	meta: {name: 'plan', description: 'Show moves and reboots: what starts, why, what waits'},
+	meta: {name: 'plan', description: 'Show moves and reboots: what starts, why, what waits; or what an evacuation would leave'},
 	args: {
 		'dry-run': {type: 'string', description: 'Folder of declarations to plan for without publishing', valueHint: 'DIR'},
+		evacuate: {type: 'string', description: 'Data centre whose evacuation to predict, without changing anything', valueHint: 'DATACENTRE'},
 		...serverArguments,
 	},
 	run: runCommand(async ({args}) => {
+		if (args.evacuate !== undefined && args['dry-run'] !== undefined) {
+			print('Specify either --dry-run or --evacuate.');
+			process.exitCode = exitCodes.badUsage;
+			return;
+		}
+
+		if (args.evacuate !== undefined) {
+			const preview = await clientOf(args).call({type: 'preview-evacuation', dataCentre: args.evacuate}) as EvacuationPreview;
+			if (args.json) {
+				printJson(preview);
+			} else {
+				printPreview(preview);
+			}
+
+			return;
+		}
+
 		const folder = args['dry-run'];
 		const catalogue = folder === undefined ? undefined : readCheckedFolder(folder, args.json);
 		if (folder !== undefined && !catalogue) {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,6 +8,7 @@
 import {
 	checkCommand, diffCommand, historyCommand, publishCommand, showCommand,
 } from './commands/declarations.js';
+import {evacuateCommand} from './commands/evacuate.js';
 import {explainCommand} from './commands/explain.js';
 import {planCommand} from './commands/plan.js';
 import {replayCommand} from './commands/replay.js';
@@ -23,6 +24,7 @@
 	show: showCommand,
 	status: statusCommand,
 	plan: planCommand,
+	evacuate: evacuateCommand,
 	replay: replayCommand,
 	explain: explainCommand,
 	keys: keysCommand,
