--- a/tests/replica/evacuation-recovery.spec.ts
+++ b/tests/replica/evacuation-recovery.spec.ts
@@ -76,4 +76,29 @@
 		await group.run(500);
 		assertEvacuated(group, ['east']);
 	});
+
+	it('should not acknowledge one at a leader that has lost the other replicas, and agree on it once they are back', async () => {
+		const group = await createGroup();
+		const leader = await group.elect();
+		const name = group.names().find(item => group.of(item).replica === leader)!;
+		const others = NAMES.filter(item => item !== name);
+		for (const other of others) {
+			group.kill(other);
+		}
+
+		const answers: unknown[] = [];
+		const proposal = leader.propose({type: 'evacuate', dataCentre: 'east', atMs: 2}).then(outcome => {
+			answers.push(outcome);
+		}).catch(() => undefined);
+		await group.run(3000);
+		assert.deepEqual(answers, []);
+		assert.equal(leader.hasLease(), false, 'it no longer answers nodes and operators');
+		assert.deepEqual(group.of(name).evacuated(), []);
+		await Promise.all(others.map(async other => group.start(other)));
+		const result = await group.propose({type: 'evacuate', dataCentre: 'east', atMs: 9});
+		assert.ok(result?.type === 'evacuation' && result.outcome.type === 'accepted');
+		await group.run(500);
+		assertEvacuated(group, ['east']);
+		await proposal;
+	});
 });
