Keep with each backend server whether its data centre is evacuated

Cause: each pick of a ticket looked the data centre up for every server of the pool. Change: the answer is kept in the table, and determined at an announcement and at a change of the configuration. Measured: processor time per request at a dispatcher with 55 servers and nothing evacuated, runs taken in turn, 20,000 requests each: 55.2 to 57.9 us with the look-up and 51.6 to 52.8 us without any check before (3 runs each); now 50.7 to 52.1 us with and 50.9 to 53.2 us without (4 runs each). evacuated-backends.spec.js and pool-dispatcher.spec.js pass.

--- a/packages/core/src/dispatch/backend-table.ts
+++ b/packages/core/src/dispatch/backend-table.ts
@@ -36,6 +36,8 @@
 	rampSlots: number;
 	/** True while planned work or its placement in another pool keeps it out. */
 	excluded: boolean;
+	/** Evacuated data centre that keeps it out. Kept here since each pick of a ticket asks for it of every server. */
+	evacuatedIn: string | undefined;
 	/** False from a take-over in which some entries did not report until the next announcement. */
 	confirmed: boolean;
 };
@@ -60,7 +62,7 @@
 
 	const isLive = (backend: Backend, nowMs: number): boolean => backend.expiresAtMs > nowMs && backend.announced.healthy && !backend.announced.leaving && !backend.excluded;
 	const isEjected = (backend: Backend, nowMs: number): boolean => backend.ejectedUntilMs > nowMs;
-	const isEvacuated = (backend: Backend): boolean => evacuated.dataCentreOf(backend.announced) !== undefined;
+	const isEvacuated = (backend: Backend): boolean => backend.evacuatedIn !== undefined;
 	const usedSlots = (backend: Backend): number => backend.running.size + backend.orphans.size;
 
 	const usableSlots = (backend: Backend, nowMs: number): number => {
@@ -136,14 +138,17 @@
 		isEjected,
 		isEvacuated,
 
-		setEvacuated(backendsOfEvacuated: EvacuatedBackends): void {
-			evacuated = backendsOfEvacuated;
+		setEvacuated(current: EvacuatedBackends): void {
+			evacuated = current;
+			for (const backend of backends.values()) {
+				backend.evacuatedIn = evacuated.dataCentreOf(backend.announced);
+			}
 		},
 
 		/** Requests that still run in each evacuated data centre, including work that no entry reports any more. */
 		evacuatedUsage: (): EvacuatedUsage[] => evacuated.dataCentres().map(dataCentre => ({
 			dataCentre,
-			running: [...backends.values()].filter(backend => evacuated.dataCentreOf(backend.announced) === dataCentre).reduce((sum, backend) => sum + usedSlots(backend), 0),
+			running: [...backends.values()].filter(backend => backend.evacuatedIn === dataCentre).reduce((sum, backend) => sum + usedSlots(backend), 0),
 		})),
 
 		setMaxEjected(count: number): void {
@@ -167,6 +172,7 @@
 				ejectedUntilMs: 0,
 				rampSlots: announced.slots,
 				excluded,
+				evacuatedIn: undefined,
 				confirmed,
 			};
 			const restarted = existing !== undefined && existing.announced.address !== announced.address;
@@ -174,6 +180,7 @@
 			backend.announced = announced;
 			backend.expiresAtMs = nowMs + ANNOUNCEMENT_LEASE_MS;
 			backend.excluded = excluded;
+			backend.evacuatedIn = evacuated.dataCentreOf(announced);
 			backend.confirmed ||= confirmed;
 			backends.set(announced.instance, backend);
 			removeEndedOrphans(backend, new Set(announced.inFlight), nowMs);
--- a/packages/core/src/dispatch/evacuated-backends.ts
+++ b/packages/core/src/dispatch/evacuated-backends.ts
@@ -1,7 +1,8 @@
 /**
 Decides which backend servers of a pool get no tickets because their data centre is evacuated.
 
-Load: asked for every backend server at each pick of a ticket, thousands of times a second, so it only looks up two sets.
+Load: asked at each announcement of a backend server, and for all of them at each change of the configuration. Picks of
+tickets, thousands a second, use the answer kept in the table.
 */
 import type {Announcement} from './requests.js';
 
