Do not take spares for failed because they announce nothing

Cause: all pools are assigned a dispatcher, also spare pools. Their dispatchers know no server, and the leader counted every instance that a dispatcher does not know as out, so no spare could be moved and lost instances were not replaced; an evacuation could not be made up for either. Change: instances of a spare pool that are not reported do not count as out, as the planner's own comments say.

--- a/packages/daemon/src/leader/fleet-evidence.ts
+++ b/packages/daemon/src/leader/fleet-evidence.ts
@@ -32,7 +32,9 @@
 		}
 
 		const known = new Set(report.known);
-		const unreported = placements.filter(placement => placement.pool === assignment.pool && !known.has(placement.instance)).map(placement => placement.instance);
+		// Instances of a spare pool announce nothing, since the pool takes no requests.
+		const isSpare = state.publications.catalogue().find('pool', assignment.pool)?.spare === true;
+		const unreported = isSpare ? [] : placements.filter(placement => placement.pool === assignment.pool && !known.has(placement.instance)).map(placement => placement.instance);
 		evidence.set(assignment.pool, {
 			atMs: wallMs - (nowMs - node.lastHeartbeatAtMs),
 			out: new Set([...report.out, ...unreported]),
