--- a/packages/cli/src/commands/evacuate.ts
+++ b/packages/cli/src/commands/evacuate.ts
@@ -13,7 +13,7 @@
 	}
 
 	return changed
-		? `${dataCentre} is evacuated: its backend servers get no more requests within 2 seconds. Requests that run there end by themselves; see "status".`
+		? `${dataCentre} is evacuated: its backend servers get no new requests after 2 seconds at the latest. Requests that run there end by themselves; see "status".`
 		: `${dataCentre} is evacuated already; nothing changed.`;
 };
 
