--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,11 +1,15 @@
+export * from './dispatch/dispatch-host.js';
 export * from './entry/announcements.js';
 export * from './entry/ticket-client.js';
+export * from './keeper/evacuation-call.js';
 export * from './keeper/status.js';
 export * from './keeper/bootstrap.js';
 export * from './leader/cluster-coordinator.js';
+export type * from './leader/evacuation-report.js';
 export * from './leader/platform-client.js';
 export * from './leader/timings.js';
 export * from './leader/work-runner.js';
+export * from './node/node-agent.js';
 export * from './node/view.js';
 export * from './operators/operators-server.js';
 export * from './serve.js';
--- a/packages/daemon/src/leader/cluster-coordinator.ts
+++ b/packages/daemon/src/leader/cluster-coordinator.ts
@@ -60,6 +60,7 @@
 			assignments: state.assignments.list(),
 			nodes: directory.list().map(node => node.address),
 			placements: state.placements.list().filter(placement => deviatesFromDeclaration(placement)),
+			...(state.evacuations.names().size > 0 && {evacuations: state.evacuations.list()}),
 		};
 		return cluster;
 	};
@@ -319,7 +320,9 @@
 				case 'remove':
 				case 'start-work':
 				case 'advance-work':
-				case 'cancel-work': {
+				case 'cancel-work':
+				case 'evacuate':
+				case 'end-evacuation': {
 					invalidateClusterState();
 				}
 			}
