Move machines ahead of expected turns, and use more of the order limit

A turn's first jobs waited for machines that were ordered only once the turn had begun, while pools whose turn was not next kept reserves.

The balancer now learns the begins of turns from the arriving work of each pool. From two intervals on, if three quarters of them are within 25 % of their median, it expects the next turn: of the pool that followed before, or of the only one without a turn. That pool gets the workers of its last turn ahead of time (at most 30 % of the fleet), the others keep 5 %. Without a pattern, and for a new leader, reserves are as before.

Steps were at their limit of 8 moves for seconds on end while a pool was short.

In the model, admission counts the pool's machines on their way and those in standby, as the leader does; before, lent reserves led to refusals that the leader would not make.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -36,6 +36,7 @@
 export * from './jobs/scheduler.js';
 export * from './jobs/start-pauses.js';
 export * from './jobs/suspect-trials.js';
+export * from './jobs/turn-forecast.js';
 export * from './jobs/upkeep.js';
 export * from './jobs/life-doubt.js';
 export * from './jobs/worker-directory.js';
--- a/packages/core/src/jobs/fleet-balancer.ts
+++ b/packages/core/src/jobs/fleet-balancer.ts
@@ -10,6 +10,7 @@
 import type {MachineDemand} from './machine-demand.js';
 import {planDrains, spareWorkers, type PoolPosition} from './move-drains.js';
 import {createMoveRefusals} from './move-refusals.js';
+import {createTurnForecast, type ExpectedTurn} from './turn-forecast.js';
 
 /** Workers that a pool keeps after its latest busy period, as a share of the fleet. */
 const MIN_RESERVE_SHARE = 0.07;
@@ -19,6 +20,8 @@
 const LONGEST_IDLE_RESERVE_SHARE = 0.15;
 /** Workers that a pool without demand keeps when its reserve is lent, as a share of the fleet; the first jobs of its next turn start on them. 0.03 made these jobs wait longer. */
 const LENT_RESERVE_SHARE = 0.05;
+/** Workers that the pool of the next expected turn keeps when its reserve is lent, as a share of the fleet. */
+const EXPECTED_RESERVE_SHARE = 0.1;
 /** Part of its late work for which a pool keeps workers while another pool lacks workers for urgent work. */
 const KEPT_LATE_SHARE = 0.25;
 /** Steps of the balancer in whose moves a draining worker must have a place; workers that drain for longer than a run takes would only idle. */
@@ -27,8 +30,18 @@
 const HEADROOM_FACTOR = 1.05;
 /** Time for which a pool must have had a surplus of workers before any return to standby, in milliseconds. */
 const SURPLUS_MS = 1200;
+/** Share of the moves of a step that may return machines to standby; a return is not urgent, and a pool that has just given machines back may need them again. */
+const RETURNS_SHARE = 0.7;
 /** Time after which a move that has not brought a worker is dropped, in milliseconds; several times the duration of a move. */
 const MOVE_TIMEOUT_MS = 6000;
+/** Time from a move's order until its worker takes work, and from the begin of a turn until it is detected, in milliseconds. */
+const EXPECTED_MOVE_MS = 2200;
+/** Interval of the balancer's steps, in milliseconds. */
+const EXPECTED_STEP_MS = 200;
+/** Time after which a turn that has not begun when it was expected is not expected any more, in milliseconds. */
+const LATE_TURN_MS = 1000;
+/** Workers that a pool gets at most ahead of its turn, as a share of the fleet. */
+const MAX_EXPECTED_SHARE = 0.3;
 /** A machine that can be moved. */
 export type MovableMachine = {name: string; pool: string; capacity: Resources; kind: string; isIdle: boolean};
 
@@ -58,9 +71,11 @@
 	drains: boolean;
 	/** Whether reserves are lent to pools that lack workers for urgent work. */
 	lends: boolean;
+	/** Whether machines are moved ahead of an expected turn, and reserves of other pools are kept small. */
+	forecasts: boolean;
 };
 
-const ALL_FEATURES: BalancerFeatures = {drains: true, lends: true};
+const ALL_FEATURES: BalancerFeatures = {drains: true, lends: true, forecasts: true};
 
 /** Number of workers needed for a demand, or for a part of its running and waiting work. */
 export const workersFor = (demand: MachineDemand, capacity: Resources, wanted: Resources = demand.wanted): number => {
@@ -70,6 +85,9 @@
 	return Math.max(demand.spread, Math.ceil(machines * HEADROOM_FACTOR));
 };
 
+/** Number of workers that steady arriving work needs, without an extrapolated rise. */
+const arrivingWorkers = ({arrivingCpu, arrivingMemoryMb, riseFactor}: MachineDemand, capacity: Resources): number => Math.max(arrivingCpu / Math.max(1, capacity.cpu), arrivingMemoryMb / Math.max(1, capacity.memoryMb)) / riseFactor;
+
 const withLate = ({urgent, late}: MachineDemand): Resources => ({
 	cpu: urgent.cpu + (KEPT_LATE_SHARE * late.cpu),
 	memoryMb: urgent.memoryMb + (KEPT_LATE_SHARE * late.memoryMb),
@@ -84,6 +102,8 @@
 	const lastBusyMs = new Map<string, number>();
 	let drains: ReadonlyMap<string, number> = new Map();
 	let lent = 0;
+	let expected: ExpectedTurn | undefined;
+	const forecast = createTurnForecast();
 
 	/** Drops completed and expired moves: a move to standby completes when the list of machines shows it, any other with the first report of the machine's worker. */
 	const dropEndedMoves = ({machines, pools, poolOfMachine, nowMs}: BalanceInput): void => {
@@ -97,8 +117,17 @@
 		}
 	};
 
+	/** Workers that a pool keeps of its reserve while others are short. */
+	const remainderOf = (pool: string, fleetSize: number): number => Math.max(1, Math.round(fleetSize * (expected?.pool === pool ? EXPECTED_RESERVE_SHARE : LENT_RESERVE_SHARE)));
+
 	/** Workers that a pool keeps without demand. Load alternates between queues, so the pool idle for longest is likely to be busy next. */
-	const reserveOf = (pool: string, activePools: readonly string[], fleetSize: number): number => {
+	const reserveOf = (pool: string, activePools: readonly string[], {fleetSize, maxMoves, nowMs}: BalanceInput): number => {
+		if (expected) {
+			const leadMs = EXPECTED_MOVE_MS + (expected.workers / maxMoves * EXPECTED_STEP_MS / 2) + (expected.spreadMs / 2);
+			const isAhead = pool === expected.pool && nowMs >= expected.startMs - leadMs;
+			return Math.max(1, isAhead ? Math.min(expected.workers, Math.round(fleetSize * MAX_EXPECTED_SHARE)) : Math.round(fleetSize * LENT_RESERVE_SHARE));
+		}
+
 		const last = lastBusyMs.get(pool);
 		const isOldest = activePools.every(other => other === pool || (lastBusyMs.get(other) ?? -Infinity) > (last ?? -Infinity));
 		return Math.max(1, Math.round(fleetSize * (last === undefined ? INITIAL_RESERVE_SHARE : (isOldest ? LONGEST_IDLE_RESERVE_SHARE : MIN_RESERVE_SHARE))));
@@ -154,6 +183,9 @@
 		/** Number of workers that pools lack of their reserves while another pool lacks workers for urgent work, as of the latest step. */
 		lent: (): number => lent,
 
+		/** The turn that is expected next, as of the latest step. */
+		expected: (): ExpectedTurn | undefined => expected,
+
 		/** Decides the next moves. */
 		step(input: BalanceInput): MachineMove[] {
 			dropEndedMoves(input);
@@ -165,6 +197,13 @@
 			}
 
 			const activePools = input.pools.filter(pool => !pool.standby).map(pool => pool.name);
+			expected = undefined;
+			if (features.forecasts) {
+				forecast.observe(new Map(activePools.map(name => [name, {workers: arrivingWorkers(input.demands.get(name)!, typicalCapacity), jobs: input.demands.get(name)!.arrivingJobs}])), input.fleetSize, input.nowMs);
+				const next = forecast.next(activePools);
+				expected = next && input.nowMs <= next.startMs + next.spreadMs + LATE_TURN_MS ? next : undefined;
+			}
+
 			const balances = activePools.map(name => {
 				const demand = input.demands.get(name)!;
 				const demanded = workersFor(demand, typicalCapacity);
@@ -172,7 +211,7 @@
 					lastBusyMs.set(name, input.nowMs);
 				}
 
-				const reserve = reserveOf(name, activePools, input.fleetSize);
+				const reserve = reserveOf(name, activePools, input);
 				const need = Math.max(demanded, reserve);
 				const available = (input.workers.get(name) ?? 0) + countArriving(name);
 				if (available <= need) {
@@ -182,7 +221,7 @@
 				}
 
 				const counts = {
-					available, demanded, reserve, remainder: Math.max(1, Math.round(input.fleetSize * LENT_RESERVE_SHARE)),
+					available, demanded, reserve, remainder: remainderOf(name, input.fleetSize),
 				};
 				return {
 					name,
@@ -251,7 +290,7 @@
 				moves.push(...idle.slice(0, surplus.get(name)).map(machine => ({machine: machine.name, from: name, to: standbyPool!})));
 			}
 
-			return moves.slice(0, input.maxMoves);
+			return moves.slice(0, Math.max(1, Math.floor(input.maxMoves * RETURNS_SHARE)));
 		},
 	};
 };
--- a/packages/core/src/jobs/machine-demand.ts
+++ b/packages/core/src/jobs/machine-demand.ts
@@ -35,6 +35,10 @@
 	arrivingCpu: number;
 	/** Memory needed to keep up with arriving work, in MB. */
 	arrivingMemoryMb: number;
+	/** Factor of an extrapolated rise that `arrivingCpu` and `arrivingMemoryMb` include; 1 without a rise. */
+	riseFactor: number;
+	/** Jobs that have arrived within the window over which arriving work is counted. */
+	arrivingJobs: number;
 	/** Number of workers over which the widest lasting step must spread, given its limit per worker. */
 	spread: number;
 };
@@ -61,7 +65,7 @@
 		},
 
 		/** Resources needed to keep up with recent arrivals, extrapolated if they rise by more than chance. */
-		rate(pool: string, nowMs: number): {cpu: number; memoryMb: number} {
+		rate(pool: string, nowMs: number): {cpu: number; memoryMb: number; factor: number; jobs: number} {
 			const list = (arrivals.get(pool) ?? []).filter(arrival => nowMs - arrival.atMs < ARRIVAL_WINDOW_MS);
 			arrivals.set(pool, list);
 			const recentCount = list.filter(arrival => nowMs - arrival.atMs < ARRIVAL_WINDOW_MS / 2).length;
@@ -70,6 +74,8 @@
 			// Extrapolates the line through the rates of both halves, relative to the mean rate.
 			const factor = isRising ? 1 + ((rise / list.length) * (1 + (4 * RISE_EXTRAPOLATION_MS / ARRIVAL_WINDOW_MS))) : 1;
 			return {
+				factor,
+				jobs: list.length,
 				cpu: factor * list.reduce((sum, arrival) => sum + arrival.cpuMs, 0) / ARRIVAL_WINDOW_MS,
 				memoryMb: factor * list.reduce((sum, arrival) => sum + arrival.memoryMs, 0) / ARRIVAL_WINDOW_MS,
 			};
@@ -78,7 +84,7 @@
 };
 
 const emptyDemand = (): MachineDemand => ({
-	wanted: {...NO_RESOURCES}, urgent: {...NO_RESOURCES}, late: {...NO_RESOURCES}, lasting: {...NO_RESOURCES}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0,
+	wanted: {...NO_RESOURCES}, urgent: {...NO_RESOURCES}, late: {...NO_RESOURCES}, lasting: {...NO_RESOURCES}, arrivingCpu: 0, arrivingMemoryMb: 0, riseFactor: 1, arrivingJobs: 0, spread: 0,
 });
 
 const addUnits = (target: Resources, amount: Resources, units: number): void => {
@@ -150,6 +156,8 @@
 		const rate = arrivals.rate(pool, nowMs);
 		demand.arrivingCpu = rate.cpu;
 		demand.arrivingMemoryMb = rate.memoryMb;
+		demand.riseFactor = rate.factor;
+		demand.arrivingJobs = rate.jobs;
 	}
 
 	return demands;
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -295,6 +295,7 @@
 		shareWorkers: options.shareWorkers,
 		waiting: pool => waitingUnits.get(pool) ?? 0,
 		untracked: fleet.untracked,
+		balance: () => machines?.balance(),
 		looks: fleet.looks,
 	});
 
@@ -309,8 +310,6 @@
 		metrics.manifestVersion.set(store.manifest()?.manifest.version ?? 0);
 		metrics.workers.set({state: 'known'}, directory.list().length);
 		metrics.workers.set({state: 'busy'}, fleet.size());
-		metrics.workers.set({state: 'draining-for-move'}, machines?.drainingCount() ?? 0);
-		metrics.lentReserves.set(machines?.lentReserves() ?? 0);
 		requestPass();
 	}, PASS_INTERVAL_MS)];
 
--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -53,6 +53,9 @@
 			name: 'bronzebend_workers', help: 'Workers by state, at the leader', labelNames: ['state'], registers,
 		}),
 		lentReserves: new Gauge({name: 'bronzebend_lent_reserves', help: 'Workers that pools lack of their reserves while another pool lacks workers for urgent work, at the leader', registers}),
+		expectedWorkers: new Gauge({
+			name: 'bronzebend_expected_turn_workers', help: 'Workers that the next expected turn needs, by its pool, at the leader', labelNames: ['pool'], registers,
+		}),
 		manifestVersion: new Gauge({name: 'bronzebend_manifest_version', help: 'Version of the manifest in force, at the leader', registers}),
 		term: new Gauge({name: 'bronzebend_term', help: 'Term of the leader, at the leader', registers}),
 	};
--- a/packages/daemon/src/jobs/leader-reports.ts
+++ b/packages/daemon/src/jobs/leader-reports.ts
@@ -4,6 +4,7 @@
 } from '@bronzebend/core';
 import type {Log} from '../utils/log.js';
 import type {JobMetrics} from './job-metrics.js';
+import type {MachineController} from './machine-controller.js';
 import {createLoadMeter} from './process-load.js';
 import type {UsableWorkers} from './usable-workers.js';
 import type {UntrackedRun} from './worker-fleet.js';
@@ -43,6 +44,8 @@
 	/** Recorded runs that no worker session tracks. */
 	untracked(): UntrackedRun[];
 	metrics: JobMetrics;
+	/** What the balance of machines is doing; undefined if no machines are controlled. */
+	balance(): ReturnType<MachineController['balance']> | undefined;
 	/** Polls of worker lists since the term began. */
 	looks(): number;
 }) => {
@@ -83,6 +86,23 @@
 		}
 	};
 
+	/** Logs and counts the workers that drain for a move, lent reserves and the expected turn, while there are any. */
+	const logBalance = (): void => {
+		const {draining = 0, lent = 0, expected} = options.balance() ?? {};
+		metrics.workers.set({state: 'draining-for-move'}, draining);
+		metrics.lentReserves.set(lent);
+		metrics.expectedWorkers.reset();
+		if (expected) {
+			metrics.expectedWorkers.set({pool: expected.pool}, expected.workers);
+		}
+
+		if (draining > 0 || lent > 0 || expected) {
+			log.info('Balance of machines.', {
+				draining, lent, expectedPool: expected?.pool, expectedWorkers: expected?.workers, expectedInMs: expected && Math.round(expected.startMs - clock.monotonicMs()), spreadMs: expected && Math.round(expected.spreadMs),
+			});
+		}
+	};
+
 	/** Logs the capacity, usage and waiting work of each pool, once a second. */
 	const logUsage = (): void => {
 		const nowMs = clock.monotonicMs();
@@ -92,6 +112,7 @@
 
 		usageLoggedMs = nowMs;
 		logProblems();
+		logBalance();
 		for (const [pool, entries] of groupBy(directory.list().filter(entry => !entry.left), entry => entry.pool)) {
 			const used = entries.map(entry => store.usageOfLife(entry.life));
 			const runs = entries.flatMap(entry => [...store.runsOf(entry.life).values()]);
--- a/packages/daemon/src/jobs/machine-controller.ts
+++ b/packages/daemon/src/jobs/machine-controller.ts
@@ -11,8 +11,8 @@
 
 /** Interval of the control steps, in milliseconds. */
 const STEP_INTERVAL_MS = 200;
-/** Share of the platform's order limit that moves may use; upkeep and repeated orders need the rest. */
-const MOVES_SHARE = 0.7;
+/** Share of the platform's order limit that moves may use, during a wave and otherwise; upkeep and repeated orders need the rest. */
+const MOVES_SHARE = {duringWave: 0.8, otherwise: 0.9};
 /** Age at which the list of machines is refreshed while a wave or an order is in progress, in milliseconds. */
 const ACTIVE_LIST_MAX_AGE_MS = 400;
 /** Age at which the list of machines is refreshed otherwise, in milliseconds; longer, because each reading has a cost. */
@@ -280,7 +280,7 @@
 			machines: movable(),
 			poolOfMachine: new Map(directory.list().flatMap(entry => (entry.left || entry.machine === undefined ? [] : [[entry.machine, entry.pool] as const]))),
 			fleetSize: machines.size,
-			maxMoves: Math.max(1, Math.floor(options.ordersPerS * MOVES_SHARE * STEP_INTERVAL_MS / 1000)),
+			maxMoves: Math.max(1, Math.floor(options.ordersPerS * (hasWaves() ? MOVES_SHARE.duringWave : MOVES_SHARE.otherwise) * STEP_INTERVAL_MS / 1000)),
 			nowMs: clock.monotonicMs(),
 		});
 		draining.choose(balancer.drains(), lives);
@@ -327,8 +327,7 @@
 			}));
 		},
 		isDraining: draining.has,
-		drainingCount: draining.count,
-		lentReserves: balancer.lent,
+		balance: () => ({draining: draining.count(), lent: balancer.lent(), expected: balancer.expected()}),
 		/** Capacity that a pool has or can get within seconds, in thousandths of a core: its own machines and those in standby pools, even if their workers have not announced themselves yet; undefined before the first list. */
 		reachableCpu(pool: string): number | undefined {
 			if (machines.size === 0) {
--- a/tests/core/jobs/fleet.spec.ts
+++ b/tests/core/jobs/fleet.spec.ts
@@ -10,7 +10,7 @@
 
 const capacity = {cpu: 4000, memoryMb: 4000, gpu: 0};
 const demandOf = (changes: Partial<MachineDemand> = {}): MachineDemand => ({
-	wanted: {cpu: 0, memoryMb: 0, gpu: 0}, urgent: {cpu: 0, memoryMb: 0, gpu: 0}, late: {cpu: 0, memoryMb: 0, gpu: 0}, lasting: {cpu: 0, memoryMb: 0, gpu: 0}, arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0, ...changes,
+	wanted: {cpu: 0, memoryMb: 0, gpu: 0}, urgent: {cpu: 0, memoryMb: 0, gpu: 0}, late: {cpu: 0, memoryMb: 0, gpu: 0}, lasting: {cpu: 0, memoryMb: 0, gpu: 0}, arrivingCpu: 0, arrivingMemoryMb: 0, riseFactor: 1, arrivingJobs: 0, spread: 0, ...changes,
 });
 const pools = [{name: 'bench', guardsCapacity: true, standby: false}, {name: 'desk', guardsCapacity: true, standby: false}, {name: 'spare', guardsCapacity: true, standby: true}];
 const machinesOf = (pool: string, count: number, isIdle = true): MovableMachine[] => Array.from({length: count}, (_, index) => ({
@@ -39,7 +39,7 @@
 	it('should take idle machines from pools with a surplus once standby is empty', () => {
 		const machines = [...machinesOf('bench', 2, false), ...machinesOf('desk', 8)];
 		const input = inputOf(machines, {bench: demandOf({arrivingCpu: 60_000})}, 0);
-		assert.equal(createFleetBalancer({drains: true, lends: false}).step(input).length, 3);
+		assert.equal(createFleetBalancer({drains: true, lends: false, forecasts: false}).step(input).length, 3);
 		// Of the reserve of 5 workers, all but 2 are lent.
 		assert.equal(createFleetBalancer().step(input).length, 6);
 	});
--- a/tests/core/jobs/move-drains.spec.ts
+++ b/tests/core/jobs/move-drains.spec.ts
@@ -11,7 +11,7 @@
 const cores = (cpu: number) => ({cpu, memoryMb: 0, gpu: 0});
 const capacity = {cpu: 4000, memoryMb: 4000, gpu: 0};
 const demandOf = (changes: Partial<MachineDemand> = {}): MachineDemand => ({
-	wanted: cores(0), urgent: cores(0), late: cores(0), lasting: cores(0), arrivingCpu: 0, arrivingMemoryMb: 0, spread: 0, ...changes,
+	wanted: cores(0), urgent: cores(0), late: cores(0), lasting: cores(0), arrivingCpu: 0, arrivingMemoryMb: 0, riseFactor: 1, arrivingJobs: 0, spread: 0, ...changes,
 });
 const machinesOf = (pool: string, count: number, idle = 0): MovableMachine[] => Array.from({length: count}, (_, index) => ({
 	name: `${pool}-${index}`, pool, capacity, kind: 'a', isIdle: index < idle,
@@ -64,7 +64,7 @@
 	});
 
 	it('should decide as before without the features', () => {
-		const {moves, drains, lent} = step(inputOf([...machinesOf('bench', 8, 2), ...machinesOf('desk', 2)], {bench: lateBench, desk: shortDesk}), {drains: false, lends: false});
+		const {moves, drains, lent} = step(inputOf([...machinesOf('bench', 8, 2), ...machinesOf('desk', 2)], {bench: lateBench, desk: shortDesk}), {drains: false, lends: false, forecasts: false});
 		assert.deepEqual([moves, drains, lent], [[], [], 0]);
 	});
 });
--- a/utils/experiment/model.ts
+++ b/utils/experiment/model.ts
@@ -13,8 +13,9 @@
 const BALANCE_INTERVAL_MS = 200;
 /** Time from a move order until the worker accepts work, in milliseconds: the users' move and the first announcement after it. */
 const MOVE_MS = 1700;
-/** Maximum number of moves in one step of the fleet balancer: 40 a second, which is below what the users' platform accepts. */
-const MAX_MOVES_PER_STEP = 8;
+/** Maximum number of moves in one step of the fleet balancer, and during a wave; the same as at the leader for the 64 orders a second that the users' platform accepts. */
+const MAX_MOVES_PER_STEP = 11;
+const MAX_MOVES_IN_WAVE = 10;
 /** Time after the load in which jobs may still end, in milliseconds; the users query their states after it. */
 const GRACE_PERIOD_MS = 14_000;
 
@@ -34,6 +35,8 @@
 	refuses: boolean;
 	/** Decisions of the balancer that are switched off. */
 	without?: ReadonlyArray<keyof BalancerFeatures>;
+	/** Maximum number of moves in one step of the balancer; the leader's if undefined. */
+	movesPerStep?: number;
 };
 
 /** Outcome of one job; `past-use` is beyond three times its objective. */
@@ -71,7 +74,7 @@
 	const manifest = store.manifest()!;
 	const estimates = createRunEstimates();
 	const arrivals = createArrivalMeter();
-	const balancer = createFleetBalancer({drains: !strategy.without?.includes('drains'), lends: !strategy.without?.includes('lends')});
+	const balancer = createFleetBalancer({drains: !strategy.without?.includes('drains'), lends: !strategy.without?.includes('lends'), forecasts: !strategy.without?.includes('forecasts')});
 	const byId = new Map(jobs.map(job => [job.order.id, job]));
 	const capacity = {cpu: load.machines.cpu, memoryMb: load.machines.memoryMb, gpu: 0};
 	const firstStart = new Map<string, number>();
@@ -134,7 +137,8 @@
 	});
 
 	const admit = (played: SimulatedJob, nowMs: number): void => {
-		const workers = machines.filter(machine => machine.life?.pool === played.order.queue).length;
+		// As at the leader: the pool's machines, also those on their way, and those in standby.
+		const workers = machines.filter(machine => !machine.isCrashed && (machine.pool === played.order.queue || machine.pool === SPARE_POOL)).length;
 		const backlog = {coreMs: measureBacklogs(store, estimates).get(played.order.queue) ?? 0, capacityCpu: workers * capacity.cpu};
 		if (strategy.refuses && retryAfterMs(backlog) !== undefined) {
 			refused.add(played.order.id);
@@ -227,7 +231,7 @@
 			})),
 			poolOfMachine: new Map(machines.flatMap(machine => (machine.life ? [[machine.name, machine.life.pool] as const] : []))),
 			fleetSize: machines.length,
-			maxMoves: MAX_MOVES_PER_STEP,
+			maxMoves: strategy.movesPerStep ?? (load.upkeep ? MAX_MOVES_IN_WAVE : MAX_MOVES_PER_STEP),
 			nowMs,
 		});
 		draining = chooseDraining(up.flatMap(({life}) => (life ? [drainCandidate(life, nowMs)] : [])), balancer.drains(), draining);
