Count machines of several sizes by their mean capacity

The size of one machine was that of the first in the list, so that a small machine at its head multiplied every pool's need. Fleets of equal machines get the same decisions.

--- a/packages/core/src/jobs/fleet-balancer.ts
+++ b/packages/core/src/jobs/fleet-balancer.ts
@@ -85,6 +85,12 @@
 	return Math.max(demand.spread, Math.ceil(machines * HEADROOM_FACTOR));
 };
 
+/** Mean capacity of some machines, which may differ in size; undefined if there are none. */
+const meanCapacity = (machines: readonly MovableMachine[]): Resources | undefined => {
+	const mean = (key: keyof Resources): number => machines.reduce((sum, {capacity}) => sum + capacity[key], 0) / machines.length;
+	return machines.length === 0 ? undefined : {cpu: mean('cpu'), memoryMb: mean('memoryMb'), gpu: mean('gpu')};
+};
+
 /** Number of workers that steady arriving work needs, without an extrapolated rise. */
 const arrivingWorkers = ({arrivingCpu, arrivingMemoryMb, riseFactor}: MachineDemand, capacity: Resources): number => Math.max(arrivingCpu / Math.max(1, capacity.cpu), arrivingMemoryMb / Math.max(1, capacity.memoryMb)) / riseFactor;
 
@@ -191,7 +197,7 @@
 			dropEndedMoves(input);
 			drains = new Map();
 			const standby = new Set(input.pools.filter(pool => pool.standby).map(pool => pool.name));
-			const typicalCapacity = input.machines[0]?.capacity;
+			const typicalCapacity = meanCapacity(input.machines);
 			if (standby.size === 0 || !typicalCapacity) {
 				return [];
 			}
