--- a/tests/platform/path.spec.ts
+++ b/tests/platform/path.spec.ts
@@ -2,7 +2,8 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {createProcesses, startWorker, until} from '@bronzebend/utils/platform-stand-ins';
+import {createProcesses} from '@bronzebend/utils/platform-processes';
+import {startWorker, until} from '@bronzebend/utils/platform-stand-ins';
 
 const keepers = ['127.0.91.1', '127.0.91.2', '127.0.91.3'];
 const entry = '127.0.91.11';
--- a/tests/platform/replaced-keeper.spec.ts
+++ b/tests/platform/replaced-keeper.spec.ts
@@ -2,7 +2,8 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {createProcesses, until} from '@bronzebend/utils/platform-stand-ins';
+import {createProcesses} from '@bronzebend/utils/platform-processes';
+import {until} from '@bronzebend/utils/platform-stand-ins';
 
 const keepers = ['127.0.93.1', '127.0.93.2', '127.0.93.3'];
 const successor = '127.0.93.4';
