Bound what the clients of all HTTP servers of a process hold

Cause: each chunk of a body was kept as an object, bodies, requests sent ahead and connections were not bounded, and Node answers requests without a host header itself, before any handler.

--- a/packages/daemon/src/entry/announcements.ts
+++ b/packages/daemon/src/entry/announcements.ts
@@ -1,17 +1,17 @@
 /** Authenticates and checks announcements of backend servers, and passes them on to the pool's dispatcher. */
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
 	ANNOUNCEMENT_LEASE_MS, keyPurposes, sha256Hex, type Announcement,
 } from '@bronzebend/core';
 import {z} from 'zod';
+import {TOO_LARGE} from '../http/guarded-server.js';
 import type {View} from '../node/view.js';
 import {bearerSecret} from './http-fields.js';
 
 /** Path for announcements on the callers' port. */
 export const ANNOUNCE_PATH = '/bronzebend/v1/announce';
 /** Size limit of an announcement, in bytes. */
-const MAX_ANNOUNCEMENT_BYTES = 1_048_576;
+export const MAX_ANNOUNCEMENT_BYTES = 1_048_576;
 
 const name = z.string().min(1).max(63);
 
@@ -85,29 +85,18 @@
 			: refuse(503, 'no-dispatcher', 'No node dispatches the pool yet. Announce again.');
 	};
 
-	const readBody = async (req: IncomingMessage): Promise<unknown> => {
-		const chunks: Buffer[] = [];
-		let bytes = 0;
-		for await (const chunk of req as AsyncIterable<Buffer>) {
-			bytes += chunk.length;
-			if (bytes > MAX_ANNOUNCEMENT_BYTES) {
-				return undefined;
-			}
-
-			chunks.push(chunk);
-		}
-
+	const parseBody = (body: Uint8Array | typeof TOO_LARGE): unknown => {
 		try {
-			return JSON.parse(Buffer.concat(chunks).toString());
+			return body === TOO_LARGE ? undefined : JSON.parse(new TextDecoder().decode(body));
 		} catch {
 			return undefined;
 		}
 	};
 
 	return {
-		async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		handle(req: IncomingMessage, res: ServerResponse, body: Uint8Array | typeof TOO_LARGE): void {
 			const answer = req.method === 'POST'
-				? decide(bearerSecret(req.headers), await readBody(req))
+				? decide(bearerSecret(req.headers), parseBody(body))
 				: refuse(405, 'method-not-allowed', 'Announce with POST.');
 			res.writeHead(answer.status, {'content-type': 'application/json', 'cache-control': 'no-store'});
 			res.end(JSON.stringify({code: answer.code, detail: answer.detail, leaseMs: ANNOUNCEMENT_LEASE_MS}));
--- a/packages/daemon/src/entry/entry-server.ts
+++ b/packages/daemon/src/entry/entry-server.ts
@@ -8,11 +8,13 @@
 import {
 	createRetryBudget, keyPurposes, sha256Hex, type Clock, type Queue, type RetryBudget,
 } from '@bronzebend/core';
+import type {ClientGuard} from '../http/client-guard.js';
+import {guardedServerOptions, guardServer, type TOO_LARGE} from '../http/guarded-server.js';
 import type {NodeAgent} from '../node/node-agent.js';
 import type {Log} from '../utils/log.js';
 import type {Metrics} from '../utils/metrics.js';
 import type {Tracing} from '../utils/tracing.js';
-import {ANNOUNCE_PATH, createAnnouncements} from './announcements.js';
+import {ANNOUNCE_PATH, createAnnouncements, MAX_ANNOUNCEMENT_BYTES} from './announcements.js';
 import {type BackendClients} from './backend-clients.js';
 import {createClaimClient} from './claim-client.js';
 import {
@@ -45,6 +47,7 @@
 	clients: BackendClients;
 	clock: Clock;
 	log: Log;
+	guard: ClientGuard;
 	metrics: Metrics;
 	tracing: Tracing;
 };
@@ -240,44 +243,42 @@
 		}
 	};
 
-	const onRequest = (req: IncomingMessage, res: ServerResponse, sendContinue: boolean): void => {
+	const onRequest = (req: IncomingMessage, res: ServerResponse, body: Uint8Array | typeof TOO_LARGE, sendContinue: boolean): void => {
 		res.on('error', () => {
 			res.destroy();
 		});
-		const isAnnouncement = req.url === ANNOUNCE_PATH;
-		const work = isAnnouncement ? announcements.handle(req, res) : serve(req, res, sendContinue);
-		work.catch((error: unknown) => {
-			log.error('Unexpected error while handling a request; closing the connection.', {reason: String(error instanceof Error ? error.stack : error)});
-			res.destroy();
-		});
-	};
-
-	const rejectSocket = (error: Error & {code?: string}, socket: Duplex): void => {
-		if (!socket.writable || error.code === 'ECONNRESET') {
-			socket.destroy();
+		if (req.url === ANNOUNCE_PATH) {
+			announcements.handle(req, res, body);
 			return;
 		}
 
-		socket.end(rawProblem(error.code === 'HPE_HEADER_OVERFLOW' ? problems.headTooLarge : problems.badFraming));
+		serve(req, res, sendContinue).catch((error: unknown) => {
+			log.error('Unexpected error while handling a request; closing the connection.', {reason: String(error instanceof Error ? error.stack : error)});
+			res.destroy();
+		});
 	};
 
 	const limits = {
-		keepAliveTimeout: KEEP_ALIVE_MS, maxHeaderSize: MAX_HEAD_BYTES, headersTimeout: HEAD_TIMEOUT_MS, requestTimeout: 0, insecureHTTPParser: false,
+		...guardedServerOptions, keepAliveTimeout: KEEP_ALIVE_MS, maxHeaderSize: MAX_HEAD_BYTES, headersTimeout: HEAD_TIMEOUT_MS, insecureHTTPParser: false,
 	};
 	const server = options.tls ? https.createServer({...limits, ...options.tls}) : http.createServer(limits);
-	server.on('request', (req: IncomingMessage, res: ServerResponse) => {
-		onRequest(req, res, false);
-	});
-	server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
-		onRequest(req, res, true);
-	});
-	server.on('checkExpectation', (req: IncomingMessage, res: ServerResponse) => {
-		writeProblem(res, problems.expectation, randomUUID());
+	guardServer(server, {
+		name: 'callers',
+		guard: options.guard,
+		headersTimeoutMs: HEAD_TIMEOUT_MS,
+		// All other bodies are streamed to backend servers.
+		maxBodyBytes: req => req.url === ANNOUNCE_PATH ? MAX_ANNOUNCEMENT_BYTES : undefined,
+		handle: onRequest,
+		refuseExpectation(res) {
+			writeProblem(res, problems.expectation, randomUUID());
+		},
+		rawRefusal: error => rawProblem(error.code === 'HPE_HEADER_OVERFLOW' ? problems.headTooLarge : problems.badFraming),
 	});
 	server.on('upgrade', (req: IncomingMessage, socket: Duplex) => {
-		socket.end(rawProblem(problems.upgrade));
+		socket.end(rawProblem(problems.upgrade), () => {
+			socket.destroy();
+		});
 	});
-	server.on('clientError', rejectSocket);
 	const countConnections = async (): Promise<number> => new Promise(resolve => {
 		server.getConnections((error, count) => {
 			resolve(error ? 0 : count);
--- a/packages/daemon/src/entry/request-runner.ts
+++ b/packages/daemon/src/entry/request-runner.ts
@@ -1,5 +1,5 @@
 /** Runs an admitted request: acquires tickets, claims it, sends it to backend servers and retries. */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Transform, type Readable} from 'node:stream';
@@ -121,12 +121,15 @@
 		req.destroy();
 	}, leftMs);
 	try {
-		const chunks: Buffer[] = [];
-		for await (const chunk of req as AsyncIterable<Buffer>) {
-			chunks.push(chunk);
+		// Node reads exactly the announced length; a list of chunks would take many times that from a client that sends single bytes.
+		const bytes = new Uint8Array(length);
+		let size = 0;
+		for await (const chunk of req as AsyncIterable<Uint8Array>) {
+			bytes.set(chunk, size);
+			size += chunk.length;
 		}
 
-		return {type: 'kept', bytes: Buffer.concat(chunks)};
+		return {type: 'kept', bytes};
 	} finally {
 		clearTimeout(timer);
 	}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -32,3 +32,7 @@
 export * from './jobs/worker-session.js';
 export type * from './jobs/worker-session-options.js';
 export * from './utils/bounded-log.js';
+export * from './http/client-guard.js';
+export * from './http/client-limits.js';
+export * from './http/guarded-server.js';
+export * from './http/room.js';
--- a/packages/daemon/src/operators/operators-server.ts
+++ b/packages/daemon/src/operators/operators-server.ts
@@ -6,6 +6,8 @@
 import {BronzebendError, equalDigests, sha256Hex} from '@bronzebend/core';
 import {encodeBytes} from '@bronzebend/replica';
 import {leaderCallSchema, type LeaderCall} from '@bronzebend/wire';
+import type {ClientGuard} from '../http/client-guard.js';
+import {guardedServerOptions, guardServer, TOO_LARGE} from '../http/guarded-server.js';
 import {CallFailedError, CallTimeoutError, type NodeAgent} from '../node/node-agent.js';
 import type {ClusterStatus} from '../keeper/status.js';
 import type {Log} from '../utils/log.js';
@@ -14,7 +16,7 @@
 /** Path for calls to the leader. */
 export const CALLS_PATH = '/v1/calls';
 /** Size limit of a call, in bytes. */
-const MAX_CALL_BYTES = 64 * 1024 * 1024;
+export const MAX_CALL_BYTES = 64 * 1024 * 1024;
 /** Time limit of a call to the leader, in milliseconds. */
 const CALL_TIMEOUT_MS = 15_000;
 
@@ -26,6 +28,7 @@
 	operatorKey: string;
 	agent: NodeAgent;
 	log: Log;
+	guard: ClientGuard;
 	isReady(): boolean;
 	/** Returns the metrics in the text format, with its content type. */
 	readMetrics(): Promise<{type: string; text: string}>;
@@ -43,20 +46,13 @@
 	sendJson(res, status, {code: error.code, message: error.message, details: error.details ?? {}});
 };
 
-const readJson = async (req: IncomingMessage): Promise<unknown> => {
-	const chunks: Buffer[] = [];
-	let bytes = 0;
-	for await (const chunk of req as AsyncIterable<Buffer>) {
-		bytes += chunk.length;
-		if (bytes > MAX_CALL_BYTES) {
-			throw new BronzebendError('call-too-large', `The body of the call exceeds ${MAX_CALL_BYTES} bytes.`);
-		}
-
-		chunks.push(chunk);
+const parseJson = (body: Uint8Array | typeof TOO_LARGE): unknown => {
+	if (body === TOO_LARGE) {
+		throw new BronzebendError('call-too-large', `The body of the call exceeds ${MAX_CALL_BYTES} bytes.`);
 	}
 
 	try {
-		return JSON.parse(Buffer.concat(chunks).toString());
+		return JSON.parse(new TextDecoder().decode(body));
 	} catch {
 		throw new BronzebendError('call-no-json', 'The body of the call is not valid JSON.');
 	}
@@ -78,8 +74,8 @@
 		return secret !== undefined && equalDigests(sha256Hex(secret), keyDigest);
 	};
 
-	const call = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-		const parsed = leaderCallSchema.safeParse(await readJson(req));
+	const call = async (body: Uint8Array | typeof TOO_LARGE, res: ServerResponse): Promise<void> => {
+		const parsed = leaderCallSchema.safeParse(parseJson(body));
 		if (!parsed.success || !isOperatorsCall(parsed.data)) {
 			sendFailure(res, 400, {code: 'invalid-call', message: 'The call is not valid. Use the command line, or see docs/OPERATORS.md.'});
 			return;
@@ -101,8 +97,11 @@
 		res.end(renderPage(status));
 	};
 
-	const route = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-		const path = (req.url ?? '/').split('?', 1)[0];
+	const pathOf = (req: IncomingMessage): string => (req.url ?? '/').split('?', 1)[0]!;
+	const isCall = (req: IncomingMessage): boolean => pathOf(req) === CALLS_PATH && req.method === 'POST';
+
+	const route = async (req: IncomingMessage, res: ServerResponse, body: Uint8Array | typeof TOO_LARGE): Promise<void> => {
+		const path = pathOf(req);
 		if (path === '/healthz') {
 			sendJson(res, 200, {healthy: true});
 			return;
@@ -127,8 +126,8 @@
 			return;
 		}
 
-		if (path === CALLS_PATH && req.method === 'POST') {
-			await call(req, res);
+		if (isCall(req)) {
+			await call(body, res);
 			return;
 		}
 
@@ -140,8 +139,8 @@
 		sendFailure(res, 404, {code: 'no-such-path', message: 'No such path. Available are /, /metrics, /healthz, /readyz and POST /v1/calls.'});
 	};
 
-	const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
-		route(req, res).catch((error: unknown) => {
+	const onRequest = (req: IncomingMessage, res: ServerResponse, body: Uint8Array | typeof TOO_LARGE): void => {
+		route(req, res, body).catch((error: unknown) => {
 			if (error instanceof CallTimeoutError) {
 				sendFailure(res, 503, error);
 			} else if (error instanceof CallFailedError || error instanceof BronzebendError) {
@@ -153,7 +152,14 @@
 		});
 	};
 
-	const server = options.tls ? https.createServer(options.tls, onRequest) : http.createServer(onRequest);
+	const server = options.tls ? https.createServer({...guardedServerOptions, ...options.tls}) : http.createServer(guardedServerOptions);
+	guardServer(server, {
+		name: 'operators',
+		guard: options.guard,
+		// Only operators' calls are read; the rest of any other body is dropped after its answer.
+		maxBodyBytes: req => isCall(req) && isOperator(req) ? MAX_CALL_BYTES : undefined,
+		handle: onRequest,
+	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(options.port, options.host, resolve);
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -9,10 +9,12 @@
 import {createBackendClients} from './entry/backend-clients.js';
 import {createEntryServer, type EntryServer} from './entry/entry-server.js';
 import {createTicketClient} from './entry/ticket-client.js';
+import {createClientGuard} from './http/client-guard.js';
+import {defaultClientLimits} from './http/client-limits.js';
 import {createKeeperHost, type KeeperHost} from './keeper/keeper-host.js';
 import {createNoPlatform, createPlatformClient} from './leader/platform-client.js';
 import {createNodeAgent, type NodeAgent} from './node/node-agent.js';
-import {createOperatorsServer} from './operators/operators-server.js';
+import {createOperatorsServer, MAX_CALL_BYTES} from './operators/operators-server.js';
 import {readSecret, roles, type Settings} from './settings.js';
 import {createLogs, type LogFactory} from './utils/log.js';
 import {createMetrics} from './utils/metrics.js';
@@ -45,6 +47,16 @@
 	const secret = readSecret(settings.clusterSecretFile);
 	const operatorKey = readSecret(settings.operatorKeyFile);
 	const metrics = createMetrics();
+	const limits = {...defaultClientLimits(), bodyBytes: 2 * MAX_CALL_BYTES};
+	const guard = createClientGuard({
+		clock,
+		log: logs('clients'),
+		// Two of the longest calls of operators, which are the longest bodies that are kept.
+		limits: () => limits,
+		onGivenUp(server, reason) {
+			metrics.givenUp.inc({server, reason});
+		},
+	});
 	const tracing = await createTracing(node, settings.traces);
 	const isEntry = settings.roles.includes(roles.entry);
 	const keeperAddresses = new Map(settings.keepers.map(keeper => [keeper.node, {host: keeper.host, port: keeper.port}]));
@@ -163,6 +175,7 @@
 			clients,
 			clock,
 			log: logs('entry'),
+			guard,
 			metrics,
 			tracing,
 		});
@@ -191,6 +204,7 @@
 		operatorKey,
 		agent,
 		log: logs('operators'),
+		guard,
 		isReady,
 		readMetrics,
 	});
@@ -204,6 +218,7 @@
 		agent.stop();
 		await entry?.stop();
 		await operators?.stop();
+		guard.stop();
 		await keeper?.stop();
 		await network.close();
 		await tracing.stop();
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -33,6 +33,9 @@
 		granted: new Gauge({
 			name: 'bronzebend_team_granted', help: 'Portion of the upper limit per pool and team', labelNames: ['pool', 'team'], registers,
 		}),
+		givenUp: new Counter({
+			name: 'bronzebend_http_given_up_total', help: 'Connections of clients that were closed, by server and reason', labelNames: ['server', 'reason'], registers,
+		}),
 		version: new Gauge({name: 'bronzebend_version_in_force', help: 'Version of the configuration in force here', registers}),
 		controlBytes: new Gauge({
 			name: 'bronzebend_control_bytes', help: 'Bytes between processes', labelNames: ['direction'], registers,
