Bound connections between processes until the cluster secret is proved

Cause: a stranger could announce a frame of 64 MB and hold any number of connections for a second. Change: until the proof a frame has at most 4,096 bytes and at most 256 connections are unproved; the oldest is closed first.

--- a/packages/wire/src/frame-codec.ts
+++ b/packages/wire/src/frame-codec.ts
@@ -36,8 +36,8 @@
 /** Encoder of one connection. */
 export type FrameWriter = ReturnType<typeof createFrameWriter>;
 
-/** Creates a decoder that splits a byte stream into frames. */
-export const createFrameReader = () => {
+/** Creates a decoder that splits a byte stream into frames. `maxBytes` returns the size limit of the next frame. */
+export const createFrameReader = (maxBytes: () => number = () => MAX_FRAME_BYTES) => {
 	const decoder = new Decoder({structuredClone: false, structures: []});
 	let chunks: Buffer[] = [];
 	let buffered = 0;
@@ -58,7 +58,7 @@
 		/**
 		Adds a chunk and returns the values of all frames that are now complete.
 
-		@throws {BadFrameError} A frame is larger than {@link MAX_FRAME_BYTES} or not valid CBOR.
+		@throws {BadFrameError} A frame is larger than its limit or not valid CBOR.
 		*/
 		push(chunk: Buffer): unknown[] {
 			chunks.push(chunk);
@@ -70,7 +70,7 @@
 					return values;
 				}
 
-				if (length > MAX_FRAME_BYTES) {
+				if (length > maxBytes()) {
 					throw new BadFrameError(`frame of ${length} bytes is too large`);
 				}
 
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -4,3 +4,4 @@
 export * from './entry-codec.js';
 export * from './log-entry.js';
 export * from './raft-messages.js';
+export * from './unproved-connections.js';
--- a/packages/wire/src/peer-network.ts
+++ b/packages/wire/src/peer-network.ts
@@ -8,11 +8,14 @@
 import net from 'node:net';
 import tls from 'node:tls';
 import type {Clock} from '@bronzebend/core';
-import {createFrameReader, createFrameWriter, type FrameWriter} from './frame-codec.js';
+import {
+	createFrameReader, createFrameWriter, MAX_FRAME_BYTES, type FrameWriter,
+} from './frame-codec.js';
 import {
 	clientProof, createNonce, handshakeSchema, proofsMatch, serverProof,
 } from './handshake.js';
 import {peerMessageSchema, toWireMessage, type PeerMessage} from './messages.js';
+import {createUnprovedConnections, MAX_UNPROVED_FRAME_BYTES} from './unproved-connections.js';
 
 /** Unsent bytes to one peer above which messages to it are dropped. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
@@ -95,8 +98,8 @@
 	};
 
 	/** Calls `onValue` with each received value; destroys the connection on a bad frame. */
-	const readFrames = (socket: net.Socket, onValue: (value: unknown) => void): void => {
-		const reader = createFrameReader();
+	const readFrames = (socket: net.Socket, isProved: () => boolean, onValue: (value: unknown) => void): void => {
+		const reader = createFrameReader(() => isProved() ? MAX_FRAME_BYTES : MAX_UNPROVED_FRAME_BYTES);
 		socket.on('data', chunk => {
 			stats.bytesReceived += chunk.length;
 			try {
@@ -113,6 +116,10 @@
 		});
 	};
 
+	const unproved = createUnprovedConnections(address => {
+		reportFault('too many connections that have not proved the cluster secret', address);
+	});
+
 	const accept = (socket: net.Socket): void => {
 		inbound.add(socket);
 		socket.setNoDelay(true);
@@ -128,7 +135,7 @@
 			}
 		}, CONNECT_TIMEOUT_MS);
 		timer.unref();
-		readFrames(socket, value => {
+		readFrames(socket, () => peer !== undefined, value => {
 			if (peer !== undefined) {
 				if (isKeepAliveFrame(value, PING.type)) {
 					socket.write(writer.encode(PONG));
@@ -147,6 +154,7 @@
 			}
 
 			peer = parsed.data.node;
+			unproved.prove(socket);
 			socket.write(writer.encode({type: 'accepted', node, proof: serverProof(secret, nonce, parsed.data.nonce, node)}));
 		});
 		socket.write(writer.encode({type: 'challenge', nonce}));
@@ -155,6 +163,7 @@
 	const listener = options.tls
 		? tls.createServer({...options.tls, requestCert: true, rejectUnauthorized: true}, accept)
 		: net.createServer(accept);
+	listener.prependListener('connection', unproved.add);
 	await new Promise<void>((resolve, reject) => {
 		listener.once('error', reject);
 		listener.listen(options.port, options.host, resolve);
@@ -190,7 +199,7 @@
 	const authenticate = (to: string, connection: Outbound): void => {
 		const clientNonce = createNonce();
 		let serverNonce = '';
-		readFrames(connection.socket, value => {
+		readFrames(connection.socket, () => connection.ready, value => {
 			if (connection.ready && isKeepAliveFrame(value, PONG.type)) {
 				connection.lastContactMs = clock.monotonicMs();
 				return;
--- a/tests/daemon/peer-network.spec.ts
+++ b/tests/daemon/peer-network.spec.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import net from 'node:net';
 import {describe, it} from 'node:test';
 import {systemClock} from '@bronzebend/core';
-import {createPeerNetwork, type PeerMessage} from '@bronzebend/wire';
+import {
+	createPeerNetwork, MAX_UNPROVED, MAX_UNPROVED_FRAME_BYTES, type PeerMessage,
+} from '@bronzebend/wire';
 import {waitUntilTrue} from '../fixtures/leader-harness.js';
 
 const MESSAGES = 40;
@@ -36,3 +40,61 @@
 		await Promise.all([from.close(), to.close()]);
 	});
 });
+
+/** Connects without a proof, as a stranger does. */
+const connectStranger = async (port: number): Promise<net.Socket> => {
+	const socket = net.connect({host: '127.0.0.1', port});
+	socket.on('error', () => undefined);
+	socket.resume();
+	await once(socket, 'connect');
+	return socket;
+};
+
+describe('connections between processes that have not proved the cluster secret', () => {
+	const open = async (node: string, portOf: () => number, received: PeerMessage[] = []) => createPeerNetwork({
+		node,
+		host: '127.0.0.1',
+		port: 0,
+		secret: 'a secret of this test',
+		clock: systemClock,
+		locate: () => ({host: '127.0.0.1', port: portOf()}),
+		onMessage(_from, message) {
+			received.push(message);
+		},
+	});
+
+	// Guards against a stranger that makes a process buffer up to 64 MB for a frame that it announces.
+	it('should be closed when they announce a frame above the limit, before its bytes arrive', async () => {
+		const to = await open('to', () => 0);
+		const stranger = await connectStranger(to.port());
+		const closed = once(stranger, 'close');
+		const length = new Uint8Array(4);
+		new DataView(length.buffer).setUint32(0, MAX_UNPROVED_FRAME_BYTES + 1);
+		const startedMs = performance.now();
+		stranger.write(length);
+		await closed;
+		assert.ok(performance.now() - startedMs < 900, 'closed by the timeout of the handshake only');
+		assert.equal(to.stats.rejected, 1);
+		await to.close();
+	});
+
+	// Guards against strangers that use up the descriptors, and against shutting out nodes meanwhile.
+	it('should be closed from the oldest on when there are too many, while a node still gets through', async () => {
+		const received: PeerMessage[] = [];
+		const to = await open('to', () => 0, received);
+		const from = await open('from', to.port);
+		const oldest = await connectStranger(to.port());
+		const isClosed = once(oldest, 'close');
+		// All at once, since each is closed anyway when it has not proved the secret within a second.
+		const strangers = await Promise.all(Array.from({length: MAX_UNPROVED}, async () => connectStranger(to.port())));
+		await isClosed;
+		assert.ok(to.stats.rejected >= 1, 'closed by the timeout of the handshake only');
+		from.send('to', {type: 'probe'});
+		await waitUntilTrue(() => received.length === 1);
+		for (const stranger of strangers) {
+			stranger.destroy();
+		}
+
+		await Promise.all([from.close(), to.close()]);
+	});
+});
