--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -33,6 +33,9 @@
 		granted: new Gauge({
 			name: 'bronzebend_team_granted', help: 'Portion of the upper limit per pool and team', labelNames: ['pool', 'team'], registers,
 		}),
+		givenUp: new Counter({
+			name: 'bronzebend_http_given_up_total', help: 'Connections of clients that were closed, by server and reason', labelNames: ['server', 'reason'], registers,
+		}),
 		version: new Gauge({name: 'bronzebend_version_in_force', help: 'Version of the configuration in force here', registers}),
 		evacuatedDataCentres: new Gauge({name: 'bronzebend_evacuated_data_centres', help: 'Evacuated data centres, in the view of this node', registers}),
 		evacuatedRequests: new Gauge({
