Order jobs by the cost of delay in pools that are short of room

Cause: late jobs ran by due time whether or not waiting cost their callers anything, so some became useless behind jobs with time to spare, and a backlog made jobs late that could have been in time together. Change: in a pool whose ready work exceeds its free cores or memory, late jobs go first only shortly before they become useless, and of jobs that cannot all meet their deadlines those with the most work yield. Other pools keep their order.

--- a/packages/core/src/jobs/job-ranking.ts
+++ b/packages/core/src/jobs/job-ranking.ts
@@ -5,7 +5,9 @@
 meet its objective goes before one that cannot, so that a backlog does not make every job late.
 */
 import type {ManifestIndex} from './fleet-manifest.js';
-import {chainMs, type Job, JobStates} from './job.js';
+import {
+	chainMs, type Job, JobStates, type Occurrence,
+} from './job.js';
 import type {RunEstimates} from './run-estimates.js';
 
 /** Multiple of its objective beyond which finishing a job sooner brings no further benefit. */
@@ -23,17 +25,22 @@
 	inTime: 1,
 	/** Is late, but still benefits from finishing sooner. */
 	late: 2,
+	/** Is late, and cannot be served before its result is useless unless jobs with less work are delayed. */
+	crowdedOut: 3,
 	/** Must finish, but yields to all other jobs. */
-	deferrable: 3,
+	deferrable: 4,
 } as const;
 export type Tier = (typeof Tiers)[keyof typeof Tiers];
 
 /** A job with its sort keys; times are in milliseconds. */
-export type JobRank = {job: Job; tier: Tier; priority: number; share: number; dueMs: number; remainingMs: number};
+export type JobRank = {job: Job; tier: Tier; priority: number; share: number; dueMs: number; remainingMs: number; objectiveMs: number};
+
+/** The first occurrence of a job that is not done. */
+export const currentOccurrence = (job: Job): Occurrence => job.occurrences.find(each => each.doneInStep.some((done, step) => done < job.order.steps[step]!.count)) ?? job.occurrences[0]!;
 
 /** Expected duration of a job's longest chain of remaining work, in milliseconds. */
 export const remainingMs = (job: Job, estimates: RunEstimates): number => {
-	const occurrence = job.occurrences.find(each => each.doneInStep.some((done, step) => done < job.order.steps[step]!.count)) ?? job.occurrences[0]!;
+	const occurrence = currentOccurrence(job);
 	return estimates.expectedMs(job.order.queue, chainMs(job.order, step => occurrence.doneInStep[step]! < job.order.steps[step]!.count));
 };
 
@@ -41,8 +48,7 @@
 export const objectiveOf = (job: Job): number => (job.queue.objectiveFactor * chainMs(job.order)) + job.queue.objectiveMs;
 
 /** Determines a job's urgency, given its remaining time in milliseconds. */
-export const tierOf = (job: Job, nowMs: number, remaining: number): Tier => {
-	const objectiveMs = objectiveOf(job);
+export const tierOf = (job: Job, nowMs: number, remaining: number, objectiveMs = objectiveOf(job)): Tier => {
 	const waitedMs = nowMs - job.acceptedAtMs;
 	if (job.order.steps.some(step => step.lasting)) {
 		return Tiers.lasting;
@@ -59,13 +65,15 @@
 /** Determines the rank of one job. */
 export const rankJob = (job: Job, nowMs: number, estimates: RunEstimates, shareOf: (workspace: string | undefined) => number, manifest: ManifestIndex): JobRank => {
 	const remaining = remainingMs(job, estimates);
+	const objectiveMs = objectiveOf(job);
 	return {
 		job,
-		tier: tierOf(job, nowMs, remaining),
+		tier: tierOf(job, nowMs, remaining, objectiveMs),
 		priority: manifest.queue(job.order.queue)?.priority ?? job.queue.priority,
 		share: shareOf(job.order.workspace),
-		dueMs: job.acceptedAtMs + objectiveOf(job) - remaining,
+		dueMs: job.acceptedAtMs + objectiveMs - remaining,
 		remainingMs: remaining,
+		objectiveMs,
 	};
 };
 
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -5,7 +5,8 @@
 import {
 	isOpen, isStepReady, type Job, type JobStep, type Occurrence, type WorkUnit,
 } from './job.js';
-import {compareRanks, type JobRank, rankJob} from './job-ranking.js';
+import {orderRanks} from './job-order.js';
+import {rankJob} from './job-ranking.js';
 import {
 	chooseAvoiding, fits, reserveResources, type CandidateWorker,
 } from './placement.js';
@@ -284,10 +285,9 @@
 		});
 	};
 
-	const ranks: JobRank[] = [...store.openJobs()].filter(job => isOpen(job)).map(job => rankJob(job, wallMs, estimates, quota.shareOf, manifest));
-	ranks.sort(input.compare ?? compareRanks);
+	const ranks = [...store.openJobs()].filter(job => isOpen(job)).map(job => rankJob(job, wallMs, estimates, quota.shareOf, manifest));
 	const steps: ReadyStep[] = [];
-	for (const {job} of ranks) {
+	for (const {job} of orderRanks(ranks, input)) {
 		addReadySteps(job, steps);
 	}
 
--- a/packages/core/src/jobs/scheduling-input.ts
+++ b/packages/core/src/jobs/scheduling-input.ts
@@ -31,4 +31,6 @@
 	maxStarts: number;
 	/** Order of jobs; by default that of `compareRanks`. */
 	compare?: (left: JobRank, right: JobRank) => number;
+	/** Order of jobs in a pool that is short of room: by the cost of a delay, which is the default, or by `compareRanks` as in other pools. */
+	order?: 'delay-cost' | 'tiers';
 };
--- a/utils/experiment/model.ts
+++ b/utils/experiment/model.ts
@@ -1,7 +1,7 @@
 /** Simulated fleet on a virtual clock that runs the work placed by the real scheduling code. */
 import {
 	createArrivalMeter, createFleetBalancer, createJobStore, createRunEstimates, groupBy, isOpen, LATE_FACTOR, lifeOf, measureBacklogs, measureDemand, objectiveOf, planStarts, retryAfterMs, RunEnds,
-	type Job, type JobStore, type JobQueue, type JobRank, type MovableMachine, type WorkerLife,
+	type Job, type JobStore, type JobQueue, type JobRank, type MovableMachine, type SchedulingInput, type WorkerLife,
 } from '@bronzebend/core';
 import type {Load, SimulatedJob} from './load.js';
 import {followDemand} from './oracle.js';
@@ -17,6 +17,9 @@
 /** Time after the load in which jobs may still end, in milliseconds; the users query their states after it. */
 const GRACE_PERIOD_MS = 14_000;
 
+/** Number of times that a caller repeats a refused call. */
+const MAX_REPEATS = 4;
+
 /** How machines come to pools: by our balancer, not at all, all of them from the start, or without delay by an oracle that knows the demand. */
 export type Capacity = 'balancer' | 'fixed' | 'always-on' | 'oracle';
 
@@ -31,6 +34,10 @@
 	capacity: Capacity;
 	/** Whether jobs are rejected while the backlog of their queue is too large. */
 	refuses: boolean;
+	/** Order in pools that are short of room; the scheduler's default if undefined. */
+	order?: SchedulingInput['order'];
+	/** Whether callers repeat refused calls after `Retry-After`, up to `MAX_REPEATS` times. */
+	repeats?: boolean;
 };
 
 /** Outcome of one job; `past-use` is beyond three times its objective. */
@@ -72,7 +79,8 @@
 	const byId = new Map(jobs.map(job => [job.order.id, job]));
 	const capacity = {cpu: load.machines.cpu, memoryMb: load.machines.memoryMb, gpu: 0};
 	const firstStart = new Map<string, number>();
-	const refused = new Set<string>();
+	/** Refused calls that will be repeated, with the number of repetitions so far. */
+	let refusedCalls: Array<{played: SimulatedJob; atMs: number; repeats: number}> = [];
 	let runs: ModelRun[] = [];
 	let machineSeconds = 0;
 	let moves = 0;
@@ -117,11 +125,15 @@
 		}
 	};
 
-	const admit = (played: SimulatedJob, nowMs: number): void => {
+	const admit = (played: SimulatedJob, nowMs: number, repeats = 0): void => {
 		const workers = machines.filter(machine => machine.life?.pool === played.order.queue).length;
 		const backlog = {coreMs: measureBacklogs(store, estimates).get(played.order.queue) ?? 0, capacityCpu: workers * capacity.cpu};
-		if (strategy.refuses && retryAfterMs(backlog) !== undefined) {
-			refused.add(played.order.id);
+		const retryMs = strategy.refuses ? retryAfterMs(backlog) : undefined;
+		if (retryMs !== undefined) {
+			if (strategy.repeats && repeats < MAX_REPEATS) {
+				refusedCalls.push({played, atMs: nowMs + (1000 * Math.max(1, Math.ceil(retryMs / 1000))), repeats: repeats + 1});
+			}
+
 			return;
 		}
 
@@ -154,7 +166,7 @@
 	const startRuns = (nowMs: number): ReadonlyMap<string, number> => {
 		const workers = machines.flatMap(({life}) => (life ? [{...life, slowness: 1}] : []));
 		const {starts, waiting} = planStarts({
-			store, manifest, workers, estimates, wallMs: nowMs, avoided: () => undefined, approved: () => undefined, maxStarts: 200, compare: strategy.compare,
+			store, manifest, workers, estimates, wallMs: nowMs, avoided: () => undefined, approved: () => undefined, maxStarts: 200, compare: strategy.compare, order: strategy.order,
 		});
 		if (starts.length === 0) {
 			return waiting;
@@ -236,6 +248,12 @@
 			nextJob += 1;
 		}
 
+		const repeated = refusedCalls.filter(call => call.atMs <= nowMs);
+		refusedCalls = refusedCalls.filter(call => call.atMs > nowMs);
+		for (const {played, repeats} of repeated) {
+			admit(played, nowMs, repeats);
+		}
+
 		endRuns(nowMs);
 		if (strategy.capacity === 'oracle') {
 			followOracle(nowMs);
