--- a/packages/daemon/src/http/guarded-messages.ts
+++ b/packages/daemon/src/http/guarded-messages.ts
@@ -52,6 +52,9 @@
 	end(): void;
 };
 
+/** Receives the end of a request without a body. */
+export const noBody: BodySink = {add: () => true, end: () => undefined};
+
 /** Request of a guarded server. */
 export class GuardedRequest extends IncomingMessage {
 	sink: BodySink | undefined;
@@ -75,10 +78,15 @@
 			return this.sink.add(chunk);
 		}
 
-		// The stream has to end too, which lets Node release the request.
-		const isOpen = super.push(null);
 		this.sink.end();
-		return isOpen;
+		return true;
+	}
+
+	/** Called by Node after the answer, to read what is left of the request. Nothing is left of one that was received whole. */
+	_dump(): void {
+		if (!this.sink || !this.complete) {
+			(IncomingMessage.prototype as unknown as {_dump(): void})._dump.call(this);
+		}
 	}
 }
 
--- a/packages/daemon/src/http/guarded-server.ts
+++ b/packages/daemon/src/http/guarded-server.ts
@@ -7,7 +7,9 @@
 import {
 	giveUpReasons, type ClientGuard, type Connection, type Exchange,
 } from './client-guard.js';
-import {GuardedRequest, GuardedResponse, isDead} from './guarded-messages.js';
+import {
+	GuardedRequest, GuardedResponse, isDead, noBody,
+} from './guarded-messages.js';
 import {HEADERS_TIMEOUT_MS, MAX_WAITING_REQUESTS} from './client-limits.js';
 
 /** Bytes past the limit of a body that are read and discarded, so that the client receives the answer and not a connection reset. */
@@ -136,13 +138,15 @@
 				advance(connection);
 			}
 		});
-		const maxBytes = hasBody(req) ? options.maxBodyBytes(req) : undefined;
-		if (maxBytes !== undefined) {
+		const maxBytes = options.maxBodyBytes(req);
+		if (maxBytes !== undefined && hasBody(req)) {
 			exchange.isReceived = false;
 			receive(connection, exchange, maxBytes);
 			if (expectsContinue) {
 				res.writeContinue();
 			}
+		} else if (maxBytes !== undefined) {
+			(req as GuardedRequest).sink = noBody;
 		}
 
 		advance(connection);
