--- a/tests/daemon/jobs/evacuation-calls.spec.ts
+++ b/tests/daemon/jobs/evacuation-calls.spec.ts
@@ -32,7 +32,7 @@
 			return store.apply(command);
 		},
 		isLeading: () => state.leads,
-		capacityOf: () => undefined,
+		roomOf: () => undefined,
 		dataCentres: {list: () => known, isComplete: () => isComplete},
 		announce: () => undefined,
 		leave: () => undefined,
--- a/tests/daemon/jobs/refused-moves.spec.ts
+++ b/tests/daemon/jobs/refused-moves.spec.ts
@@ -58,11 +58,11 @@
 			await group.pass(1000);
 			const before = group.moves.length;
 			group.store.apply({type: 'evacuate', dataCentre: 'a', atMs: 1});
-			const reachable = group.reachableCpu('bench');
+			const room = group.roomOf('bench');
 			await group.pass(8000);
 			const moves = group.moves.slice(before);
 			const ofZone = (zone: string) => moves.filter(({machine}) => machine.includes(`-${zone}`));
-			assert.equal(reachable, 6 * 4000, 'capacity in the evacuated data centre does not count');
+			assert.deepEqual([room?.present.cpu, room?.obtainable.cpu], [0, 9 * 4000], 'of the evacuated data centre nothing counts, of the other its machines in standby and its idle ones');
 			assert.deepEqual([...new Set(ofZone('a').map(({to}) => to))], ['spare']);
 			assert.equal(new Set(ofZone('a').map(({machine}) => machine)).size, 9, 'idle machines there are switched off');
 			assert.ok(ofZone('b').filter(({to}) => to === 'bench').length >= 5, JSON.stringify(moves));
--- a/utils/experiment/model.ts
+++ b/utils/experiment/model.ts
@@ -1,9 +1,10 @@
 /** Simulated fleet on a virtual clock that runs the work placed by the real scheduling code. */
 import {
-	chooseDraining, createArrivalMeter, createFleetBalancer, createJobStore, createRunEstimates, groupBy, isOpen, LATE_FACTOR, lifeOf, measureBacklogs, measureDemand, objectiveOf, planStarts, retryAfterMs, RunEnds,
-	type BalancerFeatures, type DrainCandidate, type Job, type JobStore, type JobQueue, type JobRank, type MovableMachine, type SchedulingInput, type WorkerLife,
+	chooseDraining, createArrivalMeter, createFleetBalancer, createJobStore, createRunEstimates, findRefusal, groupBy, isOpen, LATE_FACTOR, lifeOf, measureBacklogs, measureDemand, measurePoolBacklogs, objectiveOf, planStarts, retryAfterMs, RunEnds,
+	type BalancerFeatures, type DrainCandidate, type Job, type JobOrder, type JobRank, type MovableMachine, type Resources, type SchedulingInput, type WorkerLife,
 } from '@bronzebend/core';
 import type {Load, SimulatedJob} from './load.js';
+import {publish, queueOf, SPARE_POOL} from './manifest.js';
 import {followDemand} from './oracle.js';
 import {createUpkeep} from './upkeep.js';
 
@@ -25,9 +26,6 @@
 /** How machines come to pools: by our balancer, not at all, all of them from the start, or without delay by an oracle that knows the demand. */
 export type Capacity = 'balancer' | 'fixed' | 'always-on' | 'oracle';
 
-/** Pool of the machines that are switched off. */
-const SPARE_POOL = 'spare';
-
 /** A scheduling strategy. */
 export type Strategy = {
 	name: string;
@@ -40,6 +38,8 @@
 	without?: ReadonlyArray<keyof BalancerFeatures>;
 	/** Maximum number of moves in one step of the balancer; the leader's if undefined. */
 	movesPerStep?: number;
+	/** Rule by which jobs are refused; by the backlog of the pool if undefined. */
+	admission?: 'backlog' | 'timely';
 	/** Order in pools that are short of room; the scheduler's default if undefined. */
 	order?: SchedulingInput['order'];
 	/** Whether callers repeat refused calls after `Retry-After`, up to `MAX_REPEATS` times. */
@@ -47,7 +47,7 @@
 };
 
 /** Outcome of one job; `past-use` is beyond three times its objective. */
-export type JobResult = {job: SimulatedJob; outcome: 'in-objective' | 'late' | 'past-use' | 'refused' | 'failed' | 'unfinished'; waitMs: number};
+export type JobResult = {job: SimulatedJob; outcome: 'in-objective' | 'late' | 'past-use' | 'refused' | 'failed' | 'unfinished'; waitMs: number; refusals: number};
 
 /** Result of a simulation. */
 export type SimulationResult = {played: JobResult[]; machineSeconds: number; moves: number; lostCoreSeconds: number};
@@ -55,25 +55,6 @@
 type ModelMachine = {name: string; pool: string; upAtMs: number; life?: WorkerLife; lives: number; isCrashed: boolean};
 type ModelRun = {endMs: number; unit: string; attempt: number; life: string; startMs: number; cpu: number};
 
-const queueOf = (name: string): JobQueue => ({
-	name, host: 'desk.example', pathPrefix: `/${name}/`, pool: name, priority: 0, maxAttempts: 3, objectiveFactor: 1.6, objectiveMs: 600, timeoutMs: 3000, open: false,
-});
-
-const publish = (store: JobStore, load: Load): void => {
-	store.apply({
-		type: 'publish-fleet', manifest: {
-			version: 1,
-			queues: load.queues.map(queue => queueOf(queue.name)),
-			pools: [...load.queues.map(queue => ({name: queue.name, guardsCapacity: true, standby: false})), {name: SPARE_POOL, guardsCapacity: true, standby: true}],
-			workspaces: Array.from({length: load.workspaces}, (_, index) => ({
-				name: `team-${index}`, keys: [`key-${index}`], weight: 1 + index, cap: {cpu: 0, memoryMb: 0, gpu: 0},
-			})),
-			maxBodyBytes: 1,
-			document: '',
-		},
-	});
-};
-
 /** Simulates a fleet that processes the jobs under one strategy. */
 export const simulate = (load: Load, jobs: readonly SimulatedJob[], strategy: Strategy): SimulationResult => {
 	const store = createJobStore();
@@ -85,6 +66,8 @@
 	const byId = new Map(jobs.map(job => [job.order.id, job]));
 	const capacity = {cpu: load.machines.cpu, memoryMb: load.machines.memoryMb, gpu: 0};
 	const firstStart = new Map<string, number>();
+	/** Number of refused calls, by job. */
+	const refusals = new Map<string, number>();
 	/** Refused calls that will be repeated, with the number of repetitions so far. */
 	let refusedCalls: Array<{played: SimulatedJob; atMs: number; repeats: number}> = [];
 	let runs: ModelRun[] = [];
@@ -144,12 +127,27 @@
 		},
 	});
 
-	const admit = (played: SimulatedJob, nowMs: number, repeats = 0): void => {
+	const isIdle = (machine: ModelMachine): boolean => machine.life === undefined || store.runsOf(machine.life.life).size === 0;
+
+	const backlogRetryOf = ({queue}: JobOrder): number | undefined => {
 		// As at the leader: the pool's machines, also those on their way, and those in standby.
-		const workers = machines.filter(machine => !machine.isCrashed && (machine.pool === played.order.queue || machine.pool === SPARE_POOL)).length;
-		const backlog = {coreMs: measureBacklogs(store, estimates).get(played.order.queue) ?? 0, capacityCpu: workers * capacity.cpu};
-		const retryMs = strategy.refuses ? retryAfterMs(backlog) : undefined;
+		const workers = machines.filter(machine => !machine.isCrashed && (machine.pool === queue || machine.pool === SPARE_POOL)).length;
+		return retryAfterMs({coreMs: measureBacklogs(store, estimates).get(queue) ?? 0, capacityCpu: workers * capacity.cpu});
+	};
+
+	const timelyRetryOf = (order: JobOrder, nowMs: number): number | undefined => {
+		const present = machines.filter(machine => machine.life?.pool === order.queue).length;
+		const obtainable = strategy.capacity === 'fixed' || strategy.capacity === 'always-on' ? 0 : machines.filter(machine => !machine.isCrashed && machine.life?.pool !== order.queue && isIdle(machine)).length;
+		const times = (count: number): Resources => ({cpu: count * capacity.cpu, memoryMb: count * capacity.memoryMb, gpu: 0});
+		return findRefusal(order, queueOf(order.queue), {
+			backlog: measurePoolBacklogs(store, estimates, nowMs).get(order.queue) ?? [], room: {present: times(present), obtainable: times(obtainable)}, estimates, wallMs: nowMs,
+		})?.retryMs;
+	};
+
+	const admit = (played: SimulatedJob, nowMs: number, repeats = 0): void => {
+		const retryMs = strategy.refuses ? (strategy.admission === 'timely' ? timelyRetryOf(played.order, nowMs) : backlogRetryOf(played.order)) : undefined;
 		if (retryMs !== undefined) {
+			refusals.set(played.order.id, repeats + 1);
 			if (strategy.repeats && repeats < MAX_REPEATS) {
 				refusedCalls.push({played, atMs: nowMs + (1000 * Math.max(1, Math.ceil(retryMs / 1000))), repeats: repeats + 1});
 			}
@@ -216,8 +214,6 @@
 		};
 	};
 
-	const isIdle = (machine: ModelMachine): boolean => machine.life === undefined || store.runsOf(machine.life.life).size === 0;
-
 	const followOracle = (nowMs: number): void => {
 		followDemand({
 			machines,
@@ -309,24 +305,25 @@
 	const resultOf = (played: SimulatedJob): JobResult => {
 		const job: Job | undefined = store.job(played.order.id);
 		const waitMs = (firstStart.get(played.order.id) ?? load.lengthMs + GRACE_PERIOD_MS) - played.atMs;
+		const common = {job: played, waitMs, refusals: refusals.get(played.order.id) ?? 0};
 		if (!job) {
-			return {job: played, outcome: 'refused', waitMs};
+			return {...common, outcome: 'refused'};
 		}
 
 		if (isOpen(job) && !job.order.steps.some(step => step.lasting)) {
-			return {job: played, outcome: 'unfinished', waitMs};
+			return {...common, outcome: 'unfinished'};
 		}
 
 		if (job.state === 'failed') {
-			return {job: played, outcome: 'failed', waitMs};
+			return {...common, outcome: 'failed'};
 		}
 
 		if (isOpen(job)) {
-			return {job: played, outcome: 'in-objective', waitMs};
+			return {...common, outcome: 'in-objective'};
 		}
 
 		const ratio = (job.endedAtMs - played.atMs) / (played.objectiveMs ?? objectiveOf(job));
-		return {job: played, outcome: ratio <= 1 ? 'in-objective' : (ratio <= LATE_FACTOR || !load.irregular ? 'late' : 'past-use'), waitMs};
+		return {...common, outcome: ratio <= 1 ? 'in-objective' : (ratio <= LATE_FACTOR || !load.irregular ? 'late' : 'past-use')};
 	};
 
 	return {
