--- a/packages/core/src/jobs/fleet-balancer.ts
+++ b/packages/core/src/jobs/fleet-balancer.ts
@@ -21,6 +21,8 @@
 const LONGEST_IDLE_RESERVE_SHARE = 0.15;
 /** Workers that a pool without demand keeps when its reserve is lent, as a share of the fleet; the first jobs of its next turn start on them. 0.03 made these jobs wait longer. */
 const LENT_RESERVE_SHARE = 0.05;
+/** Workers that a pool keeps at least when its reserve is lent. In a fleet of 40, 5 % are two workers, on which not even the first jobs of a turn have room. */
+const MIN_LENT_RESERVE = 5;
 /** Workers that the pool of the next expected turn keeps when its reserve is lent, as a share of the fleet. */
 const EXPECTED_RESERVE_SHARE = 0.1;
 /** Part of its late work for which a pool keeps workers while another pool lacks workers for urgent work. */
@@ -129,19 +131,22 @@
 	};
 
 	/** Workers that a pool keeps of its reserve while others are short. */
-	const remainderOf = (pool: string, fleetSize: number): number => Math.max(1, Math.round(fleetSize * (expected?.pool === pool ? EXPECTED_RESERVE_SHARE : LENT_RESERVE_SHARE)));
+	const remainderOf = (pool: string, fleetSize: number): number => Math.max(MIN_LENT_RESERVE, Math.round(fleetSize * (expected?.pool === pool ? EXPECTED_RESERVE_SHARE : LENT_RESERVE_SHARE)));
 
 	/** Workers that a pool keeps without demand. Load alternates between queues, so the pool idle for longest is likely to be busy next. */
 	const reserveOf = (pool: string, activePools: readonly string[], {fleetSize, maxMoves, nowMs}: BalanceInput): number => {
 		if (expected) {
 			const leadMs = EXPECTED_MOVE_MS + (expected.workers / maxMoves * EXPECTED_STEP_MS / 2) + (expected.spreadMs / 2);
 			const isAhead = pool === expected.pool && nowMs >= expected.startMs - leadMs;
-			return Math.max(1, isAhead ? Math.min(expected.workers, Math.round(fleetSize * MAX_EXPECTED_SHARE)) : Math.round(fleetSize * LENT_RESERVE_SHARE));
+			if (isAhead) {
+				return Math.max(1, Math.min(expected.workers, Math.round(fleetSize * MAX_EXPECTED_SHARE)));
+			}
 		}
 
 		const last = lastBusyMs.get(pool);
 		const isOldest = activePools.every(other => other === pool || (lastBusyMs.get(other) ?? -Infinity) > (last ?? -Infinity));
-		return Math.max(1, Math.round(fleetSize * (last === undefined ? INITIAL_RESERVE_SHARE : (isOldest ? LONGEST_IDLE_RESERVE_SHARE : MIN_RESERVE_SHARE))));
+		const usual = Math.max(1, Math.round(fleetSize * (last === undefined ? INITIAL_RESERVE_SHARE : (isOldest ? LONGEST_IDLE_RESERVE_SHARE : MIN_RESERVE_SHARE))));
+		return expected ? Math.min(usual, Math.max(MIN_LENT_RESERVE, Math.round(fleetSize * LENT_RESERVE_SHARE))) : usual;
 	};
 
 	/** What a pool has, what it needs, and what it keeps while another pool lacks workers for urgent work. */
