Let the soak of the core watch for idle jobs, and play faults of all machines at once

The soak saw jobs that were lost or doubled, but not one that had room and ran nothing for seconds, and its faults hit one keeper at a time.

--- a/tests/utils/soak-core.spec.ts
+++ b/tests/utils/soak-core.spec.ts
@@ -11,6 +11,7 @@
 	calmSpans, checkReadBack, findCoreBreaks, type CoreSeen,
 } from '@bronzebend/utils/soak/core/checks';
 import {drawCoreFaults, readDay} from '@bronzebend/utils/soak/core/faults';
+import {createIdleJobs, findIdleJobs, type SeenRun} from '@bronzebend/utils/soak/core/idle-jobs';
 import type {Change, Probe, Reading} from '@bronzebend/utils/soak/core/operator';
 import {startRelay, type Relay} from '@bronzebend/utils/soak/core/relay';
 
@@ -67,9 +68,70 @@
 	});
 });
 
+describe('the watch for idle jobs of the soak of the core', () => {
+	const jobOf = (id: string, fields = {}) => ({
+		id, queue: '/pool-1/', key: 'k', units: 2, statuses: [200], acceptedMs: 0, isCancelled: false, isLasting: false, ...fields,
+	});
+	const workerOf = (fields = {}) => ({
+		pool: 'pool-1', isUp: true, running: 0, places: 16, ...fields,
+	});
+
+	/** Spans in which jobs are idle while a deployment stays as it is for a time. */
+	const spansOf = ({jobs, runs = [], workers = [workerOf()]}: {jobs: Array<ReturnType<typeof jobOf>>; runs?: SeenRun[]; workers?: Array<ReturnType<typeof workerOf>>}) => {
+		const watch = createIdleJobs();
+		for (let nowMs = 1000; nowMs <= 12_000; nowMs += 200) {
+			watch.observe({
+				jobs, runs, workers, nowMs,
+			});
+		}
+
+		return watch.spans;
+	};
+
+	const runOf = (task: string, fields = {}): SeenRun => ({
+		task, endMs: Infinity, how: '', ...fields,
+	});
+
+	it('should find a job that has room and runs nothing, and a work unit that lasts and does not run', () => {
+		assert.deepEqual(spansOf({jobs: [jobOf('a')]}).map(({job}) => job), ['a']);
+		assert.deepEqual(spansOf({jobs: [jobOf('a', {isLasting: true})], runs: [runOf('a.0.0.0')]}).map(({job}) => job), ['a']);
+	});
+
+	it('should leave out jobs that run, have ended, were cancelled or not accepted, and pools without room', () => {
+		const done = {endMs: 5, how: 'done'};
+		assert.deepEqual(spansOf({jobs: [jobOf('a'), jobOf('b')], runs: [runOf('a.0.0.0'), runOf('b.0.0.0', done), runOf('b.0.0.1', done)]}), []);
+		assert.deepEqual(spansOf({jobs: [jobOf('a', {isCancelled: true}), jobOf('b', {acceptedMs: undefined})]}), []);
+		assert.deepEqual(spansOf({jobs: [jobOf('a')], workers: [workerOf({running: 8}), workerOf({isUp: false}), workerOf({pool: 'pool-2'})]}), []);
+	});
+
+	it('should count the idleness in calm only, after the time to settle', () => {
+		const spans = [{
+			job: 'a', isLasting: false, startMs: 1000, endMs: 9000,
+		}];
+		assert.equal(findIdleJobs(spans, [{startMs: 0, endMs: 20_000}], 0).length, 1);
+		assert.deepEqual(findIdleJobs(spans, [{startMs: 3000, endMs: 20_000}], 0), []);
+		assert.deepEqual(findIdleJobs(spans.map(span => ({...span, isLasting: true})), [{startMs: 0, endMs: 20_000}], 0), []);
+	});
+});
+
 describe('the faults of the soak of the core', () => {
+	it('should be those of all machines at once as well, and the end of the day', () => {
+		const {faults, closing, skipped} = readDay(`
+			closing = {kind = "wipe_after_ack", down_s = 0.5}
+			plan = [{kind = "roll_term", at = 1, share = 0.5, gap_s = 2}, {kind = "wave", at = 2}]
+			faults = [
+				{kind = "core_cut", at = 3, how = "split", for_s = 4}, {kind = "core_cut", at = 4, count = 2, how = "leader all", for_s = 1},
+				{kind = "herd_kill", on = "core", at = 5, for_s = 1}, {kind = "node_kill", on = "core", at = 6, how = "power wipe", for_s = 1},
+				{kind = "node_kill", at = 7}, {kind = "disk_full", at = 8, for_s = 1},
+			]
+		`, 2);
+		assert.deepEqual(faults.map(({type, atMs}) => [type, atMs]), [['roll', 1000], ['split', 3000], ['cut', 4000], ['cut', 4000], ['herd', 5000], ['wipe', 6000], ['full-disk', 8000]]);
+		assert.deepEqual(closing, {lostDisks: 2, delayMs: 0, forMs: 500});
+		assert.deepEqual(skipped, ['wave', 'node_kill']);
+	});
+
 	it('should be those of a day file that concern the core', () => {
-		const {faults, skipped} = readDay(readFileSync(path.join(root, 'review/6/day.toml'), 'utf8'));
+		const {faults, skipped} = readDay(readFileSync(path.join(root, 'review/6/day.toml'), 'utf8'), 2);
 		assert.deepEqual(skipped, []);
 		assert.deepEqual(faults, [
 			{
@@ -88,7 +150,7 @@
 	});
 
 	it('should be read from a file with one day as well', () => {
-		const {faults} = readDay(readFileSync(path.join(root, 'deploy/days/short-cuts-beside-replacements.toml'), 'utf8'));
+		const {faults} = readDay(readFileSync(path.join(root, 'deploy/days/short-cuts-beside-replacements.toml'), 'utf8'), 2);
 		assert.deepEqual(faults.map(({type, atMs}) => [type, atMs]), [['cut', 2000], ['replace', 2050], ['cut', 9000], ['replace', 9050], ['cut', 16_000], ['replace', 16_050]]);
 	});
 
--- a/tests/utils/soak.spec.ts
+++ b/tests/utils/soak.spec.ts
@@ -17,7 +17,7 @@
 	...runOf({}), born: 5, fence: 1, isLate: false, ...changes,
 });
 const jobOf = (statuses: number[], lastState?: string): JobRecord => ({
-	id: 'j', queue: '/q/', key: 'k', statuses, lastState, isCancelled: false, isLasting: false,
+	id: 'j', queue: '/q/', key: 'k', statuses, lastState, units: 1, isCancelled: false, isLasting: false,
 });
 const rulesOf = (jobs: JobRecord[], runs: WorkerRun[], versions = [1, 1]): string[] => findViolations({
 	jobs, runs, acknowledgedVersion: versions[0]!, readVersion: versions[1]!,
--- a/utils/soak-core.ts
+++ b/utils/soak-core.ts
@@ -1,10 +1,11 @@
 /**
 Soak of the core: real keepers and entries as separate processes, whose machines are cut off, lost and replaced in chains that are drawn
-from a seed or read from a day file, while an operator changes the manifest and callers submit jobs. Ends with code 1 if a promise was
-broken, and with code 2 if a soak could not run; the logs of both are kept.
+from a seed or read from a day file, while an operator changes the manifest and callers submit jobs. `--wide` also draws faults of several
+machines at once, `--worker-faults` those of workers and of the links to them, and `--sync-ms` makes each sync to any disk take that much
+longer. Ends with code 1 if a promise was broken, and with code 2 if a soak could not run; the logs of both are kept.
 
 	npm run soak:core -- SEED... [--day FILE] [--programs FOLDER] [--logs FOLDER] [--entries N] [--pools N] [--workers-per-pool N]
-		[--jobs-per-s N] [--busy N] [--keep]
+		[--jobs-per-s N] [--busy N] [--wide] [--worker-faults] [--sync-ms N] [--keep]
 */
 import {type ChildProcess, spawn} from 'node:child_process';
 import {
@@ -19,15 +20,18 @@
 import {root} from './process-cluster.js';
 import {createCallers} from './soak/callers.js';
 import {
-	checkReadBack, findCoreBreaks, type CoreBreak, type CoreSeen,
+	calmSpans, checkReadBack, findCoreBreaks, type CoreBreak, type CoreSeen,
 } from './soak/core/checks.js';
 import {
 	describeCoreFault, drawClosing, drawCoreFaults, readDay, type Closing, type CoreFault,
 } from './soak/core/faults.js';
-import {CONTACT_MS, createCoreGroup} from './soak/core/group.js';
+import {CONTACT_MS, createCoreGroup, type Disturbance} from './soak/core/group.js';
+import {createIdleJobs, findIdleJobs} from './soak/core/idle-jobs.js';
 import {createOperator} from './soak/core/operator.js';
 import {findStrayVoters} from './soak/core/voters.js';
+import {createInjector} from './soak/inject.js';
 import {findViolations} from './soak/ledger.js';
+import {describeFault, drawFaults, workerKinds} from './soak/schedule.js';
 import {startSite, type SiteSize} from './soak/site.js';
 
 const KEEPERS = 5;
@@ -39,8 +43,10 @@
 const FINISH_MS = 120_000;
 const FINISH_PAUSE_MS = 500;
 const MAX_PRINTED = 8;
+/** Interval at which the soak looks at what runs, in milliseconds. */
+const WATCH_MS = 200;
 
-type Options = {seed: number; faults: CoreFault[]; closing: Closing | undefined; programs: string; folder: string; size: SiteSize; jobsPerS: number};
+type Options = {seed: number; faults: CoreFault[]; closing: Closing | undefined; programs: string; folder: string; size: SiteSize; jobsPerS: number; hasWorkerFaults: boolean; syncDelayMs: number};
 type Result = {breaks: CoreBreak[]; changes: number; acknowledged: number; jobs: number; faults: string[]; longestWaitMs: number};
 
 const print = (text: string): void => {
@@ -70,11 +76,12 @@
 	return breaks;
 };
 
-const soak = async ({seed, faults, closing, programs, folder, size, jobsPerS}: Options): Promise<Result> => {
+const soak = async ({seed, faults, closing, programs, folder, size, jobsPerS, hasWorkerFaults, syncDelayMs}: Options): Promise<Result> => {
 	const site = await startSite({
 		size, folder, programs, random: createRandom(seed + 1), isRelayed: true,
 	});
 	try {
+		site.processes.slowAllDisks(syncDelayMs);
 		const startMs = Date.now();
 		let isOver = false;
 		let isClosed = false;
@@ -88,17 +95,40 @@
 		const callers = createCallers({
 			random: createRandom(seed + 4), seed, entries, queues: site.queues, jobsPerS, lasting: site.queues.length, isOver: () => isOver,
 		});
+		const idleJobs = createIdleJobs();
+		const watching = setInterval(() => {
+			idleJobs.observe({
+				jobs: callers.jobs, runs: site.runs, workers: site.seenWorkers(), nowMs: Date.now(),
+			});
+		}, WATCH_MS);
 		const traffic = Promise.all([operator.run(() => isClosed), callers.run()]);
-		await Promise.all(faults.map(async fault => {
-			await pause(fault.atMs);
-			await group.inject(fault);
-		}));
+		const injectAtWorker = createInjector({...site, nextId: site.newIdOf});
+		const workerDisturbances: Disturbance[] = [];
+		const workerFaults = hasWorkerFaults
+			? drawFaults(createRandom(seed + 6), {
+				keepers: size.keepers, entries: size.entries, workers: (size.pools - 1) * size.workersPerPool, lengthMs: Math.max(0, ...faults.map(({atMs}) => atMs)), kinds: workerKinds,
+			})
+			: [];
+		await Promise.all([
+			...faults.map(async fault => {
+				await pause(fault.atMs);
+				await group.inject(fault);
+			}),
+			...workerFaults.map(async fault => {
+				await pause(fault.atMs);
+				const disturbance = {what: describeFault(fault), startMs: Date.now(), endMs: Infinity};
+				workerDisturbances.push(disturbance);
+				await injectAtWorker(fault);
+				disturbance.endMs = Date.now();
+			}),
+		]);
 		if (closing) {
 			await group.close(closing, async () => operator.acknowledged(CONTACT_MS));
 		}
 
 		await pause(closing ? CONTACT_MS + CALM_MS : CALM_MS);
 		isOver = true;
+		clearInterval(watching);
 		const endMs = Date.now();
 		isClosed = true;
 		await traffic;
@@ -117,13 +147,14 @@
 				...checkReadBack(seen, last),
 				...findStrayVoters(folder, group.hosts()),
 				...unknown,
+				...findIdleJobs(idleJobs.spans, calmSpans({...seen, disturbances: [...group.disturbances, ...workerDisturbances]}), startMs).map(detail => ({rule: 'job-idle' as const, detail})),
 				...violations,
 				...site.processes.ended().map(host => ({rule: 'process-ended' as const, detail: host})),
 			],
 			changes: changes.length,
 			acknowledged: changes.filter(change => change.status === 200).length,
 			jobs: callers.jobs.length,
-			faults: [...faults.map(fault => describeCoreFault(fault)), ...group.disturbances.map(({what, startMs: fromMs, endMs: toMs}) => `${what} from ${fromMs - startMs} to ${toMs - startMs} ms`)],
+			faults: [...faults.map(fault => describeCoreFault(fault)), ...[...group.disturbances, ...workerDisturbances].map(({what, startMs: fromMs, endMs: toMs}) => `${what} from ${fromMs - startMs} to ${toMs - startMs} ms`)],
 			longestWaitMs: Math.max(0, ...changes.map(change => Math.min(change.answeredMs, endMs) - change.sentMs)),
 		};
 	} finally {
@@ -151,6 +182,9 @@
 		'workers-per-pool': {type: 'string', default: '4'},
 		'jobs-per-s': {type: 'string', default: '5'},
 		busy: {type: 'string', default: '0'},
+		wide: {type: 'boolean', default: false},
+		'worker-faults': {type: 'boolean', default: false},
+		'sync-ms': {type: 'string', default: '0'},
 		keep: {type: 'boolean', default: false},
 	},
 });
@@ -167,7 +201,7 @@
 const size: SiteSize = {
 	keepers: KEEPERS, entries: number(values.entries, 'entries'), pools: number(values.pools, 'pools'), workersPerPool: number(values['workers-per-pool'], 'workers-per-pool'),
 };
-const day = values.day === undefined ? undefined : readDay(readFileSync(values.day, 'utf8'));
+const day = values.day === undefined ? undefined : readDay(readFileSync(values.day, 'utf8'), TOLERATED);
 if (day && day.skipped.length > 0) {
 	print(`Entries that do not concern the core are left out: ${day.skipped.join(' ')}`);
 }
@@ -185,13 +219,13 @@
 for (const seed of seeds) {
 	const folder = path.join(values.logs, `soak-core-${seed}-${process.pid}`);
 	mkdirSync(folder, {recursive: true});
-	const faults = day?.faults ?? drawCoreFaults(createRandom(seed), size.entries);
-	const closing = day ? undefined : drawClosing(createRandom(seed + 5), TOLERATED);
+	const faults = day?.faults ?? drawCoreFaults(createRandom(seed), size.entries, values.wide);
+	const closing = day ? day.closing : drawClosing(createRandom(seed + 5), TOLERATED);
 	const stalls = monitorEventLoopDelay({resolution: 10});
 	stalls.enable();
 	try {
 		const result = await soak({
-			seed, faults, closing, programs: path.resolve(values.programs), folder, size, jobsPerS: number(values['jobs-per-s'], 'jobs-per-s'),
+			seed, faults, closing, programs: path.resolve(values.programs), folder, size, jobsPerS: number(values['jobs-per-s'], 'jobs-per-s'), hasWorkerFaults: values['worker-faults'], syncDelayMs: number(values['sync-ms'], 'sync-ms'),
 		});
 		broken += result.breaks.length;
 		print(`| ${seed} | ${faults.length} | ${result.changes} | ${result.acknowledged} | ${result.jobs} | ${result.longestWaitMs} | ${result.breaks.length} | ${Math.round(stalls.max / 1e6)} |`);
--- a/utils/soak/callers.ts
+++ b/utils/soak/callers.ts
@@ -17,7 +17,7 @@
 const ASK_MS = 1500;
 const ASK_AT_ONCE = 40;
 /** Thousandths of a core of a work unit. */
-const UNIT_CPU = 500;
+export const UNIT_CPU = 500;
 /** Shares of the jobs with long work units, and of those with a second step. */
 const LONG_SHARE = 0.12;
 const TWO_STEPS_SHARE = 0.2;
@@ -34,6 +34,8 @@
 	return {runMs: Number.isFinite(runMs) ? runMs : Infinity, cpu: UNIT_CPU};
 };
 
+type JobBody = {spec: string; steps: Array<{count: number} & Record<string, unknown>>};
+
 export type Callers = ReturnType<typeof createCallers>;
 
 export const createCallers = ({random, seed, entries, queues, jobsPerS, lasting, isOver}: {
@@ -54,7 +56,7 @@
 		method, address: pick(entries), path: `${job.queue}${job.id}`, body, headers: {host: HOST, 'x-api-key': job.key, 'x-deadline-ms': String(DEADLINE_MS)}, timeoutMs: DEADLINE_MS,
 	});
 
-	const drawBody = (isLasting: boolean): unknown => {
+	const drawBody = (isLasting: boolean): JobBody => {
 		const isLong = random() < LONG_SHARE;
 		const {min, max} = isLong ? LONG_MS : SHORT_MS;
 		const runMs = Math.round(min + (random() * (max - min)));
@@ -86,6 +88,7 @@
 
 	const runJob = async (job: JobRecord): Promise<void> => {
 		const body = drawBody(job.isLasting);
+		job.units = body.steps.reduce((sum, {count}) => sum + count, 0);
 		const isResent = random() < RESENT_SHARE;
 		const cancelAfterMs = !job.isLasting && random() < CANCELLED_SHARE ? random() * 4000 : undefined;
 		await submit(job, body);
@@ -114,7 +117,7 @@
 			const calls: Array<Promise<void>> = [];
 			for (let number = 1; !isOver(); number += 1) {
 				const job: JobRecord = {
-					id: ((seed * 1_000_000) + number).toString(16).padStart(16, '0'), queue: pick(queues), key: pick(KEYS), statuses: [], isCancelled: false, isLasting: number <= lasting,
+					id: ((seed * 1_000_000) + number).toString(16).padStart(16, '0'), queue: pick(queues), key: pick(KEYS), units: 0, statuses: [], isCancelled: false, isLasting: number <= lasting,
 				};
 				jobs.push(job);
 				calls.push(runJob(job));
--- a/utils/soak/core/faults.ts
+++ b/utils/soak/core/faults.ts
@@ -7,9 +7,9 @@
 
 /** A fault, and its earliest time in milliseconds; it waits until the deployment may lose the machine. */
 export type CoreFault = {atMs: number} & (
-	/** The other keepers do not reach it, are not reached by it, or both. */
-	| {type: 'cut'; target: Target; forMs: number; direction: 'both' | 'in' | 'out'}
-	| {type: 'kill' | 'power-loss' | 'wipe' | 'stop' | 'freeze'; target: Target; forMs: number}
+	/** The other keepers do not reach it, are not reached by it, or both; the entries neither, if it is cut off from all. */
+	| {type: 'cut'; target: Target; forMs: number; direction: 'both' | 'in' | 'out'; isFromAll?: boolean}
+	| {type: 'kill' | 'power-loss' | 'wipe' | 'stop' | 'freeze' | 'full-disk'; target: Target; forMs: number}
 	/** Gone for good; an empty machine starts at another address after a time. */
 	| {type: 'replace'; target: Target; afterMs: number}
 	/** An empty machine starts; the one that it replaces is stopped after a time. */
@@ -20,6 +20,12 @@
 	| {type: 'seeds'}
 	/** An entry and the keepers do not reach each other. */
 	| {type: 'entry-cut'; entry: number; forMs: number}
+	/** Half of the keepers and the other half do not reach each other. */
+	| {type: 'split'; forMs: number}
+	/** All keepers are killed at once. */
+	| {type: 'herd'; forMs: number}
+	/** A share of all machines is stopped in turn, each of which starts again. */
+	| {type: 'roll'; share: number; gapMs: number}
 );
 
 /** Time of the first fault, in milliseconds. */
@@ -43,7 +49,11 @@
 const LOSSES = ['replace', 'replace', 'replace', 'wipe', 'wipe', 'power-loss'] as const;
 /** Share of the soaks that begin with a cut beside a replacement. */
 const CUT_FIRST_SHARE = 0.75;
+/** Types of fault that a soak draws, unless it also draws those that hit several machines at once. */
 const TYPES = ['cut', 'cut', 'cut', 'replace', 'replace', 'replace-planned', 'kill', 'power-loss', 'wipe', 'stop', 'freeze', 'slow-link', 'slow-disk', 'reset', 'seeds', 'entry-cut'] as const;
+const WIDE_TYPES = [...TYPES, 'split', 'split', 'herd', 'herd', 'roll', 'roll', 'full-disk', 'full-disk'] as const;
+const ROLL_SHARE = {min: 0.3, max: 1} as const;
+const ROLL_GAP_MS = {min: 300, max: 2000} as const;
 
 const drawFault = (random: Random, type: CoreFault['type'], atMs: number, entries: number): CoreFault => {
 	const target = pick<Target>(random, ['leader', 'follower', 'follower', 'any']);
@@ -88,6 +98,17 @@
 			};
 		}
 
+		case 'split':
+		case 'herd': {
+			return {type, atMs, forMs};
+		}
+
+		case 'roll': {
+			return {
+				type, atMs, share: ROLL_SHARE.min + (random() * (ROLL_SHARE.max - ROLL_SHARE.min)), gapMs: between(random, ROLL_GAP_MS),
+			};
+		}
+
 		default: {
 			return {
 				type, atMs, target, forMs,
@@ -97,14 +118,14 @@
 };
 
 /** Draws chains of faults: the first is often a cut beside a replacement, the last is two losses close to each other. */
-export const drawCoreFaults = (random: Random, entries: number): CoreFault[] => {
+export const drawCoreFaults = (random: Random, entries: number, isWide = false): CoreFault[] => {
 	const chains = between(random, CHAINS);
 	let atMs = FIRST_MS;
 	return Array.from({length: chains}, (_, index) => {
 		const isFirst = index === 0 && random() < CUT_FIRST_SHARE;
 		const isLast = index === chains - 1;
 		const count = isFirst || isLast ? 2 : between(random, {min: 1, max: 3});
-		const types: Array<CoreFault['type']> = Array.from({length: count}, () => pick<CoreFault['type']>(random, isLast ? LOSSES : TYPES));
+		const types: Array<CoreFault['type']> = Array.from({length: count}, () => pick<CoreFault['type']>(random, isLast ? LOSSES : (isWide ? WIDE_TYPES : TYPES)));
 		let faultAtMs = atMs;
 		atMs += between(random, CHAIN_GAP_MS);
 		return (isFirst ? ['cut', 'replace'] as const : types).map(type => {
@@ -129,24 +150,59 @@
 	return random() < CLOSING_SHARE ? closing : undefined;
 };
 
-type DayEntry = {kind: string; at: number; for_s?: number; x?: number; how?: string; count?: number};
+type DayEntry = {kind: string; at: number; for_s?: number; x?: number; how?: string; count?: number; share?: number; gap_s?: number; on?: string};
 
 const DEFAULT_FOR_S = 5;
 
-type Day = {plan?: DayEntry[]; faults?: DayEntry[]};
+type Day = {plan?: DayEntry[]; faults?: DayEntry[]; closing?: {kind: string; down_s: number}};
 
 const targetOf = (how: string): Target => (/leader|renewed|giver/u.test(how) ? 'leader' : (how.includes('follower') ? 'follower' : 'any'));
 
-const fromEntry = ({kind, at, for_s: forS = DEFAULT_FOR_S, x = 1, how = ''}: DayEntry): CoreFault | undefined => {
+/** The faults of the core among those kinds that may hit other machines. */
+const fromCoreEntry = ({kind, at, for_s: forS = DEFAULT_FOR_S, how = ''}: DayEntry): CoreFault | undefined => {
+	const common = {atMs: at * 1000, target: targetOf(how), forMs: forS * 1000};
+	switch (kind) {
+		case 'node_kill': {
+			return {...common, type: how.includes('wipe') ? 'wipe' : (how.includes('power') ? 'power-loss' : 'kill')};
+		}
+
+		case 'node_freeze': {
+			return {...common, type: 'freeze'};
+		}
+
+		case 'herd_kill': {
+			return {type: 'herd', atMs: common.atMs, forMs: common.forMs};
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+};
+
+const fromEntry = (entry: DayEntry): CoreFault | undefined => {
+	const {kind, at, for_s: forS = DEFAULT_FOR_S, x = 1, how = ''} = entry;
 	const common = {atMs: at * 1000, target: targetOf(how)};
 	const forMs = forS * 1000;
 	switch (kind) {
 		case 'core_cut': {
+			return how.includes('split')
+				? {type: 'split', atMs: common.atMs, forMs}
+				: {
+					...common, type: 'cut', forMs, direction: how.includes('one_way') ? 'in' : 'both', ...(how.includes('all') && {isFromAll: true}),
+				};
+		}
+
+		case 'roll_term': {
 			return {
-				...common, type: 'cut', forMs, direction: how.includes('one_way') ? 'in' : 'both',
+				type: 'roll', atMs: common.atMs, share: entry.share ?? 1, gapMs: (entry.gap_s ?? 1) * 1000,
 			};
 		}
 
+		case 'disk_full': {
+			return {...common, type: 'full-disk', forMs};
+		}
+
 		case 'replace_core': {
 			return {...common, type: how.includes('planned') ? 'replace-planned' : 'replace', afterMs: x * 1000};
 		}
@@ -164,17 +220,18 @@
 		}
 
 		default: {
-			return undefined;
+			return entry.on === 'core' ? fromCoreEntry(entry) : undefined;
 		}
 	}
 };
 
-/** Reads the entries of a day that concern the core; a file holds one day, or a list of days of which the first counts. `skipped` names the kinds of the other entries. */
-export const readDay = (text: string): {faults: CoreFault[]; skipped: string[]} => {
+/** Reads the entries of a day that concern the core, and its end; a file holds one day, or a list of days of which the first counts. `skipped` names the kinds of the other entries. */
+export const readDay = (text: string, tolerated: number): {faults: CoreFault[]; closing: Closing | undefined; skipped: string[]} => {
 	const file = parse(text) as Day & {day?: Day[]};
 	const day = file.day?.[0] ?? file;
 	const entries = [...(day.plan ?? []), ...(day.faults ?? [])].toSorted((one, other) => one.at - other.at);
 	return {
+		closing: day.closing && {lostDisks: day.closing.kind === 'wipe_after_ack' ? tolerated : 0, delayMs: 0, forMs: day.closing.down_s * 1000},
 		faults: entries.flatMap(entry => Array.from({length: entry.count ?? 1}, () => fromEntry(entry)).filter(fault => fault !== undefined)),
 		skipped: entries.filter(entry => fromEntry(entry) === undefined).map(entry => entry.kind),
 	};
--- a/utils/soak/core/group.ts
+++ b/utils/soak/core/group.ts
@@ -3,6 +3,7 @@
 import {SEEDS, type Addresses, type Processes} from '../processes.js';
 import type {Closing, CoreFault, Target} from './faults.js';
 import type {Links} from './links.js';
+import {createWideFaults} from './wide-faults.js';
 
 /** Time after a disturbance until the core counts as calm, in milliseconds. */
 export const CONTACT_MS = 3000;
@@ -47,11 +48,11 @@
 	const everyoneExcept = (host: string): string[] => [...coreExcept(host), ...addresses.entries];
 
 	/** Takes a place that may be lost now; a machine that is disturbed already is left alone. */
-	const take = async (wanted: Target): Promise<Place> => {
+	const take = async (wanted: Target, host?: string): Promise<Place> => {
 		const untilMs = Date.now() + MAX_TARGET_WAIT_MS;
 		for (;;) {
 			const target = Date.now() < untilMs ? wanted : 'any';
-			const free = places.filter(place => !place.isBusy);
+			const free = places.filter(place => !place.isBusy && (host === undefined || place.host === host));
 			const leader = free.find(place => place.host === processes.leader());
 			const candidates = target === 'any' ? free : free.filter(place => (place === leader) === (target === 'leader'));
 			const place = candidates[Math.floor(random() * candidates.length)];
@@ -67,8 +68,8 @@
 	};
 
 	/** Runs what happens to a place; its machine counts as lost until some time after that, or until the time that `act` returns. */
-	const disturb = async (fault: CoreFault & {target: Target}, act: (place: Place) => Promise<number | void>): Promise<void> => {
-		const place = await take(fault.target);
+	const disturb = async (fault: CoreFault & {target: Target}, act: (place: Place) => Promise<number | void>, host?: string): Promise<void> => {
+		const place = await take(fault.target, host);
 		const disturbance = {what: `${fault.type} ${place.host}`, startMs: Date.now(), endMs: Infinity};
 		disturbances.push(disturbance);
 		record('soak', 'fault', {...fault, host: place.host, isLeader: place.host === processes.leader()});
@@ -135,23 +136,43 @@
 		heal();
 	};
 
+	/** Stops a keeper and starts it again. */
+	const stopAndStart = async (host: string, forMs: number): Promise<void> => {
+		await endGracefully(host);
+		await pause(forMs);
+		processes.start(host, false);
+	};
+
+	const injectWide = createWideFaults({
+		processes, addresses, links, random, endGracefully, disturbances, record,
+		hosts: () => places.map(place => place.host),
+		isBusy: () => places.some(place => place.isBusy),
+		stopKeeper: async (host, forMs) => (places.some(place => place.host === host)
+			? disturb({
+				type: 'stop', atMs: 0, target: 'any', forMs,
+			}, async () => stopAndStart(host, forMs), host)
+			: undefined),
+	});
+
 	/** Injects a fault as soon as its machine may be lost; resolves once it is over. */
 	const inject = async (fault: CoreFault): Promise<void> => {
 		switch (fault.type) {
 			case 'cut': {
-				await disturb(fault, async ({host}) => healAfter(fault.forMs, isolate(host, coreExcept(host), fault.direction)));
+				await disturb(fault, async ({host}) => healAfter(fault.forMs, isolate(host, fault.isFromAll ? everyoneExcept(host) : coreExcept(host), fault.direction)));
+				return;
+			}
+
+			case 'stop': {
+				await disturb(fault, async ({host}) => stopAndStart(host, fault.forMs));
 				return;
 			}
 
 			case 'kill':
 			case 'power-loss':
-			case 'wipe':
-			case 'stop': {
+			case 'wipe': {
 				await disturb(fault, async ({host}) => {
-					const heal = fault.type === 'kill' || fault.type === 'stop' ? undefined : await darken(host);
-					if (fault.type === 'stop') {
-						await endGracefully(host);
-					} else if (!heal) {
+					const heal = fault.type === 'kill' ? undefined : await darken(host);
+					if (!heal) {
 						await processes.end(host, 'SIGKILL');
 					}
 
@@ -221,6 +242,22 @@
 				return;
 			}
 
+			case 'full-disk': {
+				await disturb(fault, async ({host}) => {
+					processes.fillDisk(host, true);
+					await pause(fault.forMs);
+					processes.fillDisk(host, false);
+				});
+				return;
+			}
+
+			case 'split':
+			case 'herd':
+			case 'roll': {
+				await injectWide(fault);
+				return;
+			}
+
 			case 'reset': {
 				await disturb(fault, async ({host}) => {
 					links.reset([host]);
--- a/utils/soak/core/program.ts
+++ b/utils/soak/core/program.ts
@@ -1,6 +1,6 @@
 /**
 Runs a program of a checkout inside a soak: sends its connections to other nodes through the relay of the soak,
-and delays its syncs to disk when the soak asks for it.
+and delays its syncs to disk, or refuses its writes, when the soak asks for it.
 
 	node program.js MAIN ROLE
 */
@@ -13,6 +13,7 @@
 import {PROGRAM_VARIABLE, type ProgramMessage, type ProgramSettings} from './program-settings.js';
 
 type Syncing = {sync(): Promise<void>; datasync(): Promise<void>};
+type Writing = {appendFile(data: Uint8Array): Promise<void>; writeFile(data: Uint8Array): Promise<void>};
 
 const relayConnections = ({self, peerPort, relay}: ProgramSettings): void => {
 	const connect = net.connect.bind(net) as (options: net.TcpNetConnectOpts) => net.Socket;
@@ -29,14 +30,19 @@
 	net.connect = connectToNode as typeof net.connect;
 };
 
-const delaySyncs = async (): Promise<void> => {
-	let delayMs = 0;
+const disturbDisk = async ({syncDelayMs}: ProgramSettings): Promise<void> => {
+	let delayMs = syncDelayMs;
+	let isFull = false;
 	process.on('message', (message: ProgramMessage) => {
-		delayMs = message.syncDelayMs;
+		if ('syncDelayMs' in message) {
+			delayMs = message.syncDelayMs;
+		} else {
+			isFull = message.isDiskFull;
+		}
 	});
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'bronzebend-soak-'));
 	const handle = await open(path.join(folder, 'any'), 'w');
-	const methods = Object.getPrototypeOf(handle) as Syncing;
+	const methods = Object.getPrototypeOf(handle) as Syncing & Writing;
 	await handle.close();
 	await rm(folder, {recursive: true});
 
@@ -52,12 +58,24 @@
 
 	methods.sync = delayed(methods.sync);
 	methods.datasync = delayed(methods.datasync);
+
+	const limited = (unlimited: (data: Uint8Array) => Promise<void>) => async function (this: Writing, data: Uint8Array) {
+		if (isFull) {
+			throw Object.assign(new Error('ENOSPC: no space left on device, write'), {code: 'ENOSPC'});
+		}
+
+		await unlimited.call(this, data);
+	};
+
+	methods.appendFile = limited(methods.appendFile);
+	methods.writeFile = limited(methods.writeFile);
 };
 
 const settings = process.env[PROGRAM_VARIABLE];
 if (settings !== undefined) {
-	relayConnections(JSON.parse(settings) as ProgramSettings);
-	await delaySyncs();
+	const parsed = JSON.parse(settings) as ProgramSettings;
+	relayConnections(parsed);
+	await disturbDisk(parsed);
 	// The program reads its role where it would stand without this wrapper.
 	process.argv.splice(1, 1);
 	await import(pathToFileURL(process.argv[1]!).href);
--- a/utils/soak/ledger.ts
+++ b/utils/soak/ledger.ts
@@ -1,9 +1,9 @@
 /** What callers, operators and workers saw in a soak, and the promises that this must keep. */
 import type {WorkerRun} from '../platform-stand-ins.js';
 
-/** What the caller of one job saw: the statuses of its submissions (0 for none), when the first was accepted, in Unix milliseconds, and whether it was cancelled. */
+/** What the caller of one job saw: the statuses of its submissions (0 for none), when the first was accepted, in Unix milliseconds, whether it was cancelled, and its number of work units. */
 export type JobRecord = {
-	id: string; queue: string; key: string; statuses: number[]; acceptedMs?: number; lastState?: string; isCancelled: boolean; isLasting: boolean;
+	id: string; queue: string; key: string; units: number; statuses: number[]; acceptedMs?: number; lastState?: string; isCancelled: boolean; isLasting: boolean;
 };
 
 /** A promise that was broken, with the case; the two runs if it is about runs, the earlier one first. */
--- a/utils/soak/processes.ts
+++ b/utils/soak/processes.ts
@@ -44,6 +44,8 @@
 	const children = new Map<string, ChildProcess>();
 	const away = new Set<string>();
 	let leader: string | undefined;
+	/** Time by which each sync to a disk takes longer, in milliseconds. */
+	let syncDelayMs = 0;
 
 	const settingsOf = (host: string, isFirst: boolean): string => {
 		const isKeeper = !entries.includes(host);
@@ -81,7 +83,9 @@
 		started.set(host, isFirst);
 		writeFileSync(settingsFile(host), settingsOf(host, isFirst));
 		const isKeeper = !entries.includes(host);
-		const program: ProgramSettings = {self: host, peerPort: addresses.peer, relay: {host: addresses.relayHost, port: addresses.relay}};
+		const program: ProgramSettings = {
+			self: host, peerPort: addresses.peer, relay: {host: addresses.relayHost, port: addresses.relay}, syncDelayMs,
+		};
 		const child = spawn(process.execPath, [`--max-old-space-size=${isKeeper ? 192 : 96}`, ...(isRelayed ? [WRAPPER] : []), path.join(programs, 'platform/lib/main.js'), isKeeper ? 'keeper' : 'entry'], {
 			stdio: ['ignore', 'pipe', 'pipe', ...(isRelayed ? ['ipc' as const] : [])],
 			env: {
@@ -139,9 +143,22 @@
 		wipe(host: string): void {
 			rmSync(dataFolder(host), {recursive: true, force: true});
 		},
-		/** Sets the delay of each sync to the disk of a running process, in milliseconds. */
-		slowDisk(host: string, syncDelayMs: number): void {
-			children.get(host)!.send({syncDelayMs} satisfies ProgramMessage, () => undefined);
+		/** Makes each sync to any disk take longer, in milliseconds, also for processes that start later. */
+		slowAllDisks(delayMs: number): void {
+			syncDelayMs = delayMs;
+			for (const [host, child] of children) {
+				if (!away.has(host)) {
+					child.send({syncDelayMs} satisfies ProgramMessage, () => undefined);
+				}
+			}
+		},
+		/** Adds to the delay of each sync to the disk of a running process, in milliseconds. */
+		slowDisk(host: string, addedMs: number): void {
+			children.get(host)!.send({syncDelayMs: syncDelayMs + addedMs} satisfies ProgramMessage, () => undefined);
+		},
+		/** Makes the disk of a running process take no more bytes, or take them again. */
+		fillDisk(host: string, isDiskFull: boolean): void {
+			children.get(host)!.send({isDiskFull} satisfies ProgramMessage, () => undefined);
 		},
 		/** Changes the seeds in the settings of some processes, and of those that start from now on. */
 		setSeeds(next: readonly string[], hosts: readonly string[]): void {
--- a/utils/soak/site.ts
+++ b/utils/soak/site.ts
@@ -3,11 +3,14 @@
 import os from 'node:os';
 import path from 'node:path';
 import {type Random, systemClock} from '@bronzebend/core';
-import {HOST, KEYS, workOf} from './callers.js';
+import {
+	HOST, KEYS, UNIT_CPU, workOf,
+} from './callers.js';
 import {startMachines} from './machines.js';
 import {
 	addressesOf, createProcesses, HEARTBEAT_MS, MAX_LEASE_MS, ZONES,
 } from './processes.js';
+import type {SeenWorker} from './core/idle-jobs.js';
 import {startLinks} from './core/links.js';
 import {send, type SendResult} from './send.js';
 import {createSoakWorker} from './worker.js';
@@ -156,6 +159,10 @@
 		/** Control addresses of the keepers, as operators and workers know them; the list may change. */
 		controls,
 		newIdOf,
+		/** What the workers run now. */
+		seenWorkers: (): SeenWorker[] => workers.map(worker => ({
+			pool: worker.pool(), isUp: worker.isUp(), running: worker.running(), places: CAPACITY.cpu / UNIT_CPU,
+		})),
 		queues: working.map(pool => prefixOf(pool)),
 		indexOf: (worker: string): number | undefined => indexById.get(worker),
 		zoneOf: (worker: string): string | undefined => (indexById.has(worker) ? zoneOfIndex(indexById.get(worker)!) : undefined),
