Log and measure writes to the replicated log that are slow

A group whose disks are slow answers every call with 503 `no-leader`, and no line or metric named the disks: `No leader is known.` has the silence of the voters only, and these do answer.

Decisions are unchanged.

--- a/packages/daemon/src/jobs/group-watch.ts
+++ b/packages/daemon/src/jobs/group-watch.ts
@@ -9,12 +9,14 @@
 const REPEAT_MS = 5000;
 
 /** Creates the watch of one keeper. */
-export const createGroupWatch = ({clock, log, replica, seeds}: {
+export const createGroupWatch = ({clock, log, replica, seeds, slowestWriteMs = () => 0}: {
 	clock: Clock;
 	log: Log;
 	replica(): JobReplica | undefined;
 	/** Nodes named in the settings. */
 	seeds(): string[];
+	/** Duration of the slowest write to the log of the last seconds, in milliseconds. */
+	slowestWriteMs?(): number;
 }) => {
 	const heardAtMs = new Map<string, number>();
 	let leaderlessSinceMs = clock.monotonicMs();
@@ -38,7 +40,7 @@
 		const own = raft.members().find(member => member.replica === current.replica);
 		const others = raft.members().filter(member => member.voter && member !== own).map(member => member.node);
 		log.warn('No leader is known.', {
-			forMs, term: raft.term(), role: raft.role(), votes: own?.voter === true, lastIndex: raft.lastIndex(), votersSilentMs: describeSilence(others, nowMs),
+			forMs, term: raft.term(), role: raft.role(), votes: own?.voter === true, lastIndex: raft.lastIndex(), slowestWriteMs: slowestWriteMs(), votersSilentMs: describeSilence(others, nowMs),
 		});
 	};
 
--- a/packages/daemon/src/jobs/job-keeper-options.ts
+++ b/packages/daemon/src/jobs/job-keeper-options.ts
@@ -5,6 +5,7 @@
 import type {RaftTimings, Replica} from '@bronzebend/replica';
 import type {ClockReading, PeerMessage} from '@bronzebend/wire';
 import type {LogFactory} from '../utils/log.js';
+import type {JobMetrics} from './job-metrics.js';
 import type {WorkerConnector} from './ports.js';
 
 /** A replica of the job state. */
@@ -46,6 +47,7 @@
 	timings?: RaftTimings;
 	random: () => number;
 	logs: LogFactory;
+	metrics?: JobMetrics;
 	send(to: string, message: PeerMessage): void;
 	/** Connects to workers; used to relay calls while another keeper leads. */
 	connect: WorkerConnector;
--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -13,6 +13,7 @@
 import {createGroupRequests, type ResignationResult} from './group-requests.js';
 import {createGroupWatch} from './group-watch.js';
 import type {JobKeeperOptions, JobReplica, LeaderWork} from './job-keeper-options.js';
+import {createLogWrites} from './log-writes.js';
 import {createMachineOrderTimes} from './machine-order-times.js';
 import {createMembershipController} from './membership-controller.js';
 
@@ -45,6 +46,7 @@
 	let forming = false;
 	const group = createGroupMessages({self: storage.replica, replica: () => replica, send: options.send});
 	let orderTimes = createMachineOrderTimes(options.steadyClock, 0);
+	const logWrites = createLogWrites({clock, log, metrics: options.metrics});
 
 	const isLeading = (): boolean => replica?.hasLease() === true;
 	const leaderNode = (): string | undefined => replica?.raft.members().find(member => member.replica === replica?.raft.leader())?.node;
@@ -112,6 +114,7 @@
 				});
 			},
 			onProgress: updateWork,
+			onSynced: logWrites.wrote,
 			onFatal: options.onFatal,
 		});
 	};
@@ -121,7 +124,7 @@
 	});
 
 	const watch = createGroupWatch({
-		clock, log, replica: () => replica, seeds: options.seeds,
+		clock, log, replica: () => replica, seeds: options.seeds, slowestWriteMs: logWrites.slowestMs,
 	});
 
 	const requests = createGroupRequests({
--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -43,6 +43,9 @@
 		workerCalls: new Counter({
 			name: 'bronzebend_worker_calls_total', help: 'Calls to workers that this process made itself, by call and by origin (own, or relayed for the leader)', labelNames: ['call', 'origin'], registers,
 		}),
+		logWriteSeconds: new Histogram({
+			name: 'bronzebend_log_write_seconds', help: 'Time until a write to the replicated log is durable, on each keeper', buckets: LATENCY_BUCKETS, registers,
+		}),
 		endedRuns: new Counter({
 			name: 'bronzebend_runs_over_total', help: 'Runs that ended, by how', labelNames: ['how'], registers,
 		}),
--- a/packages/replica/src/log-writer.ts
+++ b/packages/replica/src/log-writer.ts
@@ -2,6 +2,7 @@
 Writes the Raft log and hard state to disk, in order and in the background, and delays the messages
 that depend on a write until it is synced. Between two batches it saves the snapshots that are due.
 */
+import type {Clock} from '@bronzebend/core';
 import {encodeEntry} from '@bronzebend/wire';
 import type {Outgoing, RaftOutput} from './raft.js';
 import {DiskFullError, type Storage, type StorageOperation} from './storage.js';
@@ -19,14 +20,15 @@
 /** Options of a log writer. */
 export type LogWriterOptions = {
 	storage: Storage;
+	clock: Clock;
 	/** Returns the last entry of the Raft log; all entries up to it have been added here or are durable. */
 	lastPosition(): LogPosition;
 	/** True if a snapshot of the state machine should be taken now. */
 	isSnapshotDue(): boolean;
 	/** Takes a snapshot now; returns a function that saves it once all that has been added so far is durable. */
 	takeSnapshot(): () => Promise<void>;
-	/** Called when all entries up to this position are durable. */
-	onSynced(position: LogPosition): void;
+	/** Called when all entries up to this position are durable, with the duration of the write in milliseconds. */
+	onSynced(position: LogPosition, tookMs: number): void;
 	/** Sends delayed messages, whose writes are durable now. */
 	deliver(messages: readonly Outgoing[]): void;
 	onDiskFull(): void;
@@ -82,6 +84,7 @@
 				const saveSnapshot = options.isSnapshotDue() ? options.takeSnapshot() : undefined;
 				if (operations.length > 0) {
 					const position = options.lastPosition();
+					const startedMs = options.clock.monotonicMs();
 					// Batches reach the disk in order.
 					// eslint-disable-next-line no-await-in-loop
 					await saveWithRetries(operations);
@@ -89,7 +92,7 @@
 						return;
 					}
 
-					options.onSynced(position);
+					options.onSynced(position, options.clock.monotonicMs() - startedMs);
 				}
 
 				options.deliver(deferred);
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -37,6 +37,8 @@
 	sleep(milliseconds: number): Promise<void>;
 	/** Called after each batch of events. */
 	onProgress?(): void;
+	/** Called after each write to the log, with its duration in milliseconds. */
+	onSynced?(tookMs: number): void;
 	/** Called on an unrecoverable error, such as a failed disk; the process must stop. */
 	onFatal(error: unknown): void;
 };
@@ -261,13 +263,15 @@
 
 	const writer = createLogWriter({
 		storage,
+		clock,
 		isSnapshotDue: mayTakeSnapshot,
 		takeSnapshot,
 		lastPosition() {
 			const index = raft.lastIndex();
 			return {index, term: raft.termAt(index)!};
 		},
-		onSynced({index, term}) {
+		onSynced({index, term}, tookMs) {
+			options.onSynced?.(tookMs);
 			applyOutput(raft.handle({type: 'synced', index, term}, clock.monotonicMs()));
 		},
 		deliver,
--- a/tests/daemon/jobs/group-watch.spec.ts
+++ b/tests/daemon/jobs/group-watch.spec.ts
@@ -15,7 +15,7 @@
 		};
 		let nowMs = 0;
 		const watch = createGroupWatch({
-			clock: {monotonicMs: () => nowMs, wallMs: () => nowMs}, log, replica, seeds: () => ['b', 'c'],
+			clock: {monotonicMs: () => nowMs, wallMs: () => nowMs}, log, replica, seeds: () => ['b', 'c'], slowestWriteMs: () => 480,
 		});
 		return {
 			lines,
@@ -29,7 +29,7 @@
 		};
 	};
 
-	it('should log the term, the votes and the silence of each voter while there is no leader, at a bounded rate', () => {
+	it('should log the term, the votes, the slowest write and the silence of each voter while there is no leader, at a bounded rate', () => {
 		const known: {leader?: string} = {};
 		const members = ['a', 'b', 'c'].map(node => ({node, replica: `r-${node}`, voter: true}));
 		const raft = {
@@ -43,7 +43,7 @@
 		run(400);
 		assert.deepEqual(lines, [{
 			message: 'No leader is known.', fields: {
-				forMs: 1200, term: 7, role: 'candidate', votes: true, lastIndex: 12, votersSilentMs: 'b 400, c never',
+				forMs: 1200, term: 7, role: 'candidate', votes: true, lastIndex: 12, slowestWriteMs: 480, votersSilentMs: 'b 400, c never',
 			},
 		}]);
 
