--- a/utils/soak/core/group.ts
+++ b/utils/soak/core/group.ts
@@ -146,7 +146,23 @@
 	const injectWide = createWideFaults({
 		processes, addresses, links, random, endGracefully, disturbances, record,
 		hosts: () => places.map(place => place.host),
-		isBusy: () => places.some(place => place.isBusy),
+		takeAll() {
+			if (places.some(place => place.isBusy)) {
+				return undefined;
+			}
+
+			for (const place of places) {
+				place.isBusy = true;
+				place.lostUntilMs = Infinity;
+			}
+
+			return () => {
+				for (const place of places) {
+					place.isBusy = false;
+					place.lostUntilMs = Date.now() + CATCH_UP_MS;
+				}
+			};
+		},
 		stopKeeper: async (host, forMs) => (places.some(place => place.host === host)
 			? disturb({
 				type: 'stop', atMs: 0, target: 'any', forMs,
--- a/utils/soak/core/wide-faults.ts
+++ b/utils/soak/core/wide-faults.ts
@@ -15,12 +15,12 @@
 	setTimeout(resolve, milliseconds);
 });
 
-export const createWideFaults = ({processes, addresses, links, random, hosts, isBusy, stopKeeper, endGracefully, disturbances, record}: {
+export const createWideFaults = ({processes, addresses, links, random, hosts, takeAll, stopKeeper, endGracefully, disturbances, record}: {
 	processes: Processes; addresses: Addresses; links: Links; random: Random;
 	/** Hosts of the keepers that have not been replaced. */
 	hosts(): string[];
-	/** True while a machine of the core is disturbed by itself. */
-	isBusy(): boolean;
+	/** Takes all machines of the core, so that nothing else disturbs one; undefined while one is disturbed. Returns a function that lets go of them. */
+	takeAll(): (() => void) | undefined;
 	/** Stops a keeper by SIGTERM and starts it again, as soon as it may be lost. */
 	stopKeeper(host: string, forMs: number): Promise<void>;
 	endGracefully(host: string): Promise<void>;
@@ -56,8 +56,10 @@
 
 	/** Kills all keepers at once. */
 	const herd = async (forMs: number): Promise<void> => {
-		while (isBusy()) {
+		let letGo = takeAll();
+		while (!letGo) {
 			await pause(TURN_MS);
+			letGo = takeAll();
 		}
 
 		const all = hosts();
@@ -69,6 +71,7 @@
 		}
 
 		disturbance.endMs = Date.now();
+		letGo();
 	};
 
 	/** Stops an entry and starts it again, unless it is stopped already. */
