Confirm contact to the leader without waiting for the disk

What callers saw: where each sync takes 300 ms or more, all keepers answer 503 `no-leader` most of the time, changes get no clear answer, and jobs run nothing.

Cause: a follower sent every answer to an append message after the sync that the message needed, also to heartbeats. The leader's lease is 450 ms from the latest message that a quorum has answered, so with slow disks it lapsed although all keepers ran, and after 900 ms the leader stepped down.

Now a follower confirms contact at once, at least once in a heartbeat interval, with the index up to which its log is durable. New entries are confirmed after their sync, as before, so what is committed is durable. The promise behind the lease is kept in memory and renewed at a start, so it does not depend on the disk either.

--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -105,6 +105,8 @@
 	let termStartIndex = Infinity;
 	// The time of the last leader contact is lost on a restart, so it is assumed to be now: leases rely on it.
 	let leaderContactMs = startedAtMs;
+	/** When this replica confirmed contact to a leader last, in milliseconds. */
+	let contactRepliedMs = -Infinity;
 	let electionAtMs = 0;
 	let heartbeatAtMs = 0;
 	let votes = new Set<string>();
@@ -341,17 +343,30 @@
 		resetElection(nowMs);
 	};
 
-	const replyAppend = (to: string, success: boolean, index: number, sentAtMs: number): void => {
-		output.afterSync.push({
+	/**
+	Confirms what is durable. Contact is confirmed without waiting for the disk, at least once in a heartbeat interval:
+	otherwise slow disks of a majority would cost the leader its lease, although all replicas run.
+	*/
+	const replyAppend = (to: string, success: boolean, index: number, sentAtMs: number, nowMs: number): void => {
+		const reply = (replyIndex: number): Outgoing => ({
 			to, message: {
-				type: 'append-reply', term, success, index, sentAtMs,
+				type: 'append-reply', term, success, index: replyIndex, sentAtMs,
 			},
 		});
+		const isDurable = !success || index <= syncedIndex;
+		if (isDurable || nowMs - contactRepliedMs >= timings.heartbeatMs) {
+			contactRepliedMs = nowMs;
+			output.beforeSync.push(reply(success ? Math.min(index, syncedIndex) : index));
+		}
+
+		if (!isDurable) {
+			output.afterSync.push(reply(index));
+		}
 	};
 
 	const onAppend = (from: string, message: RaftMessage & {type: 'append'}, nowMs: number): void => {
 		if (message.term < term) {
-			replyAppend(from, false, 0, message.sentAtMs);
+			replyAppend(from, false, 0, message.sentAtMs, nowMs);
 			return;
 		}
 
@@ -361,7 +376,7 @@
 		const isBeforeStart = message.prevIndex < log.startIndex();
 		if (!isBeforeStart && log.termAt(message.prevIndex) !== message.prevTerm) {
 			const hint = Math.min(log.lastIndex(), message.prevIndex - 1);
-			replyAppend(from, false, Math.max(hint, commitIndex), message.sentAtMs);
+			replyAppend(from, false, Math.max(hint, commitIndex), message.sentAtMs, nowMs);
 			return;
 		}
 
@@ -377,7 +392,7 @@
 			emitCommitted();
 		}
 
-		replyAppend(from, true, matched, message.sentAtMs);
+		replyAppend(from, true, matched, message.sentAtMs, nowMs);
 	};
 
 	const onAppendReply = (from: string, message: RaftMessage & {type: 'append-reply'}, nowMs: number): void => {
@@ -417,7 +432,7 @@
 
 	const onInstall = (from: string, message: RaftMessage & {type: 'install'}, nowMs: number): void => {
 		if (message.term < term) {
-			replyAppend(from, false, 0, message.sentAtMs);
+			replyAppend(from, false, 0, message.sentAtMs, nowMs);
 			return;
 		}
 
@@ -433,7 +448,7 @@
 			output.snapshot = snapshot;
 		}
 
-		replyAppend(from, true, Math.min(commitIndex, snapshot.index), message.sentAtMs);
+		replyAppend(from, true, Math.min(commitIndex, snapshot.index), message.sentAtMs, nowMs);
 	};
 
 	const receive = (from: string, message: RaftMessage, nowMs: number): void => {
--- a/tests/replica/raft.spec.ts
+++ b/tests/replica/raft.spec.ts
@@ -204,6 +204,34 @@
 		assert.equal(raft.handle({type: 'tick'}, 2005).beforeSync.length, 0);
 	});
 
+	// Guards against a lease that is lost while the followers' disks are slow, and against entries that count as stored before they are.
+	it('should confirm contact to a leader at once, and entries once they are durable', () => {
+		const members = ['r1', 'r2', 'r3'].map(id => ({replica: id, node: id, voter: true}));
+		const raft = createRaft({
+			replica: 'r1', restored: {hardState: {term: 1, votedFor: undefined}, base: {index: 0, term: 0, members}, entries: []}, random: () => 0.5, readSnapshot: () => undefined, startedAtMs: 0,
+		});
+		const append = (index: number, sentAtMs: number) => raft.handle({
+			type: 'receive', from: 'r2', message: {
+				type: 'append', term: 2, prevIndex: index - 1, prevTerm: index === 1 ? 0 : 2, entries: [{index, term: 2, payload: {type: 'no-op'}}], commit: 0, sentAtMs,
+			},
+		}, sentAtMs);
+		const confirmedIn = (messages: ReturnType<typeof append>['beforeSync']) => messages.map(({message}) => message.type === 'append-reply' && message.success && [message.index, message.sentAtMs]);
+		const first = append(1, 1000);
+		assert.deepEqual([confirmedIn(first.beforeSync), confirmedIn(first.afterSync)], [[[0, 1000]], [[1, 1000]]]);
+		const soon = append(2, 1010);
+		assert.deepEqual([confirmedIn(soon.beforeSync), confirmedIn(soon.afterSync)], [[], [[2, 1010]]]);
+		raft.handle({type: 'synced', index: 1, term: 2}, 1100);
+		const later = append(3, 1000 + defaultTimings.heartbeatMs);
+		assert.deepEqual([confirmedIn(later.beforeSync), confirmedIn(later.afterSync)], [[[1, 1150]], [[3, 1150]]]);
+		raft.handle({type: 'synced', index: 3, term: 2}, 1200);
+		const heartbeat = raft.handle({
+			type: 'receive', from: 'r2', message: {
+				type: 'append', term: 2, prevIndex: 3, prevTerm: 2, entries: [], commit: 3, sentAtMs: 1210,
+			},
+		}, 1210);
+		assert.deepEqual([confirmedIn(heartbeat.beforeSync), heartbeat.afterSync], [[[3, 1210]], []]);
+	});
+
 	it('should grant no vote while in contact with a leader, unless that leader transfers leadership', () => {
 		const group = createRaftGroup(3, 10);
 		const leader = electLeader(group);
