Allow for slow syncs in the time of an election

What callers saw: where each sync takes 500 ms, a group that loses its leader never has one again. All keepers answer 503 `no-leader`, no change gets a clear answer, and no accepted job runs.

Cause: a vote takes two syncs, the candidate's and then the voter's, and the candidate's timer fires 500 to 900 ms after it began. It then began anew in another term, as did its voters, so that no vote was ever counted in its term. A pre-vote of a replica that is behind could hasten a candidate that waited for votes as well.

The timer is now a module of its own. It allows for two syncs as slow as the latest ones of the replica, and doubles with each term without a leader beyond the second. Where disks are fast its time is as before.

--- a/packages/replica/src/index.ts
+++ b/packages/replica/src/index.ts
@@ -1,4 +1,5 @@
 export * from './disk.js';
+export * from './election-timer.js';
 export * from './folder-lock.js';
 export * from './record-codec.js';
 export * from './next-members.js';
--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -8,6 +8,7 @@
 import type {
 	LogEntry, LogPayload, Member, RaftMessage, Snapshot,
 } from '@bronzebend/wire';
+import {createElectionTimer} from './election-timer.js';
 import {createProgress, type Progress} from './progress.js';
 import {createRaftLog, type LogBase} from './raft-log.js';
 
@@ -26,9 +27,6 @@
 	heartbeatMs: 150, minElectionMs: 500, maxElectionMs: 900, maxDriftRatio: 0.1,
 };
 
-/** Maximum delay before a voter campaigns itself after denying a pre-vote to a candidate whose log is behind, in milliseconds; several round trips. */
-const MAX_CAMPAIGN_DELAY_MS = 60;
-
 /** Interval at which a leader notes its commit index, in milliseconds. A replica that has received what was committed one to two intervals ago is caught up; a distant one never has all that is committed now while there is work. */
 const COMMIT_MARK_MS = 300;
 
@@ -51,7 +49,8 @@
 	| {type: 'tick'}
 	| {type: 'receive'; from: string; message: RaftMessage}
 	| {type: 'propose'; payloads: LogPayload[]}
-	| {type: 'synced'; index: number; term: number}
+	/** All entries up to a position are durable; `tookMs` is the duration of the write, in milliseconds. */
+	| {type: 'synced'; index: number; term: number; tookMs?: number}
 	| {type: 'compacted'; index: number}
 	| {type: 'transfer'; to: string};
 
@@ -107,7 +106,8 @@
 	let leaderContactMs = startedAtMs;
 	/** When this replica confirmed contact to a leader last, in milliseconds. */
 	let contactRepliedMs = -Infinity;
-	let electionAtMs = 0;
+	/** Latest term in which this replica knew a leader. */
+	let ledTerm = term;
 	let heartbeatAtMs = 0;
 	let votes = new Set<string>();
 	let preVoting = false;
@@ -125,12 +125,11 @@
 	const quorum = (): number => Math.floor(voters().length / 2) + 1;
 	const peers = (): Member[] => log.members().filter(member => member.replica !== replica);
 
+	const electionTimer = createElectionTimer({timings, random, nowMs: startedAtMs});
 	const resetElection = (nowMs: number): void => {
-		electionAtMs = nowMs + timings.minElectionMs + (random() * (timings.maxElectionMs - timings.minElectionMs));
+		electionTimer.reset(nowMs, term - ledTerm);
 	};
 
-	resetElection(startedAtMs);
-
 	const saveHardState = (): void => {
 		output.hardState = {term, votedFor};
 	};
@@ -224,6 +223,7 @@
 	const becomeLeader = (nowMs: number): void => {
 		role = 'leader';
 		leader = replica;
+		ledTerm = term;
 		preVoting = false;
 		transferTo = undefined;
 		progress = new Map(peers().map(member => [member.replica, createProgress(log.lastIndex() + 1, nowMs)]));
@@ -283,9 +283,10 @@
 	const onPreVote = (from: string, message: RaftMessage & {type: 'pre-vote'}, nowMs: number): void => {
 		const isCurrent = isUpToDate(message.lastIndex, message.lastTerm);
 		const granted = message.term > term && !hasLeaderContact(nowMs) && isCurrent;
-		if (!isCurrent && !hasLeaderContact(nowMs)) {
+		const isCampaigning = role === 'candidate' && !preVoting;
+		if (!isCurrent && !isCampaigning && !hasLeaderContact(nowMs)) {
 			// The candidate cannot win; without this, the group might wait for the longest election timer of the replicas that can.
-			electionAtMs = Math.min(electionAtMs, nowMs + (random() * MAX_CAMPAIGN_DELAY_MS));
+			electionTimer.hasten(nowMs);
 		}
 
 		output.beforeSync.push({to: from, message: {type: 'pre-vote-reply', term: granted ? message.term : term, granted}});
@@ -339,6 +340,7 @@
 			becomeFollower(leaderTerm, from);
 		}
 
+		ledTerm = term;
 		leaderContactMs = nowMs;
 		resetElection(nowMs);
 	};
@@ -507,7 +509,7 @@
 
 	const tick = (nowMs: number): void => {
 		if (role !== 'leader') {
-			if (nowMs >= electionAtMs) {
+			if (electionTimer.hasFired(nowMs)) {
 				preCampaign(nowMs);
 			}
 
@@ -595,6 +597,7 @@
 				}
 
 				case 'synced': {
+					electionTimer.synced(event.tookMs ?? 0);
 					if (log.termAt(event.index) === event.term) {
 						syncedIndex = Math.max(syncedIndex, event.index);
 					}
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -272,7 +272,9 @@
 		},
 		onSynced({index, term}, tookMs) {
 			options.onSynced?.(tookMs);
-			applyOutput(raft.handle({type: 'synced', index, term}, clock.monotonicMs()));
+			applyOutput(raft.handle({
+				type: 'synced', index, term, tookMs,
+			}, clock.monotonicMs()));
 		},
 		deliver,
 		onDiskFull() {
