--- a/packages/daemon/src/jobs/job-keeper.ts
+++ b/packages/daemon/src/jobs/job-keeper.ts
@@ -15,7 +15,7 @@
 import type {JobKeeperOptions, JobReplica, LeaderWork} from './job-keeper-options.js';
 import {createLogWrites} from './log-writes.js';
 import {createMachineOrderTimes} from './machine-order-times.js';
-import {createMembershipController} from './membership-controller.js';
+import {createMembershipController, describeMembers} from './membership-controller.js';
 
 /** Interval of the replica's ticks, in milliseconds. */
 const REPLICA_TICK_INTERVAL_MS = 25;
@@ -74,7 +74,9 @@
 
 		const current = replica!;
 		workTerm = current.raft.term();
-		log.info('Leading.', {term: workTerm, version: store.manifest()?.manifest.version, openJobs: store.openCount()});
+		log.info('Leading.', {
+			term: workTerm, version: store.manifest()?.manifest.version, openJobs: store.openCount(), members: describeMembers(current.raft.members()),
+		});
 		work = options.lead({
 			term: workTerm, store, isLeading, liveKeepers, propose: async command => current.propose(command), orderAppliedMs: machine => orderTimes.of(machine),
 		});
--- a/packages/daemon/src/jobs/membership-controller.ts
+++ b/packages/daemon/src/jobs/membership-controller.ts
@@ -23,6 +23,9 @@
 /** Answer to a keeper that resigns: it is no member any more, it stays a voter since the group needs it, or it must ask again. */
 export type ResignationAnswer = 'left' | 'kept' | 'pending';
 
+/** Nodes of members as text for logs. */
+export const describeMembers = (members: readonly Member[]): string => members.map(member => `${member.node}${member.voter ? '' : ' (learner)'}`).join(' ');
+
 /** Creates the membership control of a keeper. */
 export const createMembershipController = ({clock, log, groupSize, replica, store}: MembershipControllerOptions) => {
 	/** Latest request of each node. */
@@ -35,7 +38,7 @@
 		isChanging = true;
 		try {
 			await current.changeMembers(next);
-			log.info('Changed the members of the group.', {members: next.map(member => `${member.node}${member.voter ? '' : ' (learner)'}`).join(' ')});
+			log.info('Changed the members of the group.', {members: describeMembers(next)});
 		} catch (error) {
 			log.warn('Could not change the members of the group.', {cause: String(error)});
 			return;
--- a/utils/soak/core/voters.ts
+++ b/utils/soak/core/voters.ts
@@ -8,7 +8,7 @@
 
 /** The core was calm for longer than the group needs to settle when this is called. */
 export const findStrayVoters = (folder: string, up: readonly string[]): CoreBreak[] => {
-	const lines = (readLogs(folder) as MembersLine[]).filter(line => line.message === 'Changed the members of the group.').toSorted((one, other) => one.timestamp.localeCompare(other.timestamp));
+	const lines = (readLogs(folder) as MembersLine[]).filter(line => line.message === 'Changed the members of the group.' || line.message === 'Leading.').toSorted((one, other) => one.timestamp.localeCompare(other.timestamp));
 	const text = lines.at(-1)?.members;
 	if (typeof text !== 'string') {
 		return [];
