Bound the steps of jobs that an entry decodes and holds at once

What callers saw: 40 submissions of 262,000 bytes, each a list of minimal steps, end an entry out of heap; every caller of that entry loses its call.

Cause: bodies are bounded by their bytes, but a decoded step takes some 500 bytes for 12 bytes of text, and a submission is held until the leader answers.

The longest body fits on the smallest machine by itself.

--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -121,7 +121,7 @@
 export const jobOfUnit = (name: string): string => name.slice(0, name.indexOf('.'));
 
 /** Largest number of work units in one job. */
-const MAX_WORK_UNITS = 20_000;
+export const MAX_WORK_UNITS = 20_000;
 
 /**
 Validates a submitted job on its own, without the manifest.
--- a/packages/daemon/src/http/client-limits.ts
+++ b/packages/daemon/src/http/client-limits.ts
@@ -1,12 +1,16 @@
 /** Limits on what the clients of all HTTP servers of a process may hold at once. */
 
-/** Limits of one process, over all its servers. */
+/** Limits of one process, over all its servers; those of jobs are not the guard's. */
 export type ClientLimits = {
 	/** Bytes allocated for bodies that are being received or whose requests are being answered. */
 	bodyBytes: number;
 	/** Requests whose head has arrived and whose answer has not been taken, including those sent ahead. */
 	requests: number;
 	connections: number;
+	/** Steps of jobs whose submissions are being answered. */
+	steps: number;
+	/** Work units of jobs that a keeper holds, see `held-work.ts`. */
+	heldWork: number;
 };
 
 /** Requests of one connection that may wait for the answers to earlier ones. */
@@ -30,10 +34,16 @@
 const BODY_SHARE = 1 / 8;
 /** Requests for each MB; a request takes up to 16 KB of headers and a few KB of objects. */
 const REQUESTS_PER_MB = 8;
+/** Steps for each MB; one takes some 500 bytes while it is decoded and sent. The longest body, of 21,800 steps, still fits on the smallest machine. */
+const STEPS_PER_MB = 100;
+/** Work units for each MB; one takes some 350 bytes on a keeper, so that they take up to a seventh of its memory. */
+const HELD_WORK_PER_MB = 400;
 
 /** Derives the limits from the memory and the descriptors of the machine. */
 export const defaultClientLimits = ({memoryMb = DEFAULT_MEMORY_MB, maxFds = DEFAULT_FDS}: {memoryMb?: number; maxFds?: number} = {}): ClientLimits => ({
 	bodyBytes: Math.floor(memoryMb * BYTES_PER_MB * BODY_SHARE),
 	requests: Math.floor(memoryMb * REQUESTS_PER_MB),
 	connections: Math.max(MIN_CONNECTIONS, Math.floor((maxFds - RESERVED_FDS) * CLIENT_FDS_SHARE)),
+	steps: Math.floor(memoryMb * STEPS_PER_MB),
+	heldWork: Math.floor(memoryMb * HELD_WORK_PER_MB),
 });
--- a/tests/platform/formats.spec.ts
+++ b/tests/platform/formats.spec.ts
@@ -156,9 +156,15 @@
 	// Guards against limits that do not follow the machine, and against a section that replaces more than the limits it names.
 	it('should derive the limits of clients from the machine, except those that are set', () => {
 		const limitsOf = (more: string) => parseSettings(`${text}\n${more}`, 'f').clientLimits;
-		assert.deepEqual(limitsOf(''), {bodyBytes: 32_768_000, requests: 2000, connections: 2922});
-		assert.deepEqual(limitsOf('limits: {memory-mb: 346, max-fds: 1000}'), {bodyBytes: 45_350_912, requests: 2768, connections: 600});
-		assert.deepEqual(limitsOf('limits: {max-fds: 1000}\nclient-limits: {requests: 7}'), {bodyBytes: 32_768_000, requests: 7, connections: 600});
+		assert.deepEqual(limitsOf(''), {
+			bodyBytes: 32_768_000, requests: 2000, connections: 2922, steps: 25_000, heldWork: 100_000,
+		});
+		assert.deepEqual(limitsOf('limits: {memory-mb: 346, max-fds: 1000}'), {
+			bodyBytes: 45_350_912, requests: 2768, connections: 600, steps: 34_600, heldWork: 138_400,
+		});
+		assert.deepEqual(limitsOf('limits: {max-fds: 1000}\nclient-limits: {requests: 7}'), {
+			bodyBytes: 32_768_000, requests: 7, connections: 600, steps: 25_000, heldWork: 100_000,
+		});
 		assert.throws(() => limitsOf('client-limits: {connections: 0}'), PlatformSettingsError);
 	});
 });
