Bound the work that keepers hold for jobs, and drop that of ended jobs

What callers saw: 40 requests of 90 bytes, each for a job of 20,000 work units, end every keeper out of heap. On a public route they need no key. The jobs are in the log, so that the keepers end again after each start.

Cause: nothing bounded the work units that the keepers keep, some 350 bytes each, and those of ended jobs stayed for 4 minutes.

A job that meets nothing held is accepted whatever its size. The work units and steps of a job are dropped 10 s after its end, by the times in the log; its state can be asked for as before.

Crowd and bounds are unchanged.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,6 +31,7 @@
 export * from './jobs/job-ranking.js';
 export * from './jobs/pool-room.js';
 export * from './jobs/timely-admission.js';
+export * from './jobs/held-work.js';
 export * from './jobs/idle-times.js';
 export * from './jobs/long-waits.js';
 export * from './jobs/wait-reason.js';
--- a/packages/core/src/jobs/job-store.ts
+++ b/packages/core/src/jobs/job-store.ts
@@ -9,6 +9,7 @@
 import {createEvacuations} from './evacuations.js';
 import {createManifestIndex, type ManifestIndex, type Resources} from './fleet-manifest.js';
 import {repairGangs} from './gang.js';
+import {createHeldWork} from './held-work.js';
 import type {
 	JobStoreSnapshot, JobCommand, JobOutcome, MachineOrder, EndedRun, RunStart, UpkeepWave, WorkerLife,
 } from './job-commands.js';
@@ -39,6 +40,7 @@
 
 	const jobs = new Map(snapshot?.jobs.map(job => [job.order.id, job]));
 	const openJobs = new Map([...jobs].filter(([, job]) => isOpen(job) || job.running > 0));
+	const heldWork = createHeldWork(jobs.values(), job => !openJobs.has(job.order.id));
 	const lives = new Map(snapshot?.lives.map(life => [life.life, life]));
 	const waves = new Map(snapshot?.waves.map(wave => [wave.number, wave]));
 	const machineOrders = new Map(snapshot?.machineOrders);
@@ -90,8 +92,8 @@
 	}
 
 	const removeIfFinished = (job: Job): void => {
-		if (!isOpen(job) && job.running === 0) {
-			openJobs.delete(job.order.id);
+		if (!isOpen(job) && job.running === 0 && openJobs.delete(job.order.id)) {
+			heldWork.ended(job);
 		}
 	};
 
@@ -119,9 +121,11 @@
 			return {type: 'no-queue'};
 		}
 
+		heldWork.release(atMs);
 		const job = createJob(order, queue, atMs);
 		jobs.set(order.id, job);
 		openJobs.set(order.id, job);
+		heldWork.add(job);
 		accepted += 1;
 		if (accepted % JOBS_PER_PURGE === 0) {
 			purge(atMs);
@@ -303,6 +307,8 @@
 		/** Jobs that may start work units or still have some running. */
 		openJobs: (): Iterable<Job> => openJobs.values(),
 		openCount: () => openJobs.size,
+		/** Work that this process holds in memory for jobs, in work units. */
+		heldWork: heldWork.held,
 		/** Work units that run on a life, by name. */
 		runsOf: (life: string): ReadonlyMap<string, {unit: WorkUnit; job: Job; step: number}> => runsOf.get(life) ?? new Map(),
 		/** True if runs can start on a life without describing it again in the command. */
@@ -314,15 +320,7 @@
 		/** A life that may be running work units; undefined if it is unknown or runs none. */
 		busyLife: (life: string): WorkerLife | undefined => (runsOf.has(life) ? lives.get(life) : undefined),
 		/** A life that may be running work units on a machine, matched by machine name or by the worker's ID; undefined if there is none. */
-		busyLifeOn(machine: string, workerId: string | undefined): WorkerLife | undefined {
-			for (const life of lives.values()) {
-				if (runsOf.has(life.life) && (life.machine === machine || (workerId !== undefined && life.id === workerId))) {
-					return life;
-				}
-			}
-
-			return undefined;
-		},
+		busyLifeOn: (machine: string, workerId: string | undefined): WorkerLife | undefined => [...lives.values()].find(life => runsOf.has(life.life) && (life.machine === machine || (workerId !== undefined && life.id === workerId))),
 		usageOfLife: (life: string): Resources => usageOfLife.of(life),
 		usageOfWorkspace: (workspace: string): Resources => usageOfWorkspace.of(workspace),
 		waves: (): UpkeepWave[] => [...waves.values()],
--- a/packages/daemon/src/jobs/job-call-handler.ts
+++ b/packages/daemon/src/jobs/job-call-handler.ts
@@ -7,11 +7,14 @@
 import {DiskFullError, NotLeaderError} from '@bronzebend/replica';
 import type {Log} from '../utils/log.js';
 import {createEvacuationCalls} from './evacuation-calls.js';
+import {createHeldWorkAdmission} from './held-work-admission.js';
 import type {JobMetrics} from './job-metrics.js';
 import type {KnownDataCentres} from './known-data-centres.js';
 
 /** Default retry delay given to callers, in milliseconds. */
 const DEFAULT_RETRY_MS = 500;
+/** Delay after which a caller retries whose job is too large for what the keepers hold, in milliseconds; such work takes seconds to end. */
+const HELD_WORK_RETRY_MS = 5000;
 /** Age up to which a measured backlog is reused, in milliseconds. */
 const MAX_BACKLOG_AGE_MS = 100;
 
@@ -36,6 +39,8 @@
 	leave(call: JobCall & {type: 'leave'}): void;
 	/** Called after a new job has been committed. */
 	onAccepted(job: Job, pool: string): void;
+	/** Work units of jobs that the keepers may hold in memory; unbounded if it is undefined. */
+	maxHeldWork?(): number;
 	/** Requests a scheduling pass, which stops the runs of cancelled jobs. */
 	requestPass(): void;
 };
@@ -49,6 +54,7 @@
 	const {store, clock, log, metrics, propose} = options;
 	/** Answers to come for jobs whose acceptance is being committed, by job ID. */
 	const submitting = new Map<string, Promise<JobAnswer>>();
+	const heldWork = createHeldWorkAdmission({store, clock, limit: options.maxHeldWork ?? (() => Infinity)});
 	let backlogs = new Map<string, PoolBacklog>();
 	/** Resources looked up since the backlogs were measured, by pool. */
 	let rooms = new Map<string, AdmissionRoom | undefined>();
@@ -195,7 +201,15 @@
 			return {type: 'rejected', reason: 'backlog', retryAfterMs: retryMs};
 		}
 
-		const answer = commitSubmit(order, queue);
+		if (!heldWork.mayAccept(order)) {
+			metrics.jobs.inc({queue: queue.name, outcome: 'rejected'});
+			log.info('Job rejected.', {
+				job: jobId, queue: queue.name, workspace, reason: 'held-work',
+			});
+			return {type: 'rejected', reason: 'held-work', retryAfterMs: HELD_WORK_RETRY_MS};
+		}
+
+		const answer = heldWork.during(order, commitSubmit(order, queue));
 		submitting.set(jobId, answer);
 		try {
 			return await answer;
--- a/packages/daemon/src/jobs/job-leader-options.ts
+++ b/packages/daemon/src/jobs/job-leader-options.ts
@@ -28,6 +28,8 @@
 	holderLeaseMs: number;
 	/** Interval of a worker's announcements, in milliseconds. */
 	reportMs: number;
+	/** Work units of jobs that the keepers may hold in memory; unbounded if it is undefined. */
+	maxHeldWork?(): number;
 	/** Data centres in the settings; none if the settings do not name them. */
 	dataCentres?(): string[];
 	/** Sends what the directory learned of workers to the other keepers. */
--- a/packages/daemon/src/jobs/job-leader.ts
+++ b/packages/daemon/src/jobs/job-leader.ts
@@ -275,6 +275,7 @@
 			const listed = machines.roomOf(pool);
 			return listed && {present: listed.present.cpu > announced.cpu ? listed.present : announced, obtainable: listed.obtainable};
 		},
+		maxHeldWork: options.maxHeldWork,
 		dataCentres: createKnownDataCentres({
 			clock, store, directory, configured: options.dataCentres ?? (() => []), reportMs: options.reportMs,
 		}),
--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -53,6 +53,7 @@
 			name: 'bronzebend_http_given_up_total', help: 'Connections of clients that were closed, by server and reason', labelNames: ['server', 'reason'], registers,
 		}),
 		openJobs: new Gauge({name: 'bronzebend_jobs_open', help: 'Jobs that have not ended, at the leader', registers}),
+		heldWork: new Gauge({name: 'bronzebend_held_work', help: 'Work units of jobs that the keepers hold in memory, at the leader', registers}),
 		untrackedRuns: new Gauge({name: 'bronzebend_runs_without_task', help: 'Recorded runs that no worker session tracks, at the leader', registers}),
 		longWaits: new Gauge({name: 'bronzebend_jobs_waiting_long', help: 'Jobs that have waited for seconds with nothing running, at the leader', registers}),
 		workers: new Gauge({
--- a/packages/daemon/src/jobs/leader-reports.ts
+++ b/packages/daemon/src/jobs/leader-reports.ts
@@ -187,6 +187,7 @@
 
 		/** Writes and sends the reports that are due. */
 		step(): void {
+			metrics.heldWork.set(store.heldWork(clock.wallMs(), undefined).total);
 			logUsage();
 			logPace();
 			shareReceived();
--- a/tests/daemon/jobs/job-call-handler.spec.ts
+++ b/tests/daemon/jobs/job-call-handler.spec.ts
@@ -34,15 +34,16 @@
 		announce: () => undefined,
 		leave: () => undefined,
 		onAccepted: () => undefined,
+		maxHeldWork: () => 100,
 		requestPass: () => undefined,
 	});
 	const {steps, spec, times, startAtMs, intervalMs} = orderOf(ID, [stepOf({count: 4, estimateMs: 1000})]);
 	return {
 		store,
 		begunJobs: createBegunJobs(store),
-		submit: async (path = TARGET.path) => handler.answer({
-			type: 'submit', target: {...TARGET, path}, job: {
-				steps, spec, times, startAtMs, intervalMs,
+		submit: async (path = TARGET.path, {count, key}: {count?: number; key?: string} = {}) => handler.answer({
+			type: 'submit', target: {...TARGET, path, key: key ?? TARGET.key}, job: {
+				steps: count === undefined ? steps : [stepOf({count, estimateMs: 1})], spec, times, startAtMs, intervalMs,
 			},
 		}),
 		/** Fills the pool with work that takes hours, so that new jobs are refused. */
@@ -83,3 +84,20 @@
 		assert.deepEqual(answers.map(answer => answer.type), ['accepted', 'accepted', 'accepted']);
 	});
 });
+
+describe('a job that is large beside what the keepers hold', () => {
+	// Guards against keepers that run out of memory because jobs whose acceptance is being committed do not count yet.
+	it('should be refused before it is proposed, also beside jobs that are being committed, and not at the cost of other workspaces', async () => {
+		const handler = createHandler();
+		const pathOf = (number: number): string => `/quotes/${String(number).repeat(16)}`;
+		const first = handler.submit(pathOf(1), {count: 40});
+		const second = await handler.submit(pathOf(2), {count: 4});
+		assert.deepEqual([second.type, 'reason' in second && second.reason, handler.proposals()], ['rejected', 'held-work', 1]);
+		const other = handler.submit(pathOf(3), {count: 4, key: 'key-south'});
+		handler.commitAll();
+		const answers = await Promise.all([first, other]);
+		assert.deepEqual(answers.map(({type}) => type), ['accepted', 'accepted']);
+		const again = await handler.submit(pathOf(2), {count: 4});
+		assert.equal(again.type, 'rejected');
+	});
+});
