Confirm contact to the leader twice in a heartbeat interval at most

With one confirmation an interval, a follower that had confirmed just before a heartbeat left it out, so that with slow disks the leader's latest contact could be two intervals old, 300 of the 450 ms of its lease.

--- a/packages/replica/src/raft.ts
+++ b/packages/replica/src/raft.ts
@@ -346,7 +346,7 @@
 	};
 
 	/**
-	Confirms what is durable. Contact is confirmed without waiting for the disk, at least once in a heartbeat interval:
+	Confirms what is durable. Contact is confirmed without waiting for the disk, at least once between two heartbeats:
 	otherwise slow disks of a majority would cost the leader its lease, although all replicas run.
 	*/
 	const replyAppend = (to: string, success: boolean, index: number, sentAtMs: number, nowMs: number): void => {
@@ -356,7 +356,7 @@
 			},
 		});
 		const isDurable = !success || index <= syncedIndex;
-		if (isDurable || nowMs - contactRepliedMs >= timings.heartbeatMs) {
+		if (isDurable || nowMs - contactRepliedMs >= timings.heartbeatMs / 2) {
 			contactRepliedMs = nowMs;
 			output.beforeSync.push(reply(success ? Math.min(index, syncedIndex) : index));
 		}
