--- a/tests/utils/soak-core.spec.ts
+++ b/tests/utils/soak-core.spec.ts
@@ -10,6 +10,7 @@
 import {
 	calmSpans, checkReadBack, findCoreBreaks, type CoreSeen,
 } from '@bronzebend/utils/soak/core/checks';
+import {drawCrowds} from '@bronzebend/utils/soak/core/crowds';
 import {drawCoreFaults, readDay} from '@bronzebend/utils/soak/core/faults';
 import {createIdleJobs, findIdleJobs, type SeenRun} from '@bronzebend/utils/soak/core/idle-jobs';
 import type {Change, Probe, Reading} from '@bronzebend/utils/soak/core/operator';
@@ -163,6 +164,17 @@
 	});
 });
 
+describe('the crowds of the soak of the core', () => {
+	it('should be the same for the same seed, one after the other, and at processes that exist', () => {
+		for (let seed = 1; seed < 50; seed += 1) {
+			const crowds = drawCrowds(createRandom(seed), {entries: 2, keepers: 5});
+			assert.deepEqual(drawCrowds(createRandom(seed), {entries: 2, keepers: 5}), crowds);
+			assert.ok(crowds.every(({server, index}) => index < (server === 'control' ? 5 : 2)));
+			assert.ok(crowds.slice(1).every(({atMs}, before) => atMs > crowds[before]!.atMs + crowds[before]!.forMs));
+		}
+	});
+});
+
 describe('the relay of the soak of the core', () => {
 	const HOST = '127.0.97.1';
 	const NODE = '127.0.97.2';
--- a/utils/soak/processes.ts
+++ b/utils/soak/processes.ts
@@ -127,6 +127,8 @@
 	return {
 		leader: () => leader,
 		start,
+		/** ID of a process that runs; undefined while it is away. */
+		pid: (host: string): number | undefined => (away.has(host) || children.get(host)?.exitCode !== null || children.get(host)!.signalCode !== null ? undefined : children.get(host)!.pid),
 		/** Ends a process and waits until it has exited; it is then away. */
 		async end(host: string, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
 			away.add(host);
