--- a/packages/core/src/jobs/held-work.ts
+++ b/packages/core/src/jobs/held-work.ts
@@ -8,6 +8,8 @@
 
 /** Number of work units as which a step counts, for its own memory and the time that each pass spends on it. */
 const STEP_WEIGHT = 4;
+/** Characters of names and specifications that take as much memory as a work unit. */
+const CHARACTERS_PER_UNIT = 350;
 /** Time after the end of a job for which its work units are kept, in milliseconds; what reports the last runs still looks them up. */
 const KEPT_MS = 10_000;
 /** Part of the limit that one workspace, or all jobs without a workspace, may hold beside others. */
@@ -17,7 +19,10 @@
 export type HeldWork = {total: number; ofWorkspace: number};
 
 /** Work that a job holds, in work units. */
-export const weightOf = ({steps, times}: Pick<JobOrder, 'steps' | 'times'>): number => times * steps.reduce((sum, {count}) => sum + count + STEP_WEIGHT, 0);
+export const weightOf = ({steps, times, spec}: Pick<JobOrder, 'steps' | 'times' | 'spec'>): number => {
+	const characters = steps.reduce((sum, {label = '', dataRack = '', image = ''}) => sum + label.length + dataRack.length + image.length, spec.length);
+	return (times * steps.reduce((sum, {count}) => sum + count + STEP_WEIGHT, 0)) + Math.floor(characters / CHARACTERS_PER_UNIT);
+};
 
 /** Whether a job may be added to what is held. A job that meets nothing held is added whatever its size, since a single job within the limits of a request is served. */
 export const mayHold = (weight: number, {total, ofWorkspace}: HeldWork, limit: number): boolean => (total === 0 || total + weight <= limit)
