--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -270,11 +270,9 @@
 			const index = raft.lastIndex();
 			return {index, term: raft.termAt(index)!};
 		},
-		onSynced({index, term}, tookMs) {
+		onSynced(position, tookMs) {
 			options.onSynced?.(tookMs);
-			applyOutput(raft.handle({
-				type: 'synced', index, term, tookMs,
-			}, clock.monotonicMs()));
+			applyOutput(raft.handle({type: 'synced', ...position, tookMs}, clock.monotonicMs()));
 		},
 		deliver,
 		onDiskFull() {
--- a/tests/utils/soak-core.spec.ts
+++ b/tests/utils/soak-core.spec.ts
@@ -10,7 +10,7 @@
 import {
 	calmSpans, checkReadBack, findCoreBreaks, type CoreSeen,
 } from '@bronzebend/utils/soak/core/checks';
-import {drawCrowds} from '@bronzebend/utils/soak/core/crowds';
+import {drawClientBursts} from '@bronzebend/utils/soak/core/client-bursts';
 import {drawCoreFaults, readDay} from '@bronzebend/utils/soak/core/faults';
 import {createIdleJobs, findIdleJobs, type SeenRun} from '@bronzebend/utils/soak/core/idle-jobs';
 import type {Change, Probe, Reading} from '@bronzebend/utils/soak/core/operator';
@@ -126,7 +126,7 @@
 				{kind = "node_kill", at = 7}, {kind = "disk_full", at = 8, for_s = 1},
 			]
 		`, 2);
-		assert.deepEqual(faults.map(({type, atMs}) => [type, atMs]), [['roll', 1000], ['split', 3000], ['cut', 4000], ['cut', 4000], ['herd', 5000], ['wipe', 6000], ['full-disk', 8000]]);
+		assert.deepEqual(faults.map(({type, atMs}) => [type, atMs]), [['rolling-stop', 1000], ['split', 3000], ['cut', 4000], ['cut', 4000], ['kill-all', 5000], ['wipe', 6000], ['full-disk', 8000]]);
 		assert.deepEqual(closing, {lostDisks: 2, delayMs: 0, forMs: 500});
 		assert.deepEqual(skipped, ['wave', 'node_kill']);
 	});
@@ -164,13 +164,13 @@
 	});
 });
 
-describe('the crowds of the soak of the core', () => {
+describe('the bursts of the soak of the core', () => {
 	it('should be the same for the same seed, one after the other, and at processes that exist', () => {
 		for (let seed = 1; seed < 50; seed += 1) {
-			const crowds = drawCrowds(createRandom(seed), {entries: 2, keepers: 5});
-			assert.deepEqual(drawCrowds(createRandom(seed), {entries: 2, keepers: 5}), crowds);
-			assert.ok(crowds.every(({server, index}) => index < (server === 'control' ? 5 : 2)));
-			assert.ok(crowds.slice(1).every(({atMs}, before) => atMs > crowds[before]!.atMs + crowds[before]!.forMs));
+			const bursts = drawClientBursts(createRandom(seed), {entries: 2, keepers: 5});
+			assert.deepEqual(drawClientBursts(createRandom(seed), {entries: 2, keepers: 5}), bursts);
+			assert.ok(bursts.every(({server, index}) => index < (server === 'control' ? 5 : 2)));
+			assert.ok(bursts.slice(1).every(({atMs}, before) => atMs > bursts[before]!.atMs + bursts[before]!.forMs));
 		}
 	});
 });
--- a/utils/soak-core.ts
+++ b/utils/soak-core.ts
@@ -1,11 +1,11 @@
 /**
 Soak of the core: real keepers and entries as separate processes, whose machines are cut off, lost and replaced in chains that are drawn
 from a seed or read from a day file, while an operator changes the manifest and callers submit jobs. `--wide` also draws faults of several
-machines at once, `--worker-faults` those of workers and of the links to them, `--crowds` clients that keep to no rules, and `--sync-ms` makes each sync to any disk take that much
+machines at once, `--worker-faults` those of workers and of the links to them, `--client-bursts` clients that keep to no rules, and `--sync-ms` makes each sync to any disk take that much
 longer. Ends with code 1 if a promise was broken, and with code 2 if a soak could not run; the logs of both are kept.
 
 	npm run soak:core -- SEED... [--day FILE] [--programs FOLDER] [--logs FOLDER] [--entries N] [--pools N] [--workers-per-pool N]
-		[--jobs-per-s N] [--busy N] [--wide] [--worker-faults] [--crowds] [--sync-ms N] [--keep]
+		[--jobs-per-s N] [--busy N] [--wide] [--worker-faults] [--client-bursts] [--sync-ms N] [--keep]
 */
 import {type ChildProcess, spawn} from 'node:child_process';
 import {
@@ -22,7 +22,7 @@
 import {
 	calmSpans, checkReadBack, findCoreBreaks, type CoreBreak, type CoreSeen,
 } from './soak/core/checks.js';
-import {createCrowds, drawCrowds} from './soak/core/crowds.js';
+import {createClientBursts, drawClientBursts} from './soak/core/client-bursts.js';
 import {
 	describeCoreFault, drawClosing, drawCoreFaults, readDay, type Closing, type CoreFault,
 } from './soak/core/faults.js';
@@ -47,7 +47,7 @@
 /** Interval at which the soak looks at what runs, in milliseconds. */
 const WATCH_MS = 200;
 
-type Options = {seed: number; faults: CoreFault[]; closing: Closing | undefined; programs: string; folder: string; size: SiteSize; jobsPerS: number; hasWorkerFaults: boolean; hasCrowds: boolean; syncDelayMs: number};
+type Options = {seed: number; faults: CoreFault[]; closing: Closing | undefined; programs: string; folder: string; size: SiteSize; jobsPerS: number; hasWorkerFaults: boolean; hasClientBursts: boolean; syncDelayMs: number};
 type Result = {breaks: CoreBreak[]; changes: number; acknowledged: number; jobs: number; faults: string[]; longestWaitMs: number};
 
 const print = (text: string): void => {
@@ -77,7 +77,7 @@
 	return breaks;
 };
 
-const soak = async ({seed, faults, closing, programs, folder, size, jobsPerS, hasWorkerFaults, hasCrowds, syncDelayMs}: Options): Promise<Result> => {
+const soak = async ({seed, faults, closing, programs, folder, size, jobsPerS, hasWorkerFaults, hasClientBursts, syncDelayMs}: Options): Promise<Result> => {
 	const site = await startSite({
 		size, folder, programs, random: createRandom(seed + 1), isRelayed: true,
 	});
@@ -110,11 +110,11 @@
 				keepers: size.keepers, entries: size.entries, workers: (size.pools - 1) * size.workersPerPool, lengthMs: Math.max(0, ...faults.map(({atMs}) => atMs)), kinds: workerKinds,
 			})
 			: [];
-		const crowds = createCrowds({...site, keeperHosts: group.hosts, disturbances: group.disturbances});
+		const bursts = createClientBursts({...site, keeperHosts: group.hosts, disturbances: group.disturbances});
 		await Promise.all([
-			...(hasCrowds ? drawCrowds(createRandom(seed + 7), {entries: size.entries, keepers: size.keepers}) : []).map(async crowd => {
-				await pause(crowd.atMs);
-				await crowds.send(crowd);
+			...(hasClientBursts ? drawClientBursts(createRandom(seed + 7), {entries: size.entries, keepers: size.keepers}) : []).map(async burst => {
+				await pause(burst.atMs);
+				await bursts.send(burst);
 			}),
 			...faults.map(async fault => {
 				await pause(fault.atMs);
@@ -153,7 +153,7 @@
 				...checkReadBack(seen, last),
 				...findStrayVoters(folder, group.hosts()),
 				...unknown,
-				...crowds.exceeded.map(detail => ({rule: 'memory-exceeded' as const, detail})),
+				...bursts.exceeded.map(detail => ({rule: 'memory-exceeded' as const, detail})),
 				...findIdleJobs(idleJobs.spans, calmSpans({...seen, disturbances: [...group.disturbances, ...workerDisturbances]}), startMs).map(detail => ({rule: 'job-idle' as const, detail})),
 				...violations,
 				...site.processes.ended().map(host => ({rule: 'process-ended' as const, detail: host})),
@@ -191,7 +191,7 @@
 		busy: {type: 'string', default: '0'},
 		wide: {type: 'boolean', default: false},
 		'worker-faults': {type: 'boolean', default: false},
-		crowds: {type: 'boolean', default: false},
+		'client-bursts': {type: 'boolean', default: false},
 		'sync-ms': {type: 'string', default: '0'},
 		keep: {type: 'boolean', default: false},
 	},
@@ -233,7 +233,7 @@
 	stalls.enable();
 	try {
 		const result = await soak({
-			seed, faults, closing, programs: path.resolve(values.programs), folder, size, jobsPerS: number(values['jobs-per-s'], 'jobs-per-s'), hasWorkerFaults: values['worker-faults'], hasCrowds: values.crowds, syncDelayMs: number(values['sync-ms'], 'sync-ms'),
+			seed, faults, closing, programs: path.resolve(values.programs), folder, size, jobsPerS: number(values['jobs-per-s'], 'jobs-per-s'), hasWorkerFaults: values['worker-faults'], hasClientBursts: values['client-bursts'], syncDelayMs: number(values['sync-ms'], 'sync-ms'),
 		});
 		broken += result.breaks.length;
 		print(`| ${seed} | ${faults.length} | ${result.changes} | ${result.acknowledged} | ${result.jobs} | ${result.longestWaitMs} | ${result.breaks.length} | ${Math.round(stalls.max / 1e6)} |`);
--- a/utils/soak/core/crowds.ts
+++ b/utils/soak/core/client-bursts.ts
@@ -1,4 +1,4 @@
-/** Crowds of clients that keep to no rules, drawn for a soak and sent to one of its processes. */
+/** Bursts of clients that keep to no rules, drawn for a soak and sent to one of its processes. */
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
 import path from 'node:path';
@@ -10,38 +10,38 @@
 import type {Disturbance} from './group.js';
 
 const PROGRAM = path.join(root, 'tests/lib/fixtures/untrusted-clients.js');
-/** Clients of a crowd, by what they send. */
+/** Clients of a burst, by what they send. */
 const COUNTS = {
 	'small-chunks': 40, 'requests-ahead': 50, 'bare-requests-ahead': 50, 'large-chunks': 300, 'many-steps': 40, 'many-units': 40, 'many-valid-steps': 20,
 } as const;
-const CROWDS = {min: 1, max: 3} as const;
+const BURSTS = {min: 1, max: 3} as const;
 const FIRST_MS = 2000;
 const FOR_MS = {min: 3000, max: 10_000} as const;
 /** Memory of the smallest machines, in MB. */
 const MEMORY_MB = {entry: 250, keeper: 346} as const;
 const SAMPLE_MS = 100;
 
-/** A crowd, and its time in milliseconds since the soak began. `index` names the entry or keeper. */
-export type Crowd = {atMs: number; forMs: number; kind: keyof typeof COUNTS; server: 'callers' | 'readiness' | 'control'; index: number};
+/** A burst of clients, and its time in milliseconds since the soak began. `index` names the entry or keeper. */
+export type ClientBurst = {atMs: number; forMs: number; kind: keyof typeof COUNTS; server: 'callers' | 'readiness' | 'control'; index: number};
 
 const within = (random: Random, {min, max}: {min: number; max: number}): number => Math.round(min + (random() * (max - min)));
 const pick = <Item>(random: Random, items: readonly Item[]): Item => items[Math.floor(random() * items.length)]!;
 
-/** Draws crowds that come one after the other, as each of them may use up a processor. */
-export const drawCrowds = (random: Random, {entries, keepers}: {entries: number; keepers: number}): Crowd[] => {
+/** Draws bursts that come one after the other, as each of them may use up a processor. */
+export const drawClientBursts = (random: Random, {entries, keepers}: {entries: number; keepers: number}): ClientBurst[] => {
 	let atMs = FIRST_MS;
-	return Array.from({length: within(random, CROWDS)}, (): Crowd => {
+	return Array.from({length: within(random, BURSTS)}, (): ClientBurst => {
 		const server = pick(random, ['callers', 'callers', 'readiness', 'control'] as const);
-		const crowd = {
-			atMs, forMs: within(random, FOR_MS), kind: pick(random, Object.keys(COUNTS) as Array<Crowd['kind']>), server, index: Math.floor(random() * (server === 'control' ? keepers : entries)),
+		const burst = {
+			atMs, forMs: within(random, FOR_MS), kind: pick(random, Object.keys(COUNTS) as Array<ClientBurst['kind']>), server, index: Math.floor(random() * (server === 'control' ? keepers : entries)),
 		};
-		atMs += crowd.forMs + within(random, FOR_MS);
-		return crowd;
+		atMs += burst.forMs + within(random, FOR_MS);
+		return burst;
 	});
 };
 
-/** Sends crowds to processes, and watches the memory of these. */
-export const createCrowds = ({processes, addresses, keeperHosts, disturbances, record}: {
+/** Sends bursts to processes, and watches the memory of these. */
+export const createClientBursts = ({processes, addresses, keeperHosts, disturbances, record}: {
 	processes: Processes; addresses: Addresses; keeperHosts(): string[]; disturbances: Disturbance[];
 	record(who: string, what: string, detail?: Record<string, unknown>): void;
 }) => {
@@ -58,7 +58,7 @@
 		}
 	};
 
-	const targetOf = ({server, index}: Crowd): {host: string; port: number; at: string} => {
+	const targetOf = ({server, index}: ClientBurst): {host: string; port: number; at: string} => {
 		switch (server) {
 			case 'callers': {
 				return {host: addresses.entries[index]!, port: addresses.callers, at: '/pool-1/'};
@@ -76,21 +76,21 @@
 
 	return {
 		exceeded,
-		async send(crowd: Crowd): Promise<void> {
-			const {host, port, at} = targetOf(crowd);
-			const limitMb = crowd.server === 'control' ? MEMORY_MB.keeper : MEMORY_MB.entry;
-			const disturbance: Disturbance = {what: `${crowd.kind} at ${crowd.server} of ${host}`, startMs: Date.now(), endMs: Infinity};
+		async send(burst: ClientBurst): Promise<void> {
+			const {host, port, at} = targetOf(burst);
+			const limitMb = burst.server === 'control' ? MEMORY_MB.keeper : MEMORY_MB.entry;
+			const disturbance: Disturbance = {what: `${burst.kind} at ${burst.server} of ${host}`, startMs: Date.now(), endMs: Infinity};
 			disturbances.push(disturbance);
-			record('soak', 'crowd', {...crowd, host});
+			record('soak', 'burst', {...burst, host});
 			let mostMb = 0;
 			const sampler = setInterval(() => {
 				mostMb = Math.max(mostMb, memoryMbOf(host));
 			}, SAMPLE_MS);
-			const clients = spawn(process.execPath, [PROGRAM, crowd.kind, host, String(port), at, String(COUNTS[crowd.kind]), String(crowd.forMs)], {stdio: 'ignore'});
+			const clients = spawn(process.execPath, [PROGRAM, burst.kind, host, String(port), at, String(COUNTS[burst.kind]), String(burst.forMs)], {stdio: 'ignore'});
 			await once(clients, 'exit');
 			clearInterval(sampler);
 			disturbance.endMs = Date.now();
-			record('soak', 'crowd over', {host, mostMb: Math.round(mostMb)});
+			record('soak', 'burst over', {host, mostMb: Math.round(mostMb)});
 			if (mostMb > limitMb) {
 				exceeded.push(`${disturbance.what}: ${Math.round(mostMb)} of ${limitMb} MB`);
 			}
--- a/utils/soak/core/faults.ts
+++ b/utils/soak/core/faults.ts
@@ -23,9 +23,9 @@
 	/** Half of the keepers and the other half do not reach each other. */
 	| {type: 'split'; forMs: number}
 	/** All keepers are killed at once. */
-	| {type: 'herd'; forMs: number}
+	| {type: 'kill-all'; forMs: number}
 	/** A share of all machines is stopped in turn, each of which starts again. */
-	| {type: 'roll'; share: number; gapMs: number}
+	| {type: 'rolling-stop'; share: number; gapMs: number}
 );
 
 /** Time of the first fault, in milliseconds. */
@@ -51,7 +51,7 @@
 const CUT_FIRST_SHARE = 0.75;
 /** Types of fault that a soak draws, unless it also draws those that hit several machines at once. */
 const TYPES = ['cut', 'cut', 'cut', 'replace', 'replace', 'replace-planned', 'kill', 'power-loss', 'wipe', 'stop', 'freeze', 'slow-link', 'slow-disk', 'reset', 'seeds', 'entry-cut'] as const;
-const WIDE_TYPES = [...TYPES, 'split', 'split', 'herd', 'herd', 'roll', 'roll', 'full-disk', 'full-disk'] as const;
+const WIDE_TYPES = [...TYPES, 'split', 'split', 'kill-all', 'kill-all', 'rolling-stop', 'rolling-stop', 'full-disk', 'full-disk'] as const;
 const ROLL_SHARE = {min: 0.3, max: 1} as const;
 const ROLL_GAP_MS = {min: 300, max: 2000} as const;
 
@@ -99,11 +99,11 @@
 		}
 
 		case 'split':
-		case 'herd': {
+		case 'kill-all': {
 			return {type, atMs, forMs};
 		}
 
-		case 'roll': {
+		case 'rolling-stop': {
 			return {
 				type, atMs, share: ROLL_SHARE.min + (random() * (ROLL_SHARE.max - ROLL_SHARE.min)), gapMs: between(random, ROLL_GAP_MS),
 			};
@@ -171,7 +171,7 @@
 		}
 
 		case 'herd_kill': {
-			return {type: 'herd', atMs: common.atMs, forMs: common.forMs};
+			return {type: 'kill-all', atMs: common.atMs, forMs: common.forMs};
 		}
 
 		default: {
@@ -195,7 +195,7 @@
 
 		case 'roll_term': {
 			return {
-				type: 'roll', atMs: common.atMs, share: entry.share ?? 1, gapMs: (entry.gap_s ?? 1) * 1000,
+				type: 'rolling-stop', atMs: common.atMs, share: entry.share ?? 1, gapMs: (entry.gap_s ?? 1) * 1000,
 			};
 		}
 
--- a/utils/soak/core/group.ts
+++ b/utils/soak/core/group.ts
@@ -268,8 +268,8 @@
 			}
 
 			case 'split':
-			case 'herd':
-			case 'roll': {
+			case 'kill-all':
+			case 'rolling-stop': {
 				await injectWide(fault);
 				return;
 			}
--- a/utils/soak/core/wide-faults.ts
+++ b/utils/soak/core/wide-faults.ts
@@ -9,7 +9,7 @@
 const RESTART_MS = 200;
 const TURN_MS = 50;
 
-export type WideFault = CoreFault & {type: 'split' | 'herd' | 'roll'};
+export type WideFault = CoreFault & {type: 'split' | 'kill-all' | 'rolling-stop'};
 
 const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
 	setTimeout(resolve, milliseconds);
@@ -19,7 +19,7 @@
 	processes: Processes; addresses: Addresses; links: Links; random: Random;
 	/** Hosts of the keepers that have not been replaced. */
 	hosts(): string[];
-	/** Takes all machines of the core, so that nothing else disturbs one; undefined while one is disturbed. Returns a function that lets go of them. */
+	/** Takes all machines of the core, so that nothing else disturbs one; undefined while one is disturbed. Returns a function that releases them. */
 	takeAll(): (() => void) | undefined;
 	/** Stops a keeper by SIGTERM and starts it again, as soon as it may be lost. */
 	stopKeeper(host: string, forMs: number): Promise<void>;
@@ -55,15 +55,15 @@
 	};
 
 	/** Kills all keepers at once. */
-	const herd = async (forMs: number): Promise<void> => {
-		let letGo = takeAll();
-		while (!letGo) {
+	const killAll = async (forMs: number): Promise<void> => {
+		let release = takeAll();
+		while (!release) {
 			await pause(TURN_MS);
-			letGo = takeAll();
+			release = takeAll();
 		}
 
 		const all = hosts();
-		const disturbance = begin('herd');
+		const disturbance = begin('kill-all');
 		await Promise.all(all.map(async host => processes.end(host, 'SIGKILL')));
 		await pause(forMs);
 		for (const host of all) {
@@ -71,7 +71,7 @@
 		}
 
 		disturbance.endMs = Date.now();
-		letGo();
+		release();
 	};
 
 	/** Stops an entry and starts it again, unless it is stopped already. */
@@ -90,7 +90,7 @@
 	};
 
 	/** Stops machines in turn, each of which starts again. */
-	const roll = async ({share, gapMs}: {share: number; gapMs: number}): Promise<void> => {
+	const stopInTurn = async ({share, gapMs}: {share: number; gapMs: number}): Promise<void> => {
 		const all = shuffled([...hosts(), ...addresses.entries]);
 		await Promise.all(all.slice(0, Math.ceil(all.length * share)).map(async (host, index) => {
 			await pause(index * gapMs);
@@ -105,13 +105,13 @@
 				return;
 			}
 
-			case 'herd': {
-				await herd(fault.forMs);
+			case 'kill-all': {
+				await killAll(fault.forMs);
 				return;
 			}
 
-			case 'roll': {
-				await roll(fault);
+			case 'rolling-stop': {
+				await stopInTurn(fault);
 			}
 		}
 	};
